Set down the workspace, the core types and the shape's contracts

Cause: the code base starts here; every later part needs the folders, the filter, pipe and core, terms and positions, the settings document and the error classes. Change: five packages in one direction of dependency, import contracts that keep decisions apart from border, loop, clock and encoding, the test command.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: env demo test bench soak format
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	touch $@
+
+demo: env
+	$(BIN)/python -m fescueshunt_standins.demo
+
+test: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+	$(BIN)/python tests/lib/run_tests.py
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, caller library and operator language."""
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy process: border, composition root and binary."""
--- /dev/null
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for demos and tests."""
--- /dev/null
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Frames, border models and channels shared by the processes."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and data classes of the fescueshunt database proxy."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core types that every pipe shares."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/document.py
@@ -0,0 +1,169 @@
+"""The settings document that operators declare and every proxy enforces."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Durability(enum.StrEnum):
+    """When a write is acknowledged.
+
+    MAJORITY: once a majority of the group holds it, so that no failover loses
+    it. PRIMARY: once the primary has it and a majority still supports its
+    term; a failover may lose it.
+    """
+
+    MAJORITY = "majority"
+    PRIMARY = "primary"
+
+
+class DayState(enum.StrEnum):
+    """How sure a calendar day is. Only a confirmed day changes shares."""
+
+    DECLARED = "declared"
+    CONFIRMED = "confirmed"
+    WITHDRAWN = "withdrawn"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rank:
+    """One rank of work.
+
+    Attributes:
+      order: 0 is the most urgent.
+      target_s: the latency within which an answer is worth its full value.
+      worth: the relative worth of an answer in time.
+      floor: the share of an upstream's slots that the rank keeps in a flood.
+      ceiling: the share of the slots that the rank may hold at most.
+    """
+
+    name: str
+    order: int
+    target_s: float
+    worth: float
+    floor: float
+    ceiling: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One kind of work on the databases of a group.
+
+    Attributes:
+      group: the database group it works on.
+      rank: the name of its rank.
+      writes: whether its requests may write.
+      durability: when its writes are acknowledged.
+      max_age_s: the age its reads accept; None asks for the session's token
+        only, or for the primary where there is none.
+      idempotent: whether its writes may run more than once.
+    """
+
+    name: str
+    group: str
+    rank: str
+    writes: bool = False
+    durability: Durability = Durability.MAJORITY
+    max_age_s: float | None = None
+    idempotent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """One member of a database: its zone and address (IP number, port)."""
+
+    name: str
+    zone: str
+    address: str
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Database:
+    """One database with its upstreams."""
+
+    name: str
+    group: str
+    upstreams: tuple[Upstream, ...]
+
+    def find(self, name: str) -> Upstream | None:
+        """Returns the upstream called `name`."""
+        for upstream in self.upstreams:
+            if upstream.name == name:
+                return upstream
+        return None
+
+    @property
+    def majority(self) -> int:
+        """The number of upstreams that is more than half of the group."""
+        return len(self.upstreams) // 2 + 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """A database group: the limits of each of its upstreams."""
+
+    name: str
+    slots: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CalendarDay:
+    """A day of surge, in its own time zone.
+
+    Attributes:
+      date: the day, as YYYY-MM-DD.
+      zone: the IANA time zone of the day.
+      lead_s: seconds before midnight at which the change takes effect.
+      floors: the floors of ranks that hold on the day, by rank.
+      warm: the share of the pool's connections that is kept open.
+    """
+
+    name: str
+    date: str
+    zone: str
+    state: DayState
+    lead_s: float = 3600.0
+    floors: tuple[tuple[str, float], ...] = ()
+    warm: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """All that operators declare. `revision` counts accepted changes."""
+
+    revision: int = 0
+    operation: bytes = b""
+    author: str = ""
+    reason: str = ""
+    ranks: tuple[Rank, ...] = ()
+    groups: tuple[Group, ...] = ()
+    databases: tuple[Database, ...] = ()
+    services: tuple[Service, ...] = ()
+    calendar: tuple[CalendarDay, ...] = ()
+    draining_hosts: tuple[str, ...] = ()
+
+    def rank(self, name: str) -> Rank | None:
+        """Returns the rank called `name`."""
+        return _named(self.ranks, name)
+
+    def group(self, name: str) -> Group | None:
+        """Returns the group called `name`."""
+        return _named(self.groups, name)
+
+    def database(self, name: str) -> Database | None:
+        """Returns the database called `name`."""
+        return _named(self.databases, name)
+
+    def service(self, name: str) -> Service | None:
+        """Returns the service called `name`."""
+        return _named(self.services, name)
+
+
+def _named(entries: tuple, name: str) -> object | None:
+    for entry in entries:
+        if entry.name == name:
+            return entry
+    return None
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/rendezvous.py
@@ -0,0 +1,19 @@
+"""Rendezvous hashing: which few members answer for a key.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Returns `names` in the order in which they answer for `key`."""
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
+
+
+def _weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/views.py
@@ -0,0 +1,118 @@
+"""Views: what one pipe publishes and the others read."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from fescueshunt.core import document, filters, position, upstream
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsView(filters.Item):
+    """The settings in force in this process."""
+
+    document: document.Document
+
+
+class MemberState(enum.StrEnum):
+    """What the fleet knows of a proxy."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """One proxy of the fleet.
+
+    `incarnation` is higher for a newer start on the same name or address.
+    """
+
+    name: str
+    zone: str
+    address: str
+    incarnation: int
+    state: MemberState = MemberState.LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetView(filters.Item):
+    """The proxies that this process knows, itself among them.
+
+    `cut_zones` are zones whose proxies all went silent at once.
+    """
+
+    members: tuple[Member, ...]
+    cut_zones: frozenset[str] = frozenset()
+
+    def find(self, name: str) -> Member | None:
+        """Returns the member called `name`."""
+        for member in self.members:
+            if member.name == name:
+                return member
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamState:
+    """What is known of one upstream of a database.
+
+    Attributes:
+      sent_at: when the newest answered status call was sent; seconds, local
+        clock. The status held at some time after it.
+      failed_at: since when calls fail, None while they succeed.
+    """
+
+    name: str
+    status: upstream.Status | None = None
+    sent_at: float = 0.0
+    failed_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupView(filters.Item):
+    """The newest view of one database's group.
+
+    Attributes:
+      term: the highest term known to serve.
+      primary: the upstream that serves it, "" for none.
+      confirmed_at: the time at which a majority still supported `term`; local
+        clock, seconds.
+      states: one for each upstream of the database.
+      samples: (time, index) of the primary in `term`, oldest first: at `time`
+        the primary's log ended at `index` or before it.
+      leaving: upstreams that take no new work.
+    """
+
+    database: str
+    term: position.Term = position.NO_TERM
+    primary: str = ""
+    confirmed_at: float = 0.0
+    states: tuple[UpstreamState, ...] = ()
+    samples: tuple[tuple[float, int], ...] = ()
+    leaving: frozenset[str] = frozenset()
+
+    def find(self, name: str) -> UpstreamState | None:
+        """Returns the state of the upstream called `name`."""
+        for state in self.states:
+            if state.name == name:
+                return state
+        return None
+
+    def age_bound_s(self, history: position.History, now: float) -> float:
+        """Returns an upper bound on the age of data at the end of `history`.
+
+        The data is as new as the newest sample of the primary that it holds,
+        and no newer than the last time a majority supported the term.
+        Infinite where nothing is known.
+        """
+        newest = None
+        for seen_at, index in self.samples:
+            if history.holds(position.Position(self.term, index)):
+                newest = seen_at
+        if newest is None:
+            return float("inf")
+        return now - min(newest, self.confirmed_at)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -0,0 +1,217 @@
+"""Every failure of fescueshunt, one documented class each."""
+
+from __future__ import annotations
+
+import enum
+from typing import ClassVar
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may conclude about its request.
+
+    A `NOT_RUN` request had no effect and never will; a `FAILED` one was
+    rejected by the database and rolled back; an `UNKNOWN` one may have run,
+    and its outcome can be asked for later by its request id.
+    """
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class FescueshuntError(Exception):
+    """Base of all errors.
+
+    Attributes:
+      code: the stable name of the error in frames, metrics and logs.
+      outcome: what a caller may conclude about its request.
+      detail: a text for people; programs look at the class or the code.
+      retry_after_s: seconds after which a retry may succeed, 0 for no advice.
+    """
+
+    code: ClassVar[str] = "error"
+    outcome: ClassVar[Outcome] = Outcome.NOT_RUN
+
+    def __init__(self, detail: str = "", retry_after_s: float = 0.0) -> None:
+        super().__init__(detail, retry_after_s)
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+    def __eq__(self, other: object) -> bool:
+        return type(self) is type(other) and self.args == other.args
+
+    def __hash__(self) -> int:
+        return hash((type(self), self.args))
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.detail}" if self.detail else self.code
+
+
+class FrameError(FescueshuntError):
+    """A frame can't be decoded, or its content is not valid."""
+
+    code = "frame_invalid"
+
+
+class FrameTooLargeError(FrameError):
+    """A frame is larger than the bound."""
+
+    code = "frame_too_large"
+
+
+class FrameVersionError(FrameError):
+    """A frame has a version that this process doesn't know."""
+
+    code = "frame_version"
+
+
+class FrameOrderError(FrameError):
+    """A frame came out of order on its connection."""
+
+    code = "frame_order"
+
+
+class ConnectionLostError(FescueshuntError):
+    """A connection ended, or went silent, with a request in flight."""
+
+    code = "connection_lost"
+    outcome = Outcome.UNKNOWN
+
+
+class SettingsError(FescueshuntError):
+    """A setting is missing or invalid."""
+
+    code = "settings_invalid"
+
+
+class RequestInvalidError(FescueshuntError):
+    """A request names an unknown service or database, or is incomplete."""
+
+    code = "request_invalid"
+
+
+class RequestExpiredError(FescueshuntError):
+    """A request id is older than the time for which ids are kept."""
+
+    code = "request_expired"
+
+
+class RequestIdReusedError(FescueshuntError):
+    """A request id was used before, for a different request."""
+
+    code = "request_id_reused"
+
+
+class RequestCancelledError(FescueshuntError):
+    """The request id was settled as not run; it will never run."""
+
+    code = "request_cancelled"
+
+
+class DeadlineError(FescueshuntError):
+    """The request can't be served before its deadline."""
+
+    code = "deadline"
+
+
+class OverloadedError(FescueshuntError):
+    """The queue of the request's rank can't serve it in time."""
+
+    code = "overloaded"
+
+
+class RetryBudgetError(FescueshuntError):
+    """The retry budget is spent."""
+
+    code = "retry_budget"
+
+
+class NoPrimaryError(FescueshuntError):
+    """No primary is known that a majority of its group supports."""
+
+    code = "no_primary"
+
+
+class NoRouteError(FescueshuntError):
+    """No live proxy or upstream can take the request."""
+
+    code = "no_route"
+
+
+class TooStaleError(FescueshuntError):
+    """No reachable upstream is known to be as fresh as the request asks."""
+
+    code = "too_stale"
+
+
+class PositionLostError(FescueshuntError):
+    """The session's position is not part of the group's history any more."""
+
+    code = "position_lost"
+
+
+class TransactionLostError(FescueshuntError):
+    """The transaction is unknown here, or it was rolled back."""
+
+    code = "transaction_lost"
+
+
+class StoppingError(FescueshuntError):
+    """The proxy is stopping and takes no new sessions."""
+
+    code = "stopping"
+
+
+class StatementError(FescueshuntError):
+    """The database rejected a statement; the request was rolled back."""
+
+    code = "statement_rejected"
+    outcome = Outcome.FAILED
+
+
+class OutcomeUnknownError(FescueshuntError):
+    """A write couldn't be confirmed by its deadline; it may have run."""
+
+    code = "outcome_unknown"
+    outcome = Outcome.UNKNOWN
+
+
+class StoreUnavailableError(FescueshuntError):
+    """The platform's store gave no answer; the change may be in force."""
+
+    code = "store_unavailable"
+    outcome = Outcome.UNKNOWN
+
+
+class RevisionConflictError(FescueshuntError):
+    """Another operator changed the settings first."""
+
+    code = "revision_conflict"
+
+
+class AccessDeniedError(FescueshuntError):
+    """The operator's token is unknown, or its role doesn't allow this."""
+
+    code = "access_denied"
+
+
+class StatementSyntaxError(FescueshuntError):
+    """An operator's statement doesn't follow the grammar."""
+
+    code = "statement_syntax"
+
+
+def by_code(code: str) -> type[FescueshuntError]:
+    """Returns the error class of `code`, or the base for an unknown one."""
+    return _BY_CODE.get(code, FescueshuntError)
+
+
+def _index(base: type[FescueshuntError]) -> dict[str, type[FescueshuntError]]:
+    found = {base.code: base}
+    for derived in base.__subclasses__():
+        found.update(_index(derived))
+    return found
+
+
+_BY_CODE = _index(FescueshuntError)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/members/__init__.py
@@ -0,0 +1,1 @@
+"""The members pipe: from host list and heartbeats to the fleet view."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/request/__init__.py
@@ -0,0 +1,1 @@
+"""The request pipe: from a caller's frame to one whole answer."""
