Build the whole path, thin, as separate processes

Change: request, health, settings and members pipes in their thinnest form; wire, proxy, command line and stand-ins; the demo. Seen: make demo runs write, roaming read, transaction, aged read and a repeated id over 4 proxies and 3 upstreams; exit code 0. Known: until the host list is read, a proxy takes itself for the whole fleet. No failover yet.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	touch $@
 
 demo: env
-	$(BIN)/python -m fescueshunt_standins.demo
+	$(BIN)/python demo/demo.py
 
 test: env
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""What is not public in the command line."""
--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of `fescueshunt`, one module each."""
--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/bootstrap.py
@@ -0,0 +1,48 @@
+"""`fescueshunt bootstrap`: the first settings document of a deployment."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+from fescueshunt import errors
+from fescueshunt_cli._internal import deployment
+from fescueshunt_cli._internal.commands import base
+from fescueshunt_wire import channel, codec, platform
+
+SETTINGS_KEY = "fescueshunt/settings"
+TIMEOUT_S = 5.0
+
+
+class BootstrapCommand(base.Command):
+    """Puts a deployment file into an empty store."""
+
+    name = "bootstrap"
+
+    def run(self, file: pathlib.Path, store: str) -> int:
+        """Puts the deployment into the store as revision 1.
+
+        Args:
+          file: the INI file of the deployment.
+          store: the platform's store, as IP number:port.
+        """
+        return base.finish(put(file, store))
+
+
+async def put(file: pathlib.Path, store: str) -> int:
+    """Puts the deployment in `file` into an empty store.
+
+    Raises:
+      SettingsError: if the file is invalid.
+      RevisionConflictError: if the store has settings already.
+    """
+    document = dataclasses.replace(
+        deployment.load(file), revision=1, author="bootstrap"
+    )
+    data = codec.encode_document(document)
+    call = platform.CompareAndSwap(SETTINGS_KEY, 0, data)
+    async with channel.connect(store) as calls:
+        swapped = await calls.call(call, TIMEOUT_S)
+    if not swapped.done:
+        raise errors.RevisionConflictError("the store has settings already")
+    return base.SUCCESS
--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/main.py
@@ -0,0 +1,29 @@
+"""The dispatch of `fescueshunt` to its commands."""
+
+from __future__ import annotations
+
+import defopt
+
+from fescueshunt_cli._internal.commands import (
+    bootstrap,
+    load,
+    outcome,
+    query,
+    trace,
+)
+
+COMMANDS = (
+    bootstrap.BootstrapCommand(),
+    query.QueryCommand(),
+    outcome.OutcomeCommand(),
+    load.LoadCommand(),
+    trace.TraceCommand(),
+)
+
+
+def main(argv: list[str]) -> int:
+    """Parses `argv`, runs the command and returns the exit code."""
+    return defopt.run(
+        {command.name: command.run for command in COMMANDS},
+        argv=argv,
+    )
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/daemon.py
@@ -0,0 +1,39 @@
+"""The command line of `fescueshuntd`."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+
+import defopt
+
+from fescueshunt_proxy._internal import root, settings
+from fescueshunt_wire import ini
+
+SUCCESS = 0
+FAILURE = 1
+SETTINGS_INVALID = 2
+
+
+def serve(path: pathlib.Path, *, check_settings: bool = False) -> int:
+    """Runs a proxy until SIGTERM, which is a graceful shutdown.
+
+    Args:
+      path: the INI file with the proxy's settings.
+      check_settings: only check the file; exit code 2 if it is invalid.
+    """
+    try:
+        cfg = settings.load(path)
+    except ini.InvalidSettingsError as exc:
+        print(exc.detail, file=sys.stderr)
+        return SETTINGS_INVALID
+    if check_settings:
+        print(f"{path}: valid")
+        return SUCCESS
+    return asyncio.run(root.run(cfg))
+
+
+def main(argv: list[str]) -> int:
+    """Parses `argv` and returns the exit code."""
+    return defopt.run(serve, argv=argv)
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
@@ -0,0 +1,37 @@
+"""Metrics: counters, and latencies per rank and outcome."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from hdrh import histogram
+
+if TYPE_CHECKING:
+    from fescueshunt.request import items
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+
+
+class Metrics:
+    """Counts what ends, and records how long it took; microseconds."""
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.latencies: dict[str, histogram.HdrHistogram] = {}
+
+    def finished(self, item: items.Finished) -> None:
+        """Records the end of a piece of work."""
+        outcome = item.answer.outcome.value
+        name = f"{item.rank or 'none'}.{outcome}"
+        self.counters[f"requests.{name}"] += 1
+        if item.answer.error is not None:
+            self.counters[f"errors.{item.answer.error.code}"] += 1
+        if name not in self.latencies:
+            self.latencies[name] = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, DIGITS
+            )
+        self.latencies[name].record_value(int(item.latency_s * US_PER_S) or 1)
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
@@ -0,0 +1,119 @@
+"""The border towards other proxies: messages in and out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt import errors
+from fescueshunt.core import identity, items, peer, upstream, views
+from fescueshunt_wire import codec, link
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fescueshunt_proxy._internal import runtime, tracing
+
+REDIAL_PAUSE_S = 0.1
+MAX_WAITING = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class Sender:
+    """The outgoing connection to one proxy; None before it is open."""
+
+    address: str
+    task: asyncio.Task[None] | None = None
+    link: link.Link | None = None
+    waiting: list[peer.PeerMessage] = dataclasses.field(default_factory=list)
+
+
+class Peers:
+    """Source and sink of the connections between proxies.
+
+    Each proxy sends on connections that it dialed and receives on those that
+    it accepted.
+    """
+
+    def __init__(
+        self,
+        joined: runtime.Runtime,
+        me: identity.Identity,
+        tasks: asyncio.TaskGroup,
+        tracer: tracing.Tracer | None,
+    ) -> None:
+        self._joined = joined
+        self._me = me
+        self._tasks = tasks
+        self._tracer = tracer
+        self._senders: dict[str, Sender] = {}
+        self._addresses: dict[str, str] = {}
+        joined.subscribe(items.SendPeer, self._send)
+        joined.subscribe(views.FleetView, self._note_fleet)
+
+    @contextlib.asynccontextmanager
+    async def serving(self, address: str) -> AsyncIterator[str]:
+        """Accepts other proxies at `address`; yields the bound address."""
+        async with link.listen(address, self._serve) as bound:
+            yield bound
+
+    async def _serve(self, conn: link.Link) -> None:
+        sender = ""
+        async for envelope in conn.receive():
+            message = envelope.message
+            if isinstance(message, upstream.Hello) and not sender:
+                sender = message.host
+            elif isinstance(message, peer.PeerMessage) and sender:
+                self._joined.feed(
+                    items.PeerReceived(self._joined.now(), sender, message)
+                )
+            else:
+                raise errors.FrameOrderError(type(message).__name__)
+
+    def _note_fleet(self, view: views.FleetView) -> None:
+        self._addresses = {m.name: m.address for m in view.members}
+
+    def _send(self, item: items.SendPeer) -> None:
+        message = self._with_span(item.message)
+        sender = self._senders.get(item.name)
+        if sender is None:
+            sender = Sender(self._addresses.get(item.name, ""))
+            self._senders[item.name] = sender
+            sender.task = self._tasks.create_task(self._hold(item.name, sender))
+        if sender.link is None:
+            if len(sender.waiting) < MAX_WAITING:
+                sender.waiting.append(message)
+            return
+        with contextlib.suppress(errors.ConnectionLostError):
+            sender.link.post(codec.Envelope(0, message))
+
+    def _with_span(self, message: peer.PeerMessage) -> peer.PeerMessage:
+        is_request = isinstance(message, peer.ForwardedRequest)
+        if self._tracer is None or not is_request:
+            return message
+        span = self._tracer.span_of(message.request.request_id)
+        return dataclasses.replace(message, span=span)
+
+    async def _hold(self, name: str, sender: Sender) -> None:
+        """Keeps the connection to `name` open until it is lost."""
+        with contextlib.suppress(errors.FescueshuntError):
+            if not sender.address:
+                raise errors.NoRouteError(name)
+            async with link.dial(sender.address) as conn:
+                self._greet(sender, conn)
+                async for _ in conn.receive():
+                    raise errors.FrameOrderError("unexpected message")
+        if sender.link is None:
+            await asyncio.sleep(REDIAL_PAUSE_S)
+        del self._senders[name]
+        self._joined.feed(items.PeerLost(self._joined.now(), name))
+
+    def _greet(self, sender: Sender, conn: link.Link) -> None:
+        hello = upstream.Hello(self._me.name, self._me.zone)
+        conn.post(codec.Envelope(0, hello))
+        for message in sender.waiting:
+            conn.post(codec.Envelope(0, message))
+        sender.waiting.clear()
+        sender.link = conn
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -0,0 +1,74 @@
+"""The settings of a proxy process: one INI file, section [proxy]."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import TYPE_CHECKING, Annotated
+
+import pydantic
+
+from fescueshunt_wire import ini
+
+if TYPE_CHECKING:
+    import pathlib
+
+SECTION = "proxy"
+MAX_PORT = 65535
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]*$", max_length=64)
+]
+
+
+def _check_address(value: str) -> str:
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError("expected IP number:port")
+    ipaddress.ip_address(host)
+    return value
+
+
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class ProxySettings(pydantic.BaseModel):
+    """What a proxy process must know before it knows anything else.
+
+    Attributes:
+      name: unique in the fleet.
+      zone: the availability zone of this host.
+      callers: where callers connect; port 0 takes a free one.
+      peers: where other proxies connect.
+      platform: the platform's store and host list.
+      tick_ms: milliseconds between two ticks.
+      trace_file: where spans go, as JSON lines; empty for nowhere.
+      trace_share: the share of requests that are traced.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    name: Name
+    zone: Name
+    callers: Address
+    peers: Address
+    platform: Address
+    tick_ms: float = pydantic.Field(20.0, ge=1, le=1000)
+    trace_file: str = ""
+    trace_share: float = pydantic.Field(1.0, ge=0, le=1)
+
+
+def load(path: pathlib.Path) -> ProxySettings:
+    """Returns the settings in the INI file at `path`.
+
+    Raises:
+      InvalidSettingsError: with every invalid setting at once.
+    """
+    sections = ini.read_sections(path)
+    problems = [
+        ini.Problem(str(path), name, "", "", f"expected only [{SECTION}]")
+        for name in sections
+        if name != SECTION
+    ]
+    values = sections.get(SECTION, {})
+    cfg, invalid = ini.validate(ProxySettings, str(path), SECTION, values)
+    if cfg is None or problems:
+        raise ini.InvalidSettingsError(problems + invalid)
+    return cfg
--- /dev/null
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
@@ -0,0 +1,283 @@
+"""The upstream stand-in as a process: slots, connections, replication."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pydantic
+
+from fescueshunt import errors
+from fescueshunt.core import position, upstream
+from fescueshunt_standins import engine, process
+from fescueshunt_wire import channel, link, platform, replication
+
+LOG_WAIT_S = 0.5
+LOG_TIMEOUT_S = 1.5
+RETRY_S = 0.05
+
+
+class UpstreamSettings(pydantic.BaseModel):
+    """The settings of an upstream stand-in, section [upstream].
+
+    Times in milliseconds. `primary` is the address of the first primary,
+    empty for the first primary itself. `schema_sql` runs when it starts.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    name: str
+    zone: str
+    listen: str
+    primary: str = ""
+    slots: int = pydantic.Field(ge=1)
+    connections: int = pydantic.Field(ge=1)
+    connect_ms: float = pydantic.Field(12.0, ge=0)
+    statement_ms: float = pydantic.Field(0.5, ge=0)
+    lag_ms: float = pydantic.Field(0.0, ge=0)
+    schema_sql: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """One connection to the stand-in."""
+
+    open: bool = False
+    in_transaction: bool = False
+
+
+class Upstream:
+    """Serves one engine: calls of proxies and of other stand-ins."""
+
+    def __init__(self, cfg: UpstreamSettings) -> None:
+        self._cfg = cfg
+        schema = tuple(
+            sql.strip() for sql in cfg.schema_sql.split(";") if sql.strip()
+        )
+        self._engine = engine.Engine(not cfg.primary, schema)
+        self._slots = asyncio.Semaphore(cfg.slots)
+        self._writer = asyncio.Lock()
+        self._changed = asyncio.Condition()
+        self._fault = platform.SetFault(lag_s=cfg.lag_ms / 1000)
+        self._primary = cfg.primary
+        self._connections = 0
+
+    async def serve(self, conn: link.Link) -> None:
+        """Serves one connection until it ends."""
+        session = Session()
+        try:
+            await channel.answer_calls(
+                conn, lambda message: self._handle(session, message)
+            )
+        finally:
+            self._close(session)
+
+    async def replicate(self) -> None:
+        """Follows the primary, whoever it is, for ever."""
+        while True:
+            address = self._primary
+            if self._engine.role is not upstream.Role.REPLICA or not address:
+                await asyncio.sleep(RETRY_S)
+                continue
+            with contextlib.suppress(errors.FescueshuntError):
+                async with channel.connect(address) as primary:
+                    await self._follow(primary, address)
+            await asyncio.sleep(RETRY_S)
+
+    async def _follow(self, primary: channel.Channel, address: str) -> None:
+        current = self._engine
+        while address == self._primary:
+            if current.role is not upstream.Role.REPLICA:
+                return
+            term = current.term
+            call = replication.ReadLog(term, current.history, LOG_WAIT_S)
+            read = await primary.call(call, LOG_TIMEOUT_S)
+            if not read.accepted:
+                return
+            if self._fault.lag_s and read.entries:
+                await asyncio.sleep(self._fault.lag_s)
+            current.replicate(term, read)
+            await self._announce()
+
+    async def _handle(self, session: Session, message: Any) -> Any:
+        if isinstance(message, platform.SetFault):
+            self._fault = message
+            return platform.Done()
+        if self._fault.down:
+            return None
+        if self._fault.delay_s:
+            await asyncio.sleep(self._fault.delay_s)
+        match message:
+            case upstream.Hello():
+                return await self._hello(session)
+            case upstream.Execute():
+                return await self._execute(session, message)
+            case replication.ReadLog():
+                return await self._read_log(message)
+            case _:
+                return await self._control(message)
+
+    async def _hello(self, session: Session) -> upstream.Reply:
+        if self._connections >= self._cfg.connections:
+            return self._reject(
+                engine.RejectionError(upstream.Reason.TOO_MANY_CONNECTIONS)
+            )
+        self._connections += 1
+        session.open = True
+        await asyncio.sleep(self._cfg.connect_ms / 1000)
+        return upstream.Welcome(self._cfg.name)
+
+    async def _control(self, message: Any) -> Any:
+        match message:
+            case upstream.ReadStatus():
+                return await self._status(message)
+            case upstream.Fence():
+                accepted = self._engine.fence(message.term)
+                await self._announce()
+                return upstream.Fenced(
+                    accepted, self._engine.promised, self._engine.history
+                )
+            case upstream.Promote():
+                accepted = self._engine.promote(message.term)
+                await self._announce()
+                return upstream.Promoted(
+                    accepted, self._engine.promised, self._engine.history
+                )
+            case upstream.Follow():
+                accepted = self._engine.follow(message.term)
+                if accepted:
+                    self._primary = message.address
+                await self._announce()
+                return upstream.Followed(accepted, self._engine.promised)
+            case _:
+                raise errors.FrameOrderError(type(message).__name__)
+
+    async def _status(self, call: upstream.ReadStatus) -> upstream.Status:
+        current = self._engine
+
+        def is_new() -> bool:
+            return (current.history, current.promised) != (
+                call.seen,
+                call.promised,
+            )
+
+        await self._wait_for(is_new, call.wait_s)
+        return upstream.Status(
+            self._cfg.name,
+            current.role,
+            current.term,
+            current.promised,
+            current.history,
+            self._primary,
+            self._connections,
+            self._cfg.slots - self._slots._value,
+        )
+
+    async def _read_log(self, call: replication.ReadLog) -> replication.LogRead:
+        def is_new() -> bool:
+            return self._engine.history != call.history
+
+        await self._wait_for(is_new, call.wait_s)
+        return self._engine.entries_after(call.term, call.history)
+
+    async def _wait_for(self, condition: Any, wait_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(condition)
+
+    async def _announce(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _execute(
+        self, session: Session, call: upstream.Execute
+    ) -> upstream.Reply:
+        if not session.open:
+            raise errors.FrameOrderError("no hello")
+        try:
+            async with self._slots:
+                await asyncio.sleep(self._cfg.statement_ms / 1000)
+                return await self._run(session, call)
+        except engine.RejectionError as exc:
+            if call.mode is not upstream.Mode.READ:
+                self._abort(session)
+            return self._reject(exc)
+
+    async def _run(
+        self, session: Session, call: upstream.Execute
+    ) -> upstream.Executed:
+        current = self._engine
+        if call.mode is upstream.Mode.READ:
+            return self._executed(current.read(call.statements))
+        if call.mode is upstream.Mode.ROLLBACK:
+            self._abort(session)
+            return self._executed(())
+        if call.mode is upstream.Mode.BEGIN:
+            await self._begin(session, call.term)
+        if not session.in_transaction:
+            raise engine.RejectionError(upstream.Reason.NO_TRANSACTION)
+        current.check_primary(call.term)
+        results = current.step(call.statements)
+        if call.mode is upstream.Mode.COMMIT:
+            current.commit()
+            self._release(session)
+            await self._announce()
+        return self._executed(results)
+
+    async def _begin(self, session: Session, term: position.Term) -> None:
+        if session.in_transaction:
+            self._abort(session)
+        self._engine.check_primary(term)
+        await self._writer.acquire()
+        session.in_transaction = True
+        self._engine.check_primary(term)
+        self._engine.begin()
+
+    def _executed(self, results: Any) -> upstream.Executed:
+        return upstream.Executed(
+            results, self._engine.history, self._engine.promised
+        )
+
+    def _reject(self, exc: engine.RejectionError) -> upstream.Rejected:
+        return upstream.Rejected(
+            exc.reason, exc.detail, exc.statement, self._engine.promised
+        )
+
+    def _abort(self, session: Session) -> None:
+        if session.in_transaction:
+            self._engine.rollback()
+            self._release(session)
+
+    def _release(self, session: Session) -> None:
+        session.in_transaction = False
+        self._writer.release()
+
+    def _close(self, session: Session) -> None:
+        self._abort(session)
+        if session.open:
+            session.open = False
+            self._connections -= 1
+
+
+@contextlib.asynccontextmanager
+async def running(cfg: UpstreamSettings) -> AsyncIterator[str]:
+    """Runs an upstream stand-in; yields its address."""
+    served = Upstream(cfg)
+    async with link.listen(cfg.listen, served.serve) as address:
+        replicating = asyncio.create_task(served.replicate())
+        try:
+            yield address
+        finally:
+            replicating.cancel()
+
+
+def main(settings: pathlib.Path) -> None:
+    """Runs an upstream stand-in with the INI file `settings`."""
+    process.run(settings, "upstream", UpstreamSettings, running)
+
+
+if __name__ == "__main__":
+    process.start(main)
--- /dev/null
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models, one for each message; the border's side of the data."""
--- /dev/null
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/documents.py
@@ -0,0 +1,94 @@
+"""Models of the settings document."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import pydantic
+
+from fescueshunt.core import document
+from fescueshunt_wire.models import base
+
+Date = Annotated[str, pydantic.Field(pattern=r"^\d{4}-\d{2}-\d{2}$")]
+
+
+class RankModel(base.Model):
+    """A rank of work."""
+
+    of = document.Rank
+    name: base.Name
+    order: base.Count
+    target_s: base.Seconds
+    worth: base.Seconds
+    floor: base.Share
+    ceiling: base.Share = 1.0
+
+
+class ServiceModel(base.Model):
+    """A service."""
+
+    of = document.Service
+    name: base.Name
+    group: base.Name
+    rank: base.Name
+    writes: bool = False
+    durability: document.Durability = document.Durability.MAJORITY
+    max_age_s: base.Seconds | None = None
+    idempotent: bool = False
+
+
+class UpstreamModel(base.Model):
+    """An upstream."""
+
+    of = document.Upstream
+    name: base.Name
+    zone: base.Name
+    address: base.Name
+    draining: bool = False
+
+
+class DatabaseModel(base.Model):
+    """A database."""
+
+    of = document.Database
+    name: base.Name
+    group: base.Name
+    upstreams: tuple[UpstreamModel, ...]
+
+
+class GroupModel(base.Model):
+    """A database group."""
+
+    of = document.Group
+    name: base.Name
+    slots: Annotated[int, pydantic.Field(ge=1)]
+    connections: Annotated[int, pydantic.Field(ge=1)]
+
+
+class CalendarDayModel(base.Model):
+    """A day of surge."""
+
+    of = document.CalendarDay
+    name: base.Name
+    date: Date
+    zone: base.Name
+    state: document.DayState
+    lead_s: base.Seconds = 3600.0
+    floors: tuple[tuple[base.Name, base.Share], ...] = ()
+    warm: base.Share = 1.0
+
+
+class DocumentModel(base.Model):
+    """The settings document."""
+
+    of = document.Document
+    revision: base.Count = 0
+    operation: Annotated[bytes, pydantic.Field(max_length=16)] = b""
+    author: base.Name = ""
+    reason: base.Text = ""
+    ranks: tuple[RankModel, ...] = ()
+    groups: tuple[GroupModel, ...] = ()
+    databases: tuple[DatabaseModel, ...] = ()
+    services: tuple[ServiceModel, ...] = ()
+    calendar: tuple[CalendarDayModel, ...] = ()
+    draining_hosts: tuple[base.Name, ...] = ()
--- /dev/null
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
@@ -0,0 +1,113 @@
+"""Models of the messages of callers and between proxies."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import pydantic
+
+from fescueshunt.core import peer, request
+from fescueshunt_wire import failure
+from fescueshunt_wire.models import base, calls
+
+RequestId = Annotated[
+    bytes,
+    pydantic.Field(
+        min_length=request.REQUEST_ID_BYTES,
+        max_length=request.REQUEST_ID_BYTES,
+    ),
+]
+TransactionId = Annotated[
+    bytes, pydantic.Field(max_length=request.REQUEST_ID_BYTES)
+]
+SpanId = Annotated[bytes, pydantic.Field(max_length=8)]
+
+
+class RequestModel(base.Model):
+    """A request."""
+
+    of = request.Request
+    request_id: RequestId
+    service: base.Name
+    database: base.Name
+    kind: request.Kind
+    statements: calls.Statements = ()
+    caller: base.Name = ""
+    after: calls.PositionModel | None = None
+    unsure: bool = False
+    max_age_s: base.Seconds | None = None
+    timeout_s: base.Seconds = 5.0
+    transaction: TransactionId = b""
+
+
+class AnswerModel(base.Model):
+    """An answer."""
+
+    of = request.Answer
+    request_id: RequestId
+    results: tuple[calls.ResultSetModel, ...] = ()
+    token: calls.PositionModel | None = None
+    upstream: base.Name = ""
+    from_replica: bool = False
+    age_s: float | None = None
+    repeated: bool = False
+    error: base.ErrorModel | None = None
+
+
+class FailureModel(base.Model):
+    """An error in place of an answer."""
+
+    of = failure.Failure
+    error: base.ErrorModel
+
+
+class UpstreamBriefModel(base.Model):
+    """What a home last saw of an upstream."""
+
+    of = peer.UpstreamBrief
+    name: base.Name
+    last: calls.PositionModel
+    reachable: bool
+    leaving: bool = False
+
+
+class GroupBriefModel(base.Model):
+    """A hint about a group."""
+
+    of = peer.GroupBrief
+    database: base.Name
+    term: calls.TermModel
+    primary: base.Name
+    upstreams: tuple[UpstreamBriefModel, ...] = ()
+
+
+class ForwardedRequestModel(base.Model):
+    """A request on its way to a home."""
+
+    of = peer.ForwardedRequest
+    seq: base.Count
+    upstream: base.Name
+    request: RequestModel
+    remaining_s: base.Seconds
+    in_doubt: bool = False
+    span: SpanId = b""
+
+
+class ForwardedAnswerModel(base.Model):
+    """The answer to a forwarded request."""
+
+    of = peer.ForwardedAnswer
+    seq: base.Count
+    answer: AnswerModel
+    brief: GroupBriefModel | None = None
+
+
+class RedirectedModel(base.Model):
+    """A request that was not run."""
+
+    of = peer.Redirected
+    seq: base.Count
+    brief: GroupBriefModel | None = None
+    suggested: base.Name = ""
+    in_doubt: bool = False
+    error: base.ErrorModel | None = None
--- a/packages/fescueshunt/src/fescueshunt/core/filters.py
+++ b/packages/fescueshunt/src/fescueshunt/core/filters.py
@@ -5,7 +5,10 @@
 import abc
 import collections
 import dataclasses
-from collections.abc import Iterable, Iterator, Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/core/rendezvous.py
+++ b/packages/fescueshunt/src/fescueshunt/core/rendezvous.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
--- a/packages/fescueshunt/src/fescueshunt/core/request.py
+++ b/packages/fescueshunt/src/fescueshunt/core/request.py
@@ -4,9 +4,12 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import position
+
+if TYPE_CHECKING:
+    from fescueshunt.core import position
 
 Value = None | bool | int | float | str | bytes
 
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/health/pipe.py
@@ -0,0 +1,19 @@
+"""The health pipe, put together."""
+
+from __future__ import annotations
+
+from fescueshunt.core import filters, identity, items, views
+from fescueshunt.health import track
+
+ACCEPTS = (
+    items.ControlReplied,
+    items.ControlFailed,
+    filters.Tick,
+    views.SettingsView,
+    views.FleetView,
+)
+
+
+def build(me: identity.Identity) -> filters.Pipe:
+    """Returns the health pipe of the proxy `me`."""
+    return filters.Pipe((track.Track(me),), ACCEPTS)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/health/track.py
@@ -0,0 +1,219 @@
+"""Tracking: polls the upstreams of hosted databases into group views."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import (
+    document,
+    filters,
+    homes,
+    identity,
+    position,
+    upstream,
+    views,
+)
+from fescueshunt.core import (
+    items as core_items,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+POLL_WAIT_S = 0.2
+CALL_TIMEOUT_S = 0.6
+MAX_SAMPLES = 128
+SAMPLE_SPACING_S = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class Tracked:
+    """What is known of one database, and which polls are in flight."""
+
+    database: document.Database
+    view: views.GroupView
+    polling: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class TrackState:
+    """What tracking remembers."""
+
+    settings: document.Document = document.Document()
+    fleet: views.FleetView = views.FleetView(0.0, ())
+    tracked: dict[str, Tracked] = dataclasses.field(default_factory=dict)
+
+
+class Track(filters.Filter):
+    """Polls every upstream of each database that this proxy is a home of.
+
+    A poll waits at the upstream until something changes, so a view follows a
+    commit within a round trip and an idle group costs a poll each wait.
+    """
+
+    def __init__(self, me: identity.Identity) -> None:
+        self._me = me
+        self._state = TrackState()
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields polls and group views."""
+        match item:
+            case core_items.ControlReplied(call=upstream.ReadStatus()):
+                yield from self._replied(item)
+            case core_items.ControlFailed(call=upstream.ReadStatus()):
+                yield from self._failed(item)
+            case views.SettingsView():
+                self._state.settings = item.document
+                yield from self._review(item.at)
+                yield item
+            case views.FleetView():
+                self._state.fleet = item
+                yield from self._review(item.at)
+                yield item
+            case filters.Tick():
+                yield from self._poll_all(item.at)
+                yield item
+            case _:
+                yield item
+
+    def _review(self, now: float) -> Iterator[filters.Item]:
+        hosted = homes.hosted(
+            self._state.settings.databases, self._state.fleet, self._me.name
+        )
+        known = self._state.tracked
+        self._state.tracked = {
+            database.name: _keep(known.get(database.name), database, now)
+            for database in hosted
+        }
+        yield from self._poll_all(now)
+
+    def _poll_all(self, now: float) -> Iterator[filters.Item]:
+        for tracked in self._state.tracked.values():
+            for member in tracked.database.upstreams:
+                if member.name not in tracked.polling:
+                    yield self._poll(tracked, member, now)
+
+    def _poll(
+        self, tracked: Tracked, member: document.Upstream, now: float
+    ) -> core_items.CallControl:
+        tracked.polling.add(member.name)
+        state = tracked.view.find(member.name)
+        call = upstream.ReadStatus()
+        if state is not None and state.status is not None:
+            wait_s = POLL_WAIT_S if state.failed_at is None else 0.0
+            call = upstream.ReadStatus(
+                state.status.history, state.status.promised, wait_s
+            )
+        return core_items.CallControl(
+            now,
+            tracked.database.name,
+            member.name,
+            member.address,
+            call,
+            CALL_TIMEOUT_S,
+        )
+
+    def _replied(
+        self, item: core_items.ControlReplied
+    ) -> Iterator[filters.Item]:
+        tracked = self._state.tracked.get(item.database)
+        if tracked is None or not isinstance(item.reply, upstream.Status):
+            return
+        state = views.UpstreamState(item.upstream, item.reply, item.sent_at)
+        tracked.polling.discard(item.upstream)
+        tracked.view = _with_state(tracked, state, item.at)
+        member = tracked.database.find(item.upstream)
+        if member is not None:
+            yield self._poll(tracked, member, item.at)
+        yield tracked.view
+
+    def _failed(self, item: core_items.ControlFailed) -> Iterator[filters.Item]:
+        tracked = self._state.tracked.get(item.database)
+        if tracked is None:
+            return
+        tracked.polling.discard(item.upstream)
+        state = tracked.view.find(item.upstream)
+        if state is None or state.failed_at is not None:
+            return
+        failed = dataclasses.replace(state, failed_at=item.at)
+        tracked.view = _with_state(tracked, failed, item.at)
+        yield tracked.view
+
+
+def _keep(
+    tracked: Tracked | None, database: document.Database, now: float
+) -> Tracked:
+    leaving = frozenset(u.name for u in database.upstreams if u.draining)
+    if tracked is None:
+        states = tuple(views.UpstreamState(u.name) for u in database.upstreams)
+        view = views.GroupView(
+            now, database.name, states=states, leaving=leaving
+        )
+        return Tracked(database, view)
+    tracked.database = database
+    tracked.view = dataclasses.replace(tracked.view, at=now, leaving=leaving)
+    return tracked
+
+
+def _with_state(
+    tracked: Tracked, changed: views.UpstreamState, now: float
+) -> views.GroupView:
+    view = tracked.view
+    states = tuple(
+        changed if state.name == changed.name else state
+        for state in view.states
+    )
+    term, primary = _serving(states, view)
+    samples = view.samples if term == view.term else ()
+    if changed.name == primary and changed.failed_at is None:
+        samples = _add_sample(samples, changed)
+    return dataclasses.replace(
+        view,
+        at=now,
+        states=states,
+        term=term,
+        primary=primary,
+        samples=samples,
+        confirmed_at=_confirmed_at(states, term, tracked.database.majority),
+    )
+
+
+def _serving(
+    states: tuple[views.UpstreamState, ...], view: views.GroupView
+) -> tuple[position.Term, str]:
+    """Returns the highest term that serves, and its primary."""
+    term, primary = view.term, view.primary
+    for state in states:
+        status = state.status
+        if status is None or status.role is not upstream.Role.PRIMARY:
+            continue
+        if status.term >= term:
+            term, primary = status.term, state.name
+    return term, primary
+
+
+def _add_sample(
+    samples: tuple[tuple[float, int], ...], state: views.UpstreamState
+) -> tuple[tuple[float, int], ...]:
+    sample = (state.sent_at, state.status.history.end)
+    if samples and state.sent_at - samples[-1][0] < SAMPLE_SPACING_S:
+        return samples
+    return (*samples[-MAX_SAMPLES + 1 :], sample)
+
+
+def _confirmed_at(
+    states: tuple[views.UpstreamState, ...],
+    term: position.Term,
+    majority: int,
+) -> float:
+    """Returns when a majority last promised no term above `term`."""
+    times = sorted(
+        (
+            state.sent_at
+            for state in states
+            if state.status is not None and state.status.promised == term
+        ),
+        reverse=True,
+    )
+    return times[majority - 1] if len(times) >= majority else float("-inf")
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -0,0 +1,131 @@
+"""Items within the request pipe."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import document, filters, peer, position, request
+
+if TYPE_CHECKING:
+    from fescueshunt import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerOrigin:
+    """The work came from a caller of this proxy."""
+
+    conn: int
+    seq: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerOrigin:
+    """The work was forwarded by another proxy."""
+
+    name: str
+    seq: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work(filters.Item):
+    """An admitted request on its way through the pipe.
+
+    Attributes:
+      key: unique within this process.
+      deadline: local clock, seconds.
+      upstream: the upstream that the sender chose, "" for a caller's work.
+      attempts: how many upstreams were tried.
+      avoid: upstreams that can't serve it.
+      suggested: the upstream that a home named as the next to try.
+      in_doubt: whether an earlier attempt may have run.
+      error: why the last attempt ended; told when no attempt is left.
+    """
+
+    key: int
+    origin: CallerOrigin | PeerOrigin
+    req: request.Request
+    service: document.Service
+    rank: document.Rank
+    deadline: float
+    upstream: str = ""
+    attempts: int = 0
+    avoid: frozenset[str] = frozenset()
+    suggested: str = ""
+    in_doubt: bool = False
+    error: errors.FescueshuntError | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived(filters.Item):
+    """Work at the home of the upstream that was chosen for it.
+
+    `upstream` is "" for a statement of a transaction that is open here.
+    """
+
+    work: Work
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placed(filters.Item):
+    """Work that waits for a slot of `upstream` at this home."""
+
+    work: Work
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started(filters.Item):
+    """Work that holds a slot of `upstream` and its connection `conn`."""
+
+    work: Work
+    upstream: str
+    conn: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released(filters.Item):
+    """Work is done with its connection; `reusable` if nothing is open on it."""
+
+    conn: int
+    reusable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retried(filters.Item):
+    """Work that did not run, or that the ledger protects, to route again.
+
+    `work.error` says why, `work.in_doubt` whether it may have run.
+    """
+
+    work: Work
+    brief: peer.GroupBrief | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentBack(filters.Item):
+    """A peer's work that was not run here and goes back to it."""
+
+    work: Work
+    brief: peer.GroupBrief | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed(filters.Item):
+    """A write that its primary has committed, not yet acknowledged."""
+
+    work: Work
+    answer: request.Answer
+    position: position.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished(filters.Item):
+    """Work with its final answer, `latency_s` seconds after it arrived."""
+
+    origin: CallerOrigin | PeerOrigin
+    database: str
+    rank: str
+    answer: request.Answer
+    latency_s: float = 0.0
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/request/reply.py
@@ -0,0 +1,46 @@
+"""The end of the request pipe: each answer goes back where its work began."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, peer
+from fescueshunt.core import items as core_items
+from fescueshunt.request import items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Reply(filters.Filter):
+    """Turns work that is over into an answer to a caller or to a peer."""
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields the effect that answers, and what ended for the metrics."""
+        match item:
+            case items.Finished():
+                yield _answer(item)
+            case items.SentBack():
+                yield _redirect(item)
+        yield item
+
+
+def _answer(item: items.Finished) -> filters.Item:
+    match item.origin:
+        case items.CallerOrigin(conn, seq):
+            return core_items.AnswerCaller(item.at, conn, seq, item.answer)
+        case items.PeerOrigin(name, seq):
+            message = peer.ForwardedAnswer(seq, item.answer)
+            return core_items.SendPeer(item.at, name, message)
+
+
+def _redirect(item: items.SentBack) -> core_items.SendPeer:
+    work = item.work
+    message = peer.Redirected(
+        work.origin.seq,
+        item.brief,
+        work.suggested,
+        work.in_doubt,
+        work.error,
+    )
+    return core_items.SendPeer(item.at, work.origin.name, message)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -0,0 +1,254 @@
+"""Routing at the entry: the home to which a caller's work goes.
+
+Only the entry retries. A home that can't run a request sends it back with
+what it knows; the ledger keeps a write that may have run from running twice.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt import errors
+from fescueshunt.core import (
+    document,
+    filters,
+    homes,
+    identity,
+    peer,
+    position,
+    request,
+    views,
+)
+from fescueshunt.core import (
+    items as core_items,
+)
+from fescueshunt.request import choose, items, outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+RETRY_PAUSE_S = 0.05
+ANSWER_MARGIN_S = 0.02
+FIRST_RETRIES_AT_ONCE = 3
+OPEN_ONLY = frozenset({request.Kind.STEP, request.Kind.ROLLBACK})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Work that another proxy has."""
+
+    work: items.Work
+    home: str
+
+
+@dataclasses.dataclass(slots=True)
+class RouteState:
+    """What routing remembers."""
+
+    settings: document.Document = document.Document()
+    fleet: views.FleetView = views.FleetView(0.0, ())
+    briefs: dict[str, peer.GroupBrief] = dataclasses.field(default_factory=dict)
+    forwards: dict[int, Forward] = dataclasses.field(default_factory=dict)
+    waiting: list[tuple[float, items.Work]] = dataclasses.field(
+        default_factory=list
+    )
+    pinned: dict[bytes, str] = dataclasses.field(default_factory=dict)
+
+
+class Route(filters.Filter):
+    """Sends each caller's work to the home of the upstream chosen for it."""
+
+    def __init__(self, me: identity.Identity) -> None:
+        self._me = me
+        self._state = RouteState()
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields arrivals, forwards and refusals; consumes peers' answers."""
+        match item:
+            case items.Work():
+                yield from self._route(item, item.at)
+            case items.Retried():
+                yield from self._retry(item)
+            case core_items.PeerReceived(message=peer.ForwardedAnswer()):
+                yield from self._take_answer(item.at, item.message)
+            case core_items.PeerReceived(message=peer.Redirected()):
+                yield from self._take_redirect(item.at, item.message)
+            case core_items.PeerLost():
+                yield from self._reroute_from(item.name, item.at)
+            case filters.Tick():
+                yield from self._wake(item.at)
+                yield item
+            case _:
+                self._note_view(item)
+                yield item
+
+    def _note_view(self, item: filters.Item) -> None:
+        match item:
+            case views.SettingsView():
+                self._state.settings = item.document
+            case views.FleetView():
+                self._state.fleet = item
+            case views.GroupView():
+                self._state.briefs[item.database] = brief_of(item)
+
+    def _route(self, work: items.Work, now: float) -> Iterator[filters.Item]:
+        if isinstance(work.origin, items.PeerOrigin):
+            yield items.Arrived(now, work, work.upstream)
+            return
+        if self._is_inside(work):
+            yield from self._route_pinned(work, now)
+            return
+        database = self._state.settings.database(work.req.database)
+        name = self._choose(work, database)
+        upstream = database.find(name)
+        if upstream is None:
+            yield from self._pause(work, now)
+            return
+        home = homes.home_of(database.name, upstream, self._state.fleet)
+        yield from self._send(work, name, home, now)
+
+    def _choose(self, work: items.Work, database: document.Database) -> str:
+        brief = self._state.briefs.get(work.req.database)
+        return choose.for_entry(work, database, brief, self._me.zone)
+
+    def _is_inside(self, work: items.Work) -> bool:
+        """Tells whether `work` goes to the home of an open transaction.
+
+        A COMMIT of which nothing is known here is settled by the ledger.
+        """
+        if work.req.kind is request.Kind.COMMIT:
+            return work.req.transaction in self._state.pinned
+        return work.req.kind in OPEN_ONLY
+
+    def _route_pinned(
+        self, work: items.Work, now: float
+    ) -> Iterator[filters.Item]:
+        home = self._state.pinned.get(work.req.transaction)
+        if home is None:
+            yield outcome.refuse(now, work, errors.TransactionLostError())
+            return
+        if work.req.kind is not request.Kind.STEP:
+            del self._state.pinned[work.req.transaction]
+        yield from self._send(work, "", home, now)
+
+    def _send(
+        self, work: items.Work, upstream: str, home: str, now: float
+    ) -> Iterator[filters.Item]:
+        if work.req.kind is request.Kind.BEGIN:
+            self._state.pinned[work.req.request_id] = home
+        if home == self._me.name:
+            yield items.Arrived(now, work, upstream)
+            return
+        self._state.forwards[work.key] = Forward(work, home)
+        remaining_s = max(work.deadline - now - ANSWER_MARGIN_S, 0.0)
+        yield core_items.SendPeer(
+            now,
+            home,
+            peer.ForwardedRequest(
+                work.key, upstream, work.req, remaining_s, work.in_doubt
+            ),
+        )
+
+    def _take_answer(
+        self, now: float, message: peer.ForwardedAnswer
+    ) -> Iterator[filters.Item]:
+        forward = self._state.forwards.pop(message.seq, None)
+        if forward is None:
+            return
+        if message.brief is not None:
+            self._state.briefs[message.brief.database] = message.brief
+        yield outcome.finish(now, forward.work, message.answer)
+
+    def _take_redirect(
+        self, now: float, message: peer.Redirected
+    ) -> Iterator[filters.Item]:
+        forward = self._state.forwards.pop(message.seq, None)
+        if forward is None:
+            return
+        work = dataclasses.replace(
+            forward.work,
+            suggested=message.suggested,
+            in_doubt=forward.work.in_doubt or message.in_doubt,
+            error=message.error or forward.work.error,
+        )
+        yield from self._retry(items.Retried(now, work, message.brief))
+
+    def _retry(self, item: items.Retried) -> Iterator[filters.Item]:
+        work = item.work
+        if isinstance(work.origin, items.PeerOrigin):
+            yield items.SentBack(item.at, work, item.brief)
+            return
+        if item.brief is not None:
+            self._state.briefs[item.brief.database] = item.brief
+        if work.req.kind in OPEN_ONLY:
+            yield outcome.refuse(item.at, work, errors.TransactionLostError())
+            return
+        self._state.pinned.pop(work.req.request_id, None)
+        again = dataclasses.replace(work, attempts=work.attempts + 1)
+        if again.attempts <= FIRST_RETRIES_AT_ONCE and _has_way(again, item):
+            yield from self._route(again, item.at)
+            return
+        yield from self._pause(again, item.at)
+
+    def _pause(self, work: items.Work, now: float) -> Iterator[filters.Item]:
+        wake_at = now + RETRY_PAUSE_S
+        if wake_at >= work.deadline:
+            yield outcome.refuse(now, work, work.error or errors.NoRouteError())
+            return
+        fresh = dataclasses.replace(work, avoid=frozenset(), suggested="")
+        self._state.waiting.append((wake_at, fresh))
+
+    def _reroute_from(self, home: str, now: float) -> Iterator[filters.Item]:
+        lost = [f for f in self._state.forwards.values() if f.home == home]
+        for forward in lost:
+            del self._state.forwards[forward.work.key]
+            work = dataclasses.replace(
+                forward.work,
+                in_doubt=outcome.may_have_run(forward.work),
+                error=errors.ConnectionLostError(home),
+            )
+            again = dataclasses.replace(work, attempts=work.attempts + 1)
+            yield from self._pause(again, now)
+
+    def _wake(self, now: float) -> Iterator[filters.Item]:
+        due = [work for wake_at, work in self._state.waiting if wake_at <= now]
+        self._state.waiting = [
+            entry for entry in self._state.waiting if entry[0] > now
+        ]
+        for work in due:
+            yield from self._route(work, now)
+        late = [
+            f for f in self._state.forwards.values() if f.work.deadline <= now
+        ]
+        for forward in late:
+            del self._state.forwards[forward.work.key]
+            yield outcome.expire(now, forward.work)
+
+
+def brief_of(view: views.GroupView) -> peer.GroupBrief:
+    """Returns what a home tells others of its group view."""
+    return peer.GroupBrief(
+        view.database,
+        view.term,
+        view.primary,
+        tuple(_upstream_brief(view, state) for state in view.states),
+    )
+
+
+def _upstream_brief(
+    view: views.GroupView, state: views.UpstreamState
+) -> peer.UpstreamBrief:
+    known = state.status is not None
+    return peer.UpstreamBrief(
+        state.name,
+        state.status.history.last if known else position.ORIGIN,
+        known and state.failed_at is None,
+        state.name in view.leaving,
+    )
+
+
+def _has_way(work: items.Work, item: items.Retried) -> bool:
+    if work.suggested:
+        return True
+    return item.brief is not None and bool(item.brief.primary)
