Find out about the fleet by heartbeats and rumors

Cause: a proxy knew the fleet from the platform's lagging list alone: it took itself for the whole fleet until the first read, and a dead or cut-off proxy stayed home to its upstreams for as long as the list lagged. Ruled out: leases in the store (calls grow with the fleet), heartbeats from all to all (cost grows with the fleet), the list alone. Before: in the demo's first second every proxy was home to every upstream.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
@@ -79,7 +79,8 @@
         message = self._with_span(item.message)
         sender = self._senders.get(item.name)
         if sender is None:
-            sender = Sender(self._addresses.get(item.name, ""))
+            known = self._addresses.get(item.name, "")
+            sender = Sender(item.address or known)
             self._senders[item.name] = sender
             sender.task = self._tasks.create_task(self._hold(item.name, sender))
         if sender.link is None:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -44,7 +44,9 @@
     )
     logs.configure(me)
     logger = structlog.get_logger(__name__)
-    joined = runtime.Runtime(proxy.build(me, codec.ResultCodec()))
+    joined = runtime.Runtime(
+        proxy.build(me, codec.ResultCodec(), seeds=cfg.seeds)
+    )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
     _watch(joined)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
 import pydantic
 
@@ -39,6 +39,8 @@
       callers: where callers connect; port 0 takes a free one.
       peers: where other proxies connect.
       platform: the platform's store and host list.
+      seeds: addresses of other proxies' `peers`, for a start while the host
+        list can't be read.
       tick_ms: milliseconds between two ticks.
       trace_file: where spans go, as JSON lines; empty for nowhere.
       trace_share: the share of requests that are traced.
@@ -50,6 +52,7 @@
     callers: Address
     peers: Address
     platform: Address
+    seeds: tuple[Address, ...] = ()
     tick_ms: float = pydantic.Field(20.0, ge=1, le=1000)
     trace_file: str = ""
     trace_share: float = pydantic.Field(1.0, ge=0, le=1)
@@ -67,7 +70,9 @@
         for name in sections
         if name != SECTION
     ]
-    values = sections.get(SECTION, {})
+    values: dict[str, Any] = dict(sections.get(SECTION, {}))
+    if "seeds" in values:
+        values["seeds"] = ini.split(values["seeds"])
     cfg, invalid = ini.validate(ProxySettings, str(path), SECTION, values)
     if cfg is None or problems:
         raise ini.InvalidSettingsError(problems + invalid)
--- a/packages/fescueshunt/src/fescueshunt/core/homes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/homes.py
@@ -9,10 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-CANDIDATE_STATES = frozenset(
-    {views.MemberState.LIVE, views.MemberState.SUSPECT}
-)
-
 
 def home_of(
     database: str, upstream: document.Upstream, fleet: views.FleetView
@@ -20,9 +16,10 @@
     """Returns the name of the proxy that is home to `upstream`.
 
     It is one of the live proxies of the upstream's zone; where that has none,
-    one of the live proxies of all zones. "" where the fleet is empty.
+    one of the live proxies of all zones. "" where no proxy is live. A home
+    moves as soon as it is suspected: being home is for efficiency only.
     """
-    live = [m for m in fleet.members if m.state in CANDIDATE_STATES]
+    live = [m for m in fleet.members if m.state is views.MemberState.LIVE]
     near = [m.name for m in live if m.zone == upstream.zone]
     names = near or [m.name for m in live]
     ordered = rendezvous.rank(f"{database}/{upstream.name}", names)
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -108,10 +108,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendPeer(filters.Item):
-    """Sends a message to the proxy `name`."""
+    """Sends a message to the proxy `name`.
+
+    `address` is where it listens; "" for the one in the fleet view.
+    """
 
     name: str
     message: peer.PeerMessage
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
