--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 format: env
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench: env
+	$(BIN)/python -m bench
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/load.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/load.py
@@ -8,6 +8,7 @@
 
 from fescueshunt.core import request
 from fescueshunt_cli import caller
+from fescueshunt_cli._internal.bench import arrivals
 from fescueshunt_cli._internal.commands import base
 
 
@@ -40,33 +41,21 @@
           write: send writes.
           seed: of the arrival times.
         """
-        arrivals = arrival_times(rate, seconds, random.Random(seed))
+        due = arrivals.poisson(rate, seconds, random.Random(seed))
         kind = request.Kind.WRITE if write else request.Kind.READ
         statement = request.Statement(sql)
         return base.finish(
-            _run(address, service, database, statement, kind, arrivals)
+            _run(address, service, database, statement, kind, due)
         )
 
 
-def arrival_times(
-    rate: float, seconds: float, chance: random.Random
-) -> list[float]:
-    """Returns the arrival times of a Poisson process; seconds from 0."""
-    times: list[float] = []
-    now = chance.expovariate(rate)
-    while now < seconds:
-        times.append(now)
-        now += chance.expovariate(rate)
-    return times
-
-
 async def _run(
     address: str,
     service: str,
     database: str,
     statement: request.Statement,
     kind: request.Kind,
-    arrivals: list[float],
+    schedule: list[float],
 ) -> int:
     counts: collections.Counter[str] = collections.Counter()
     async with caller.session(address, "load") as session:
@@ -82,7 +71,7 @@
             counts[answer.error.code if answer.error else "done"] += 1
 
         async with asyncio.TaskGroup() as tasks:
-            for due in arrivals:
+            for due in schedule:
                 tasks.create_task(send(due))
     for name, count in sorted(counts.items()):
         print(f"{name}: {count}")
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/main.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/main.py
@@ -5,6 +5,7 @@
 import defopt
 
 from fescueshunt_cli._internal.commands import (
+    bench,
     bootstrap,
     load,
     outcome,
@@ -18,6 +19,7 @@
     outcome.OutcomeCommand(),
     load.LoadCommand(),
     trace.TraceCommand(),
+    bench.BenchCommand(),
 )
 
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -32,7 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Site:
-    """What a deployment's hosts are like; times in milliseconds."""
+    """What a deployment's hosts are like; times in milliseconds.
+
+    `zone_ms` is the delay one way between zones. `proxy` has settings that
+    every proxy gets beside its own.
+    """
 
     statement_ms: float = 0.5
     connect_ms: float = 12.0
@@ -40,6 +44,8 @@
     list_lag_ms: float = 500.0
     schema_sql: str = ""
     proxies_per_zone: int = 2
+    zone_ms: float = 0.0
+    proxy: tuple[tuple[str, object], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,6 +155,7 @@
         "peers": peers,
         "platform": fleet.platform.address,
         "trace_file": fleet.folder / f"{name}.trace",
+        **dict(fleet.site.proxy),
     }
     path = _write_ini(fleet, name, "proxy", values)
     process = _start(
@@ -216,6 +223,7 @@
             "connect_ms": fleet.site.connect_ms,
             "statement_ms": fleet.site.statement_ms,
             "lag_ms": fleet.site.lag_ms if primary else 0.0,
+            "zone_ms": fleet.site.zone_ms,
             "schema_sql": fleet.site.schema_sql,
         }
         process = _start_stand_in(fleet, upstream.name, "upstream", values)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
@@ -24,7 +24,8 @@
 class UpstreamSettings(pydantic.BaseModel):
     """The settings of an upstream stand-in, section [upstream].
 
-    Times in milliseconds. `primary` is the address of the first primary,
+    Times in milliseconds; `zone_ms` is the delay one way to callers of another
+    zone, once they said theirs. `primary` is the address of the first primary,
     empty for the first primary itself. `schema_sql` runs when it starts.
     """
 
@@ -38,15 +39,26 @@
     connect_ms: float = pydantic.Field(12.0, ge=0)
     statement_ms: float = pydantic.Field(0.5, ge=0)
     lag_ms: float = pydantic.Field(0.0, ge=0)
+    zone_ms: float = pydantic.Field(0.0, ge=0)
     schema_sql: str = ""
 
 
 @dataclasses.dataclass(slots=True)
 class Session:
-    """One connection to the stand-in."""
+    """One connection to the stand-in; `delay_s` is its round trip."""
 
     open: bool = False
     in_transaction: bool = False
+    delay_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DelayedRead:
+    """What a replica has read in `term` and applies at `due`."""
+
+    due: float
+    term: position.Term
+    read: replication.LogRead
 
 
 class Upstream:
@@ -88,19 +100,49 @@
             await asyncio.sleep(RETRY_S)
 
     async def _follow(self, primary: channel.Channel, address: str) -> None:
+        """Reads the primary's log and applies it as late as the lag says."""
+        waiting: asyncio.Queue[DelayedRead] = asyncio.Queue()
+        applying = asyncio.create_task(self._apply(waiting))
+        try:
+            await self._fetch(primary, address, waiting)
+        finally:
+            applying.cancel()
+
+    async def _fetch(
+        self,
+        primary: channel.Channel,
+        address: str,
+        waiting: asyncio.Queue[DelayedRead],
+    ) -> None:
         current = self._engine
+        loop = asyncio.get_running_loop()
+        fetched = current.history
         while address == self._primary:
             if current.role is not upstream.Role.REPLICA:
                 return
             term = current.term
-            call = replication.ReadLog(term, current.history, LOG_WAIT_S)
+            call = replication.ReadLog(term, fetched, LOG_WAIT_S)
             read = await primary.call(call, LOG_TIMEOUT_S)
             if not read.accepted:
                 return
-            if self._fault.lag_s and read.entries:
-                await asyncio.sleep(self._fault.lag_s)
-            current.replicate(term, read)
+            due = loop.time() + self._fault.lag_s
+            waiting.put_nowait(DelayedRead(due, term, read))
+            if read.after != fetched.end:
+                await waiting.join()
+                fetched = current.history
+                continue
+            for entry in read.entries:
+                fetched = fetched.extend(entry.term)
+
+    async def _apply(self, waiting: asyncio.Queue[DelayedRead]) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            delayed = await waiting.get()
+            if delayed.due > loop.time():
+                await asyncio.sleep(delayed.due - loop.time())
+            self._engine.replicate(delayed.term, delayed.read)
             await self._announce()
+            waiting.task_done()
 
     async def _handle(self, session: Session, message: Any) -> Any:
         if isinstance(message, platform.SetFault):
@@ -108,11 +150,12 @@
             return platform.Done()
         if self._fault.down:
             return None
-        if self._fault.delay_s:
-            await asyncio.sleep(self._fault.delay_s)
+        delay_s = self._fault.delay_s + session.delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
         match message:
             case upstream.Hello():
-                return await self._hello(session)
+                return await self._hello(session, message)
             case upstream.Execute():
                 return await self._execute(session, message)
             case replication.ReadLog():
@@ -120,7 +163,11 @@
             case _:
                 return await self._control(message)
 
-    async def _hello(self, session: Session) -> upstream.Reply:
+    async def _hello(
+        self, session: Session, call: upstream.Hello
+    ) -> upstream.Reply:
+        if call.zone != self._cfg.zone:
+            session.delay_s = 2 * self._cfg.zone_ms / 1000
         if self._connections >= self._cfg.connections:
             return self._reject(
                 engine.RejectionError(upstream.Reason.TOO_MANY_CONNECTIONS)
