Record what enters the core and replay it; fuzz the decoder

Pickle and CBOR were ruled out: a trace is read by people and in diffs.

The fuzz test found that the decoder took `true` for version 1 and any integer for a sequence number; both are refused now.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -19,6 +19,7 @@
     logs,
     metrics,
     peers,
+    recording,
     runtime,
     settings,
     stores,
@@ -48,7 +49,10 @@
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
     _watch(joined)
-    with tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer:
+    with (
+        recording.recording(cfg.record_file, me, joined),
+        tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer,
+    ):
         async with (
             _background() as tasks,
             _border(cfg, me, joined, tasks, tracer),
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -42,6 +42,8 @@
       tick_ms: milliseconds between two ticks.
       trace_file: where spans go, as JSON lines; empty for nowhere.
       trace_share: the share of requests that are traced.
+      record_file: where every item at the mouth of the core goes, as JSON
+        lines that a replay reads; empty for nowhere.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -53,6 +55,7 @@
     tick_ms: float = pydantic.Field(20.0, ge=1, le=1000)
     trace_file: str = ""
     trace_share: float = pydantic.Field(1.0, ge=0, le=1)
+    record_file: str = ""
 
 
 def load(path: pathlib.Path) -> ProxySettings:
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -30,6 +30,7 @@
 VERSION = 1
 MAX_FRAME_BYTES = 1 << 20
 MAX_MESSAGES = 4096
+MAX_DIGITS = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,14 +80,38 @@
         raise errors.FrameTooLargeError(f"{len(data)} bytes")
     frame = _load(data)
     match frame:
-        case [int(version), _] if version != VERSION:
-            raise errors.FrameVersionError(str(version))
-        case [int(), list(body)] if len(body) <= MAX_MESSAGES:
+        case [version, _] if _is_number(version) and version != VERSION:
+            raise errors.FrameVersionError(str(version)[:MAX_DIGITS])
+        case [version, list(body)] if (
+            _is_number(version) and len(body) <= MAX_MESSAGES
+        ):
             return [_unpack(entry) for entry in body]
         case _:
             raise errors.FrameError("not a frame")
 
 
+def is_message(value: object) -> bool:
+    """Tells whether `value` has a border model."""
+    return type(value) in _BY_DATA
+
+
+def to_plain(message: Any) -> tuple[str, dict[str, Any]]:
+    """Returns the tag of a message and the plain map of its fields."""
+    tag, model = _BY_DATA[type(message)]
+    return tag, model.from_data(message).to_plain()
+
+
+def from_plain(tag: str, body: dict[str, Any]) -> Any:
+    """Returns the message that `to_plain` described.
+
+    Raises:
+      FrameError: if the tag is unknown or the body is not valid.
+    """
+    if tag not in _BY_TAG:
+        raise errors.FrameError(f"unknown tag {tag}")
+    return _validate(_BY_TAG[tag], body)
+
+
 def encode_document(value: document.Document) -> bytes:
     """Returns the settings document as bytes for the store."""
     return encode((Envelope(0, value),))
@@ -136,15 +161,21 @@
     return value
 
 
+def _is_number(value: Any) -> bool:
+    """Tells whether `value` is an integer; a boolean is none."""
+    return type(value) is int
+
+
 def _pack(envelope: Envelope) -> list[Any]:
-    tag, model = _BY_DATA[type(envelope.message)]
-    body = model.from_data(envelope.message).to_plain()
+    tag, body = to_plain(envelope.message)
     return [envelope.seq, tag, body]
 
 
 def _unpack(entry: Any) -> Envelope:
     match entry:
-        case [int(seq), str(tag), dict(body)] if tag in _BY_TAG:
+        case [seq, str(tag), dict(body)] if (
+            _is_number(seq) and 0 <= seq <= base.MAX_INDEX and tag in _BY_TAG
+        ):
             return Envelope(seq, _validate(_BY_TAG[tag], body))
         case _:
             raise errors.FrameError("not an envelope")
--- /dev/null
+++ b/tests/lib/replayer.py
@@ -0,0 +1,47 @@
+"""The replayer: feeds a recorded trace into a new core by plain calls."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Iterable
+
+from fescueshunt import proxy
+from fescueshunt.core import filters, identity, items
+from fescueshunt_wire import codec, records
+
+TRACES = pathlib.Path(__file__).resolve().parents[1] / "data" / "traces"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """A replayed trace: every effect of the core, in order."""
+
+    effects: tuple[filters.Item, ...]
+
+    def of(self, *kinds: type[filters.Item]) -> list[filters.Item]:
+        """Returns the effects of some types."""
+        return [e for e in self.effects if isinstance(e, kinds)]
+
+    def answers(self) -> list[items.AnswerCaller]:
+        """Returns the answers to callers."""
+        return self.of(items.AnswerCaller)
+
+
+def replay(path: pathlib.Path) -> Replay:
+    """Replays the trace in the data file `path`."""
+    with path.open(encoding="utf-8") as lines:
+        me, *entering = records.read(lines)
+    return feed(me, entering)
+
+
+def feed(me: identity.Identity, entering: Iterable[filters.Item]) -> Replay:
+    """Feeds items into a new core of the proxy `me`."""
+    core = proxy.build(me, codec.ResultCodec())
+    effects = [effect for item in entering for effect in core.feed(item)]
+    return Replay(tuple(effects))
+
+
+def as_lines(effects: Iterable[filters.Item]) -> str:
+    """Returns effects as the lines that a stated outcome holds."""
+    return "\n".join(records.to_line(effect) for effect in effects)
