Spread settings between proxies, with few watchers of the store

Cause: every proxy held a watch on the store, so store calls grew with the fleet, and a proxy started while the store was down, or answered from the past, had no settings or old ones.

Ruled out: a watch for each proxy (calls follow the fleet), pushing whole documents (duplicates), a tree from the watchers (repairs under cuts).

Change: adoption gathers store and peers at the start and keeps the highest revision; two watchers a zone by rendezvous hashing; digests to two random peers each 0.5 s and at each change; documents only on request and within a budget of bytes.

Before: one call each 5 s for every proxy.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -21,6 +21,7 @@
     calls,
     documents,
     proxies,
+    settings,
     stores,
 )
 
@@ -47,7 +48,7 @@
             yield value
 
 
-_MODULES = (calls, stores, proxies, documents)
+_MODULES = (calls, stores, proxies, documents, settings)
 _BY_TAG = {
     model.__name__.removesuffix("Model"): model
     for module in _MODULES
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -205,6 +205,13 @@
     error: errors.FescueshuntError
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsAccepted(filters.Item):
+    """A document that is known to be in the store."""
+
+    document: document.Document
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostsRead(filters.Item):
     """The proxies on the platform's list, as of some time ago."""
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -2,19 +2,36 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import filters, identity
+import random
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters
 from fescueshunt.health import pipe as health_pipe
 from fescueshunt.members import pipe as members_pipe
-from fescueshunt.request import ledger
 from fescueshunt.request import pipe as request_pipe
 from fescueshunt.settings import pipe as settings_pipe
 
+if TYPE_CHECKING:
+    from fescueshunt.core import identity
+    from fescueshunt.request import ledger
+
+
+def build(
+    me: identity.Identity,
+    codec: ledger.ResultCodec,
+    seed: int = 0,
+) -> filters.Core:
+    """Returns the core of the proxy `me`.
 
-def build(me: identity.Identity, codec: ledger.ResultCodec) -> filters.Core:
-    """Returns the core of the proxy `me`."""
+    Args:
+      me: this proxy.
+      codec: how answers are stored in the ledger.
+      seed: of every random choice.
+    """
+    chance = random.Random(f"{me.name}/{me.incarnation}/{seed}")
     return filters.Core(
         (
-            settings_pipe.build(),
+            settings_pipe.build(me, chance),
             members_pipe.build(me),
             health_pipe.build(me),
             request_pipe.build(me, codec),
--- a/packages/fescueshunt/src/fescueshunt/settings/adopt.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/adopt.py
@@ -5,59 +5,101 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, filters, views
+from fescueshunt.core import document, filters, propagation, views
 from fescueshunt.core import items as core_items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-WATCH_S = 5.0
-RETRY_S = 0.5
+JOIN_WAIT_S = 1.0
+JOIN_PEERS = 2
 
 
 @dataclasses.dataclass(slots=True)
 class AdoptState:
     """What adoption remembers.
 
-    `read_again_at` is None while a read is in flight.
+    Attributes:
+      document: the highest revision ever offered.
+      in_force: the highest revision ever published.
+      started_at: the time of the first tick; None before it.
+      joined: whether the offers of peers and store are gathered.
+      store_answered: whether the store has told what it holds.
+      answered: the proxies that have told what they hold.
+      peers: the number of other proxies that may answer.
     """
 
     document: document.Document = document.Document()
-    read_again_at: float | None = 0.0
+    in_force: int = 0
+    started_at: float | None = None
+    joined: bool = False
+    store_answered: bool = False
+    answered: set[str] = dataclasses.field(default_factory=set)
+    peers: int | None = None
 
 
 class Adopt(filters.Filter):
-    """Watches the store and publishes each higher revision once."""
+    """Publishes each higher revision once, whoever offers it.
+
+    A proxy that starts gathers what peers and store hold first, so that a
+    store that answers from the past doesn't put an old revision in force.
+    """
 
     def __init__(self) -> None:
         self._state = AdoptState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
-        """Yields settings views and reads of the store."""
+        """Yields settings views; every item passes on."""
         match item:
             case core_items.SettingsRead():
-                yield from self._adopt(item.document, item.at)
-                yield self._read(item.at)
-            case core_items.SettingsReadFailed():
-                self._state.read_again_at = item.at + RETRY_S
-            case filters.Tick():
-                due = self._state.read_again_at
-                if due is not None and due <= item.at:
-                    yield self._read(item.at)
-                yield item
-            case _:
-                yield item
-
-    def _adopt(
-        self, offered: document.Document, now: float
-    ) -> Iterator[filters.Item]:
-        if offered.revision <= self._state.document.revision:
+                self._state.store_answered = True
+                self._take(item.document)
+            case core_items.SettingsAccepted():
+                self._take(item.document)
+            case core_items.PeerReceived(
+                sender=sender,
+                message=propagation.SettingsOffer(document=offered),
+            ):
+                self._state.answered.add(sender)
+                self._take(offered)
+            case core_items.PeerReceived(
+                sender=sender,
+                message=propagation.SettingsDigest(asks=False),
+            ):
+                self._state.answered.add(sender)
+            case views.FleetView():
+                self._state.peers = len(item.members) - 1
+            case filters.Tick() if self._state.started_at is None:
+                self._state.started_at = item.at
+        yield from self._publish(item.at)
+        yield item
+
+    def _take(self, offered: document.Document) -> None:
+        if offered.revision > self._state.document.revision:
+            self._state.document = offered
+
+    def _publish(self, now: float) -> Iterator[filters.Item]:
+        state = self._state
+        if state.document.revision == state.in_force or not self._joins(now):
             return
-        self._state.document = offered
-        yield views.SettingsView(now, offered)
-
-    def _read(self, now: float) -> core_items.ReadSettings:
-        self._state.read_again_at = None
-        return core_items.ReadSettings(
-            now, self._state.document.revision, WATCH_S
-        )
+        state.in_force = state.document.revision
+        yield views.SettingsView(now, state.document)
+
+    def _joins(self, now: float) -> bool:
+        """Tells whether store and peers have had their say."""
+        state = self._state
+        if not state.joined:
+            state.joined = self._has_waited(now) or self._has_heard()
+            if state.joined:
+                state.answered.clear()
+        return state.joined
+
+    def _has_waited(self, now: float) -> bool:
+        started_at = self._state.started_at
+        return started_at is not None and now - started_at >= JOIN_WAIT_S
+
+    def _has_heard(self) -> bool:
+        state = self._state
+        if state.peers is None or not state.store_answered:
+            return False
+        return 0 < min(state.peers, JOIN_PEERS) <= len(state.answered)
--- a/packages/fescueshunt/src/fescueshunt/settings/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/pipe.py
@@ -2,12 +2,32 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import filters, items
-from fescueshunt.settings import adopt
+from typing import TYPE_CHECKING
 
-ACCEPTS = (items.SettingsRead, items.SettingsReadFailed, filters.Tick)
+from fescueshunt.core import filters, items, views
+from fescueshunt.settings import adopt, spread, watch
 
+if TYPE_CHECKING:
+    import random
 
-def build() -> filters.Pipe:
-    """Returns the settings pipe."""
-    return filters.Pipe((adopt.Adopt(),), ACCEPTS)
+    from fescueshunt.core import identity
+
+ACCEPTS = (
+    items.SettingsRead,
+    items.SettingsReadFailed,
+    items.SettingsAccepted,
+    items.PeerReceived,
+    views.FleetView,
+    filters.Tick,
+)
+
+
+def build(me: identity.Identity, chance: random.Random) -> filters.Pipe:
+    """Returns the settings pipe of the proxy `me`.
+
+    Args:
+      me: this proxy.
+      chance: the seeded source of the choice of peers.
+    """
+    stages = (adopt.Adopt(), watch.Watch(me), spread.Spread(me, chance))
+    return filters.Pipe(stages, ACCEPTS)
