--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -19,6 +19,7 @@
     logs,
     metrics,
     peers,
+    recording,
     runtime,
     settings,
     stores,
@@ -44,11 +45,16 @@
     )
     logs.configure(me)
     logger = structlog.get_logger(__name__)
-    joined = runtime.Runtime(proxy.build(me, codec.ResultCodec()))
+    joined = runtime.Runtime(
+        proxy.build(me, codec.ResultCodec(), seeds=cfg.seeds)
+    )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
     _watch(joined)
-    with tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer:
+    with (
+        recording.recording(cfg.record_file, me, joined),
+        tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer,
+    ):
         async with (
             _background() as tasks,
             _border(cfg, me, joined, tasks, tracer),
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -12,6 +12,8 @@
 from fescueshunt.settings import pipe as settings_pipe
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from fescueshunt.core import identity
     from fescueshunt.request import ledger
 
@@ -20,6 +22,7 @@
     me: identity.Identity,
     codec: ledger.ResultCodec,
     seed: int = 0,
+    seeds: Sequence[str] = (),
 ) -> filters.Core:
     """Returns the core of the proxy `me`.
 
@@ -27,12 +30,13 @@
       me: this proxy.
       codec: how answers are stored in the ledger.
       seed: of every random choice.
+      seeds: addresses of other proxies, for a start without the host list.
     """
     chance = random.Random(f"{me.name}/{me.incarnation}/{seed}")
     return filters.Core(
         (
             settings_pipe.build(me, chance),
-            members_pipe.build(me),
+            members_pipe.build(me, chance, seeds),
             health_pipe.build(me),
             request_pipe.build(me, codec),
         )
--- a/packages/fescueshunt/src/fescueshunt/settings/adopt.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/adopt.py
@@ -22,7 +22,7 @@
     Attributes:
       document: the highest revision ever offered.
       in_force: the highest revision ever published.
-      started_at: the time of the first tick; None before it.
+      found_at: when the fleet was first known; None before it.
       joined: whether the offers of peers and store are gathered.
       store_answered: whether the store has told what it holds.
       answered: the proxies that have told what they hold.
@@ -31,11 +31,11 @@
 
     document: document.Document = document.Document()
     in_force: int = 0
-    started_at: float | None = None
+    found_at: float | None = None
     joined: bool = False
     store_answered: bool = False
     answered: set[str] = dataclasses.field(default_factory=set)
-    peers: int | None = None
+    peers: int = 0
 
 
 class Adopt(filters.Filter):
@@ -69,8 +69,8 @@
                 self._state.answered.add(sender)
             case views.FleetView():
                 self._state.peers = len(item.members) - 1
-            case filters.Tick() if self._state.started_at is None:
-                self._state.started_at = item.at
+                if self._state.found_at is None:
+                    self._state.found_at = item.at
         yield from self._publish(item.at)
         yield item
 
@@ -95,11 +95,11 @@
         return state.joined
 
     def _has_waited(self, now: float) -> bool:
-        started_at = self._state.started_at
-        return started_at is not None and now - started_at >= JOIN_WAIT_S
+        found_at = self._state.found_at
+        return found_at is not None and now - found_at >= JOIN_WAIT_S
 
     def _has_heard(self) -> bool:
         state = self._state
-        if state.peers is None or not state.store_answered:
+        if not state.store_answered:
             return False
         return 0 < min(state.peers, JOIN_PEERS) <= len(state.answered)
