--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -27,6 +27,7 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 5.0
+SEEDS = 3
 SETTINGS_KEY = "fescueshunt/settings"
 
 
@@ -154,6 +155,7 @@
         "callers": free_address(),
         "peers": peers,
         "platform": fleet.platform.address,
+        "seeds": ", ".join(_peer_addresses(fleet)[:SEEDS]),
         "trace_file": fleet.folder / f"{name}.trace",
         **dict(fleet.site.proxy),
     }
@@ -165,6 +167,10 @@
     return process
 
 
+def _peer_addresses(fleet: Fleet) -> list[str]:
+    return [_read_ini(p.settings)["peers"] for p in fleet.proxies.values()]
+
+
 def stop_all(fleet: Fleet) -> None:
     """Ends every process that still runs."""
     running_now = [p for p in fleet.all() if p.popen.poll() is None]
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -35,7 +35,7 @@
     chance = random.Random(f"{me.name}/{me.incarnation}/{seed}")
     return filters.Core(
         (
-            settings_pipe.build(),
+            settings_pipe.build(me, chance),
             members_pipe.build(me, chance, seeds),
             health_pipe.build(me),
             request_pipe.build(me, codec),
