State the outcome of a replay by what serves requests

Cause: the stated outcome of the recorded path held every heartbeat and settings digest, so that each change of a control message meant recording it anew, and a change in how requests are served could hide in that. Change: the outcome is every answer, every call to an upstream and every request message between proxies; control messages are left out. Nothing of the request path is left out that was in. Seen: make test passes.

--- a/tests/lib/replayer.py
+++ b/tests/lib/replayer.py
@@ -7,11 +7,17 @@
 from collections.abc import Iterable
 
 from fescueshunt import proxy
-from fescueshunt.core import filters, identity, items
+from fescueshunt.core import filters, identity, items, peer
 from fescueshunt_wire import codec, records
 
 TRACES = pathlib.Path(__file__).resolve().parents[1] / "data" / "traces"
 
+REQUEST_MESSAGES = (
+    peer.ForwardedRequest,
+    peer.ForwardedAnswer,
+    peer.Redirected,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replay:
@@ -23,6 +29,14 @@
         """Returns the effects of some types."""
         return [e for e in self.effects if isinstance(e, kinds)]
 
+    def path_of_requests(self) -> list[filters.Item]:
+        """Returns the effects by which requests are served.
+
+        Heartbeats and other control messages are not part of it, so that a
+        change of theirs leaves the stated outcomes as they are.
+        """
+        return [e for e in self.effects if _serves_request(e)]
+
     def answers(self) -> list[items.AnswerCaller]:
         """Returns the answers to callers."""
         return self.of(items.AnswerCaller)
@@ -42,6 +56,16 @@
     return Replay(tuple(effects))
 
 
+def _serves_request(effect: filters.Item) -> bool:
+    match effect:
+        case items.AnswerCaller() | items.RunUpstream():
+            return True
+        case items.SendPeer(message=message):
+            return isinstance(message, REQUEST_MESSAGES)
+        case _:
+            return False
+
+
 def as_lines(effects: Iterable[filters.Item]) -> str:
     """Returns effects as the lines that a stated outcome holds."""
     return "\n".join(records.to_line(effect) for effect in effects)
