--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -108,10 +108,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendPeer(filters.Item):
-    """Sends a message to the proxy `name`."""
+    """Sends a message to the proxy `name`.
+
+    `address` is where it listens; "" for the one in the fleet view.
+    """
 
     name: str
     message: peer.PeerMessage
+    address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +209,13 @@
     error: errors.FescueshuntError
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsAccepted(filters.Item):
+    """A document that is known to be in the store."""
+
+    document: document.Document
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostsRead(filters.Item):
     """The proxies on the platform's list, as of some time ago."""
