--- a/capacity/decisions.py
+++ b/capacity/decisions.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 import tracemalloc
 from typing import TYPE_CHECKING
 
 from capacity import declared, driven, slopes
 from fescueshunt import errors
-from fescueshunt.core import homes, views
+from fescueshunt.core import heartbeat, homes, items, views
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -91,25 +92,39 @@
 
     name = "members"
     per = "member"
-    sizes = (500, 1000, 2000, 4000)
+    sizes = (250, 500, 1000, 2000)
 
     def take(self, size: int) -> Iterator[slopes.Reading]:
         """Yields the costs of a fleet of `size` proxies."""
         fleet = declared.hosts(size)
-        view = views.FleetView(0.0, tuple(_member(h) for h in fleet))
+        view = views.FleetView(0.0, tuple(driven.member(h) for h in fleet))
         yield from self._rendezvous(size, view)
-        core = driven.Driven(fleet[0], fleet, declared.declare(1))
+        yield from self._core(size, fleet)
+        kept = allocated(
+            lambda: [driven.member(h) for h in declared.hosts(size)]
+        )
+        yield slopes.Reading("memory, one view", "KB", size, kept / KB)
+
+    def _core(
+        self, size: int, fleet: tuple[items.Host, ...]
+    ) -> Iterator[slopes.Reading]:
+        start = time.process_time()
+        core = driven.Driven(fleet[0], fleet, declared.declare(0))
+        spent_s = time.process_time() - start
+        yield slopes.Reading(
+            "core, joining, for each member", "us", size, spent_s * US / size
+        )
         spent_s = timed(core.tick)
         yield slopes.Reading("core, a tick", "us", size, spent_s * US)
-        settings = declared.declare(1)
-        core = driven.Driven(fleet[0], fleet[:-1], settings)
-        changed = driven.items.HostsRead(driven.NOW, fleet)
-        spent_s = timed(lambda: core.feed(changed))
+        newer = dataclasses.replace(driven.member(fleet[-1]), incarnation=2)
+        ping = heartbeat.Ping(
+            1, fleet[0].name, driven.member(fleet[1]), b"", (newer,)
+        )
+        heard = items.PeerReceived(driven.NOW, fleet[1].name, ping)
+        spent_s = timed(lambda: core.feed(heard)) + timed(core.tick)
         yield slopes.Reading(
-            "core, a fleet change, 1 database", "ms", size, spent_s * MS
+            "core, a fleet change, no database", "us", size, spent_s * US
         )
-        kept = allocated(lambda: [_member(h) for h in declared.hosts(size)])
-        yield slopes.Reading("memory, fleet view", "KB", size, kept / KB)
 
     def _rendezvous(
         self, size: int, view: views.FleetView
@@ -171,8 +186,4 @@
         )
 
 
-def _member(entry: driven.items.Host) -> views.Member:
-    return views.Member(entry.name, entry.zone, entry.address, 1)
-
-
 ALL = (Statements, Members, Tracked)
--- a/capacity/driven.py
+++ b/capacity/driven.py
@@ -10,11 +10,13 @@
 from fescueshunt import proxy
 from fescueshunt.core import (
     filters,
+    heartbeat,
     items,
     peer,
     position,
     request,
     upstream,
+    views,
 )
 from fescueshunt_wire import codec
 
@@ -25,8 +27,8 @@
 WALL_S = 1_800_000_000.0
 DEADLINE_S = 5.0
 NOISE_BYTES = 10
-SETTLING_TICKS = 8
-TICK_S = 0.02
+SETTLING_S = 4.0
+SETTLING_TICKS = 40
 HISTORY = position.History(
     (position.Branch(position.FIRST_TERM, 1),), 1_000_000
 )
@@ -49,6 +51,8 @@
         self._core = proxy.build(declared.identify(me), codec.ResultCodec())
         self._seqs = itertools.count(1)
         self._end = HISTORY.end
+        self._fleet = {h.name: member(h) for h in fleet if h != me}
+        self._offered: document.Document | None = None
         self._polls: dict[tuple[str, str], items.CallControl] = {}
         self.answered = 0
         self.failed = 0
@@ -88,17 +92,19 @@
         message = peer.ForwardedRequest(seq, member, req, DEADLINE_S)
         self.feed(items.PeerReceived(NOW, "proxy-of-entry", message))
 
-    def commit(self) -> None:
-        """Lets the replicas report what the primary has committed."""
-        self.report()
-
     def _settle(
         self, fleet: tuple[items.Host, ...], settings: document.Document
     ) -> None:
+        """Lets the core find its fleet and take its settings."""
+        self._offered = settings
+        start = NOW - SETTLING_S
+        reply = heartbeat.TableReply(tuple(self._fleet.values()))
+        self.feed(filters.Tick(start, WALL_S))
+        self.feed(items.HostsRead(start, fleet))
+        self.feed(items.PeerReceived(start, fleet[-1].name, reply))
         for number in range(SETTLING_TICKS):
-            self.feed(filters.Tick(NOW - 1 + number * TICK_S, WALL_S))
-        self.feed(items.HostsRead(NOW, fleet))
-        self.feed(items.SettingsRead(NOW, settings, settings.revision))
+            now = start + SETTLING_S * number / SETTLING_TICKS
+            self.feed(filters.Tick(now, WALL_S))
         for _ in range(2):
             self.tick()
             self.report()
@@ -115,6 +121,10 @@
                 self.answered += 1
                 self.failed += message.answer.error is not None
                 self.sent = message
+            case items.SendPeer(message=heartbeat.Ping() as ping):
+                return self._ack(effect, ping)
+            case items.ReadSettings() if self._offered is not None:
+                return self._read_settings(effect)
             case items.OpenUpstream():
                 return items.UpstreamOpened(NOW, effect.conn)
             case items.RunUpstream(call=upstream.Execute() as call):
@@ -125,6 +135,19 @@
                 self._polls[effect.database, effect.upstream] = effect
         return None
 
+    def _ack(
+        self, effect: items.SendPeer, ping: heartbeat.Ping
+    ) -> items.PeerReceived | None:
+        target = self._fleet.get(effect.name)
+        if target is None:
+            return None
+        ack = heartbeat.Ack(ping.seq, target)
+        return items.PeerReceived(effect.at, effect.name, ack)
+
+    def _read_settings(self, effect: items.ReadSettings) -> items.SettingsRead:
+        found, self._offered = self._offered, None
+        return items.SettingsRead(effect.at, found, found.revision)
+
     def _execute(self, call: upstream.Execute) -> upstream.Executed:
         if call.mode is upstream.Mode.COMMIT:
             self._end += 1
@@ -152,6 +175,11 @@
         )
 
 
+def member(entry: items.Host) -> views.Member:
+    """Returns what the fleet knows of a proxy on the host list."""
+    return views.Member(entry.name, entry.zone, entry.address, 1)
+
+
 def make_request(service: str, database: str, seq: int) -> request.Request:
     """Returns a request whose id is made from `seq`."""
     noise = seq.to_bytes(NOISE_BYTES, "big")
--- a/capacity/frames.py
+++ b/capacity/frames.py
@@ -6,13 +6,23 @@
 
 from capacity import declared, driven, slopes
 from capacity.decisions import KB, MS, US, allocated, timed
-from fescueshunt.core import peer, position, request, upstream
+from fescueshunt.core import (
+    heartbeat,
+    peer,
+    position,
+    propagation,
+    request,
+    upstream,
+)
 from fescueshunt_wire import codec, platform
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 
+RUMORS = 6
+
+
 class Messages(slopes.Measure):
     """A message within a frame: bytes, encoding and decoding."""
 
@@ -111,6 +121,15 @@
             "10.0.0.1:5432",
         ),
     )
+    members = tuple(driven.member(h) for h in declared.hosts(RUMORS))
+    digest = b"01234567"
+    yield "ping", heartbeat.Ping(1, members[1].name, members[0], digest)
+    yield (
+        "ping with 6 rumors",
+        heartbeat.Ping(1, members[1].name, members[0], digest, members),
+    )
+    yield "ack", heartbeat.Ack(1, members[0], digest)
+    yield "settings digest", propagation.SettingsDigest(1_000_000)
 
 
 ALL = (Messages, HostLists, Documents)
--- a/capacity/processes.py
+++ b/capacity/processes.py
@@ -7,7 +7,7 @@
 import dataclasses
 import resource
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 import psutil
 from websockets.asyncio import client
@@ -113,24 +113,25 @@
 
 
 class Load(slopes.Measure):
-    """Statements a second, entered at one proxy and run by another."""
+    """Statements a second, entered at one proxy and run by another.
+
+    Attributes:
+      service: the service of the statements.
+    """
 
-    name = "load"
     per = "statement a second"
-    sizes = (50, 100, 200)
-    repeats = 3
+    service: ClassVar[str]
 
     def take(self, size: int) -> Iterator[slopes.Reading]:
         """Yields what both processes spend in a second at a rate."""
-        for service in (declared.READ, declared.WRITE):
-            entry, home = asyncio.run(self._run(service, size))
-            for role, use in (("entry", entry), ("home", home)):
-                yield slopes.Reading(
-                    f"process, {role}, {service}",
-                    "us",
-                    size,
-                    use.cpu_s * US / LOAD_S,
-                )
+        entry, home = asyncio.run(self._run(self.service, size))
+        for role, use in (("entry", entry), ("home", home)):
+            yield slopes.Reading(
+                f"process, {role}, {self.service}, processor time a second",
+                "us",
+                size,
+                use.cpu_s * US / LOAD_S,
+            )
 
     async def _run(self, service: str, rate: int) -> tuple[Use, Use]:
         settings = near_database()
@@ -184,6 +185,22 @@
         return await session.read(service, database, declared.STATEMENT)
 
 
+class Reads(Load):
+    """Reads at the primary."""
+
+    name = "reads"
+    sizes = (50, 100, 200, 400)
+    service = declared.READ
+
+
+class Writes(Load):
+    """Writes that a majority holds before they are acknowledged."""
+
+    name = "writes"
+    sizes = (10, 20, 40, 80)
+    service = declared.WRITE
+
+
 class Hosted(slopes.Measure):
     """Databases that one proxy process hosts, idle."""
 
@@ -293,4 +310,4 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-ALL = (Connections, Load, Hosted, Proxies)
+ALL = (Connections, Reads, Writes, Hosted, Proxies)
