Trace one request in a hundred unless the settings say otherwise

Cause: writing every span costs about as much as serving the request. Change: trace_share is 0.01 by default; the demo's fleet sets 1.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -57,7 +57,7 @@
     seeds: tuple[Address, ...] = ()
     tick_ms: float = pydantic.Field(20.0, ge=1, le=1000)
     trace_file: str = ""
-    trace_share: float = pydantic.Field(1.0, ge=0, le=1)
+    trace_share: float = pydantic.Field(0.01, ge=0, le=1)
     record_file: str = ""
 
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -157,6 +157,7 @@
         "platform": fleet.platform.address,
         "seeds": ", ".join(_peer_addresses(fleet)[:SEEDS]),
         "trace_file": fleet.folder / f"{name}.trace",
+        "trace_share": 1.0,
         **dict(fleet.site.proxy),
     }
     path = _write_ini(fleet, name, "proxy", values)
