Replace a failed primary: witnesses, ballots, following

Cause: nobody else orders a promotion, and nothing did here; a dead primary ended writes for good.

Ruled out: a lease in the store (it has outages, and a paused holder may still answer); one proxy's word (one bad link would replace a primary); proposing without a majority of upstreams in reach (it fences a minority and helps nobody).

Change: the failover pipe. Watchers of a database (the homes of its upstreams, topped up to three) tell each other what fails; a majority that agrees for 0.4 s makes a suspicion; the first in turn fences a ballot at all upstreams, chooses the newest log, promotes it; every upstream that answers in an older term is told to follow. Health also takes a replica's word for the term that serves, ignores replies older than what it knows, and polls a failing upstream ten times a second rather than at every tick. The upstream stand-in gave the history as of after its announcement, not as of the commit; it could have named another term's entry.

--- /dev/null
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the measurements that need no stand-in."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
@@ -54,3 +54,18 @@
                 primary=view.primary,
                 term=view.term.number,
             )
+
+    def promotion(self, item: views.Promotion) -> None:
+        """Logs a promotion that this proxy carried out."""
+        self._logger.info(
+            "promoted",
+            database=item.database,
+            primary=item.primary,
+            previous=item.previous,
+            term=item.term.number,
+            cause=item.cause.value,
+            reason=item.reason.value,
+            witnesses=item.witnesses,
+            after_s=round(item.at - item.suspected_at, 3),
+            attempts=item.attempts,
+        )
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -44,7 +45,9 @@
     )
     logs.configure(me)
     logger = structlog.get_logger(__name__)
-    joined = runtime.Runtime(proxy.build(me, codec.ResultCodec()))
+    joined = runtime.Runtime(
+        proxy.build(me, codec.ResultCodec(), random.Random())
+    )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
     _watch(joined)
@@ -107,6 +110,7 @@
     joined.subscribe(views.SettingsView, changes.settings)
     joined.subscribe(views.FleetView, changes.fleet)
     joined.subscribe(views.GroupView, changes.group)
+    joined.subscribe(views.Promotion, changes.promotion)
     return measured
 
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
@@ -224,7 +224,9 @@
         if call.mode is upstream.Mode.COMMIT:
             current.commit()
             self._release(session)
+            executed = self._executed(results)
             await self._announce()
+            return executed
         return self._executed(results)
 
     async def _begin(self, session: Session, term: position.Term) -> None:
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
@@ -20,6 +20,7 @@
 TransactionId = Annotated[
     bytes, pydantic.Field(max_length=request.REQUEST_ID_BYTES)
 ]
+MAX_FAILING = 64
 SpanId = Annotated[bytes, pydantic.Field(max_length=8)]
 
 
@@ -111,3 +112,25 @@
     suggested: base.Name = ""
     in_doubt: bool = False
     error: base.ErrorModel | None = None
+
+
+class FailingUpstreamModel(base.Model):
+    """An upstream that doesn't answer."""
+
+    of = peer.FailingUpstream
+    name: base.Name
+    for_s: base.Seconds
+
+
+class WitnessedModel(base.Model):
+    """What a watcher finds wrong with a group."""
+
+    of = peer.Witnessed
+    database: base.Name
+    term: calls.TermModel
+    failing: Annotated[
+        tuple[FailingUpstreamModel, ...],
+        pydantic.Field(max_length=MAX_FAILING),
+    ] = ()
+    pending: calls.TermModel = calls.TermModel(number=0)
+    pending_for_s: base.Seconds = 0.0
--- a/packages/fescueshunt/src/fescueshunt/core/homes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/homes.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+MIN_WATCHERS = 3
 CANDIDATE_STATES = frozenset(
     {views.MemberState.LIVE, views.MemberState.SUSPECT}
 )
@@ -29,16 +30,31 @@
     return ordered[0] if ordered else ""
 
 
-def hosted(
+def watchers(
+    database: document.Database, fleet: views.FleetView
+) -> tuple[str, ...]:
+    """Returns the proxies that watch `database`, by name.
+
+    They are the homes of its upstreams. Where these are fewer than
+    MIN_WATCHERS, other live proxies join them, so that no single proxy's word
+    is enough to find a primary failing.
+    """
+    homes = {home_of(database.name, u, fleet) for u in database.upstreams}
+    homes.discard("")
+    others = [
+        member.name
+        for member in fleet.members
+        if member.state in CANDIDATE_STATES and member.name not in homes
+    ]
+    missing = max(MIN_WATCHERS - len(homes), 0)
+    joining = rendezvous.rank(database.name, others)[:missing]
+    return tuple(sorted(homes.union(joining)))
+
+
+def watched(
     databases: Iterable[document.Database],
     fleet: views.FleetView,
     name: str,
 ) -> list[document.Database]:
-    """Returns the databases for whose upstreams `name` is a home."""
-    return [
-        database
-        for database in databases
-        if any(
-            home_of(database.name, u, fleet) == name for u in database.upstreams
-        )
-    ]
+    """Returns the databases that the proxy `name` watches."""
+    return [d for d in databases if name in watchers(d, fleet)]
--- a/packages/fescueshunt/src/fescueshunt/core/peer.py
+++ b/packages/fescueshunt/src/fescueshunt/core/peer.py
@@ -5,9 +5,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from fescueshunt.core import position
+
 if TYPE_CHECKING:
     from fescueshunt import errors
-    from fescueshunt.core import position, request
+    from fescueshunt.core import request
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,3 +80,36 @@
     suggested: str = ""
     in_doubt: bool = False
     error: errors.FescueshuntError | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FailingUpstream:
+    """An upstream whose calls have failed for `for_s` seconds."""
+
+    name: str
+    for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Witnessed(PeerMessage):
+    """What a watcher of a database finds wrong with its group.
+
+    It replaces the sender's report before; one without content takes it back.
+
+    Attributes:
+      term: the highest term that the sender knows to serve.
+      failing: the upstreams that don't answer the sender.
+      pending: the highest promise that is above `term`, NO_TERM for none.
+      pending_for_s: seconds since the sender first saw it.
+    """
+
+    database: str
+    term: position.Term
+    failing: tuple[FailingUpstream, ...] = ()
+    pending: position.Term = position.NO_TERM
+    pending_for_s: float = 0.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Tells whether the sender finds nothing wrong."""
+        return not self.failing and self.pending == position.NO_TERM
--- a/packages/fescueshunt/src/fescueshunt/core/views.py
+++ b/packages/fescueshunt/src/fescueshunt/core/views.py
@@ -116,3 +116,64 @@
         if newest is None:
             return float("inf")
         return now - min(newest, self.confirmed_at)
+
+
+class Cause(enum.StrEnum):
+    """Why a primary is replaced.
+
+    FAILING: a majority of the watchers found it failing. HALTED: an upstream
+    promised a higher term that nobody serves, and it stayed so.
+    """
+
+    FAILING = "failing"
+    HALTED = "halted"
+
+
+class ChoiceReason(enum.StrEnum):
+    """What decided between the upstreams that promised a ballot."""
+
+    NEWEST_LOG = "newest_log"
+    STAYING = "staying"
+    CURRENT_PRIMARY = "current_primary"
+    NEAREST_ZONE = "nearest_zone"
+    NAME = "name"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vote:
+    """An upstream that promised a ballot, and the end of its log then."""
+
+    upstream: str
+    last: position.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promotion(filters.Item):
+    """A promotion that this proxy carried out, with all that led to it.
+
+    Attributes:
+      term: the ballot, and the new term.
+      primary: the upstream that was promoted.
+      previous: the primary before, "" for none, and its term.
+      witnesses: the watchers whose word counted.
+      suspected_at: when a majority of them agreed; local clock, seconds.
+      votes: who promised the ballot before the choice.
+      refused: who refused it.
+      silent: who gave no answer in time.
+      reason: why `primary` was chosen among the votes.
+      attempts: the ballots that it took, this one counted.
+    """
+
+    database: str
+    term: position.Term
+    primary: str
+    previous: str
+    previous_term: position.Term
+    cause: Cause
+    witnesses: tuple[str, ...]
+    suspected_at: float
+    votes: tuple[Vote, ...]
+    refused: tuple[str, ...]
+    silent: tuple[str, ...]
+    reason: ChoiceReason
+    attempts: int
--- a/packages/fescueshunt/src/fescueshunt/health/track.py
+++ b/packages/fescueshunt/src/fescueshunt/health/track.py
@@ -1,4 +1,4 @@
-"""Tracking: polls the upstreams of hosted databases into group views."""
+"""Tracking: polls the upstreams of watched databases into group views."""
 
 from __future__ import annotations
 
@@ -23,17 +23,22 @@
 
 POLL_WAIT_S = 0.2
 CALL_TIMEOUT_S = 0.6
+FAILING_PAUSE_S = 0.1
 MAX_SAMPLES = 128
 SAMPLE_SPACING_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
 class Tracked:
-    """What is known of one database, and which polls are in flight."""
+    """What is known of one database, and which polls are in flight.
+
+    `not_before` is when a failing upstream is polled again.
+    """
 
     database: document.Database
     view: views.GroupView
     polling: set[str] = dataclasses.field(default_factory=set)
+    not_before: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,7 +51,7 @@
 
 
 class Track(filters.Filter):
-    """Polls every upstream of each database that this proxy is a home of.
+    """Polls every upstream of each database that this proxy watches.
 
     A poll waits at the upstream until something changes, so a view follows a
     commit within a round trip and an idle group costs a poll each wait.
@@ -78,20 +83,21 @@
                 yield item
 
     def _review(self, now: float) -> Iterator[filters.Item]:
-        hosted = homes.hosted(
+        watched = homes.watched(
             self._state.settings.databases, self._state.fleet, self._me.name
         )
         known = self._state.tracked
         self._state.tracked = {
             database.name: _keep(known.get(database.name), database, now)
-            for database in hosted
+            for database in watched
         }
         yield from self._poll_all(now)
 
     def _poll_all(self, now: float) -> Iterator[filters.Item]:
         for tracked in self._state.tracked.values():
             for member in tracked.database.upstreams:
-                if member.name not in tracked.polling:
+                due = now >= tracked.not_before.get(member.name, now)
+                if due and member.name not in tracked.polling:
                     yield self._poll(tracked, member, now)
 
     def _poll(
@@ -120,8 +126,11 @@
         tracked = self._state.tracked.get(item.database)
         if tracked is None or not isinstance(item.reply, upstream.Status):
             return
-        state = views.UpstreamState(item.upstream, item.reply, item.sent_at)
         tracked.polling.discard(item.upstream)
+        known = tracked.view.find(item.upstream)
+        if known is None or item.sent_at < known.sent_at:
+            return
+        state = views.UpstreamState(item.upstream, item.reply, item.sent_at)
         tracked.view = _with_state(tracked, state, item.at)
         member = tracked.database.find(item.upstream)
         if member is not None:
@@ -133,6 +142,7 @@
         if tracked is None:
             return
         tracked.polling.discard(item.upstream)
+        tracked.not_before[item.upstream] = item.at + FAILING_PAUSE_S
         state = tracked.view.find(item.upstream)
         if state is None or state.failed_at is not None:
             return
@@ -164,7 +174,7 @@
         changed if state.name == changed.name else state
         for state in view.states
     )
-    term, primary = _serving(states, view)
+    term, primary = _serving(states, view, tracked.database)
     samples = view.samples if term == view.term else ()
     if changed.name == primary and changed.failed_at is None:
         samples = _add_sample(samples, changed)
@@ -180,19 +190,34 @@
 
 
 def _serving(
-    states: tuple[views.UpstreamState, ...], view: views.GroupView
+    states: tuple[views.UpstreamState, ...],
+    view: views.GroupView,
+    database: document.Database,
 ) -> tuple[position.Term, str]:
-    """Returns the highest term that serves, and its primary."""
+    """Returns the highest term that serves, and its primary.
+
+    A replica that follows a term shows that it serves, also where its primary
+    can't be reached from here.
+    """
     term, primary = view.term, view.primary
     for state in states:
         status = state.status
-        if status is None or status.role is not upstream.Role.PRIMARY:
+        if status is None or status.term < term:
             continue
-        if status.term >= term:
+        if status.role is upstream.Role.PRIMARY:
             term, primary = status.term, state.name
+        elif status.role is upstream.Role.REPLICA and status.term > term:
+            term, primary = status.term, _named_primary(status, database)
     return term, primary
 
 
+def _named_primary(status: upstream.Status, database: document.Database) -> str:
+    for member in database.upstreams:
+        if status.primary in (member.name, member.address):
+            return member.name
+    return ""
+
+
 def _add_sample(
     samples: tuple[tuple[float, int], ...], state: views.UpstreamState
 ) -> tuple[tuple[float, int], ...]:
