--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/__init__.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of the measurements that need no stand-in."""
+"""The load generator: plans, arrivals, requests and what became of them."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -20,6 +19,7 @@
     logs,
     metrics,
     peers,
+    recording,
     runtime,
     settings,
     stores,
@@ -46,12 +46,15 @@
     logs.configure(me)
     logger = structlog.get_logger(__name__)
     joined = runtime.Runtime(
-        proxy.build(me, codec.ResultCodec(), random.Random())
+        proxy.build(me, codec.ResultCodec(), seeds=cfg.seeds)
     )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
     _watch(joined)
-    with tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer:
+    with (
+        recording.recording(cfg.record_file, me, joined),
+        tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer,
+    ):
         async with (
             _background() as tasks,
             _border(cfg, me, joined, tasks, tracer),
--- a/packages/fescueshunt/src/fescueshunt/core/homes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/homes.py
@@ -10,9 +10,8 @@
     from collections.abc import Iterable
 
 MIN_WATCHERS = 3
-CANDIDATE_STATES = frozenset(
-    {views.MemberState.LIVE, views.MemberState.SUSPECT}
-)
+HOME_STATES = frozenset({views.MemberState.LIVE})
+WATCHER_STATES = frozenset({views.MemberState.LIVE, views.MemberState.SUSPECT})
 
 
 def home_of(
@@ -21,34 +20,34 @@
     """Returns the name of the proxy that is home to `upstream`.
 
     It is one of the live proxies of the upstream's zone; where that has none,
-    one of the live proxies of all zones. "" where the fleet is empty.
+    one of the live proxies of all zones. "" where no proxy is live. A home
+    moves as soon as it is suspected: being home is for efficiency only.
     """
-    live = [m for m in fleet.members if m.state in CANDIDATE_STATES]
-    near = [m.name for m in live if m.zone == upstream.zone]
-    names = near or [m.name for m in live]
-    ordered = rendezvous.rank(f"{database}/{upstream.name}", names)
-    return ordered[0] if ordered else ""
+    return _nearest(database, upstream, fleet, HOME_STATES)
 
 
 def watchers(
     database: document.Database, fleet: views.FleetView
 ) -> tuple[str, ...]:
-    """Returns the proxies that watch `database`, by name.
+    """Returns the proxies whose majority may find a primary failing, by name.
 
-    They are the homes of its upstreams. Where these are fewer than
-    MIN_WATCHERS, other live proxies join them, so that no single proxy's word
-    is enough to find a primary failing.
+    One for each upstream, of its zone where that has any, and others up to
+    MIN_WATCHERS. A suspected proxy stays one of them: a proxy that reaches no
+    other must not become the majority by itself.
     """
-    homes = {home_of(database.name, u, fleet) for u in database.upstreams}
-    homes.discard("")
+    names = {
+        _nearest(database.name, upstream, fleet, WATCHER_STATES)
+        for upstream in database.upstreams
+    }
+    names.discard("")
     others = [
         member.name
         for member in fleet.members
-        if member.state in CANDIDATE_STATES and member.name not in homes
+        if member.state in WATCHER_STATES and member.name not in names
     ]
-    missing = max(MIN_WATCHERS - len(homes), 0)
+    missing = max(MIN_WATCHERS - len(names), 0)
     joining = rendezvous.rank(database.name, others)[:missing]
-    return tuple(sorted(homes.union(joining)))
+    return tuple(sorted(names.union(joining)))
 
 
 def watched(
@@ -56,5 +55,25 @@
     fleet: views.FleetView,
     name: str,
 ) -> list[document.Database]:
-    """Returns the databases that the proxy `name` watches."""
-    return [d for d in databases if name in watchers(d, fleet)]
+    """Returns the databases that `name` watches or has an upstream of."""
+    return [
+        database
+        for database in databases
+        if name in watchers(database, fleet)
+        or any(
+            home_of(database.name, u, fleet) == name for u in database.upstreams
+        )
+    ]
+
+
+def _nearest(
+    database: str,
+    upstream: document.Upstream,
+    fleet: views.FleetView,
+    states: frozenset[views.MemberState],
+) -> str:
+    able = [m for m in fleet.members if m.state in states]
+    near = [m.name for m in able if m.zone == upstream.zone]
+    names = near or [m.name for m in able]
+    ordered = rendezvous.rank(f"{database}/{upstream.name}", names)
+    return ordered[0] if ordered else ""
