Wait for the demoted primary's new tail in the test

Cause: the test read the history between the call to follow and the first entry of the new term, and failed once in a run of make test.

--- a/tests/lib/deployments.py
+++ b/tests/lib/deployments.py
@@ -101,11 +101,12 @@
 async def wait_following(
     fleet: fleets.Fleet, name: str, above: position.Term
 ) -> upstream.Status:
-    """Waits until an upstream is a replica in a term above `above`."""
+    """Waits until a replica's log ends in its term, one above `above`."""
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
             found = await status(fleet, name)
-            if found.role is upstream.Role.REPLICA and found.term > above:
+            caught_up = found.history.last.term == found.term > above
+            if found.role is upstream.Role.REPLICA and caught_up:
                 return found
             await asyncio.sleep(PAUSE_S)
 
