--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -22,6 +22,7 @@
     documents,
     heartbeats,
     proxies,
+    settings,
     stores,
 )
 
@@ -49,7 +50,7 @@
             yield value
 
 
-_MODULES = (calls, heartbeats, stores, proxies, documents)
+_MODULES = (calls, heartbeats, stores, proxies, documents, settings)
 _BY_TAG = {
     model.__name__.removesuffix("Model"): model
     for module in _MODULES
