Close the gaps in the request pipe's promises

Transactions. The entry's map of open transactions leaked, a caller that closed was noticed only where its entry was the home, a second BEGIN under one id took over the first one's connection, any connection that knew the id could join, a STEP was sent again after a lost peer connection and so ran twice, a COMMIT could name another database and be acknowledged by that one's group view. Now only the connection and entry that began go on, a transaction ends with its first error, and AbandonedTransaction tells the home.

A proxy that started anew counts its messages from 1 again, so a late answer to its earlier start met whichever request had the number. Answers and redirects are matched by sender, number and request id.

The fingerprint covers the transaction, and COMMIT checks it: a COMMIT under the id of a write was told that write's answer. A claim that conflicts at COMMIT is looked up. A failed statement in doubt writes a tombstone before it is told. Settled as not run is held by a majority whatever the durability.

An error in place of an outcome is unknown, never not run. Work that only lost its connections is not run. Results that no frame can hold are a typed failure and rolled back; they were retried until the deadline.

A write held at a proxy that is no home any more goes back to be settled, since its group view ends; it was unknown before.

Ruled out: letting the entry judge a home's answer by its own doubt, since the home knows of the doubt and may have settled it; letting idempotent services skip the ledger, since the question for an outcome would then be answered wrongly.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
@@ -107,7 +107,15 @@
 
     of = peer.Redirected
     seq: base.Count
+    request_id: RequestId
     brief: GroupBriefModel | None = None
     suggested: base.Name = ""
     in_doubt: bool = False
     error: base.ErrorModel | None = None
+
+
+class AbandonedTransactionModel(base.Model):
+    """A transaction that rolls back."""
+
+    of = peer.AbandonedTransaction
+    transaction: RequestId
--- a/packages/fescueshunt/src/fescueshunt/core/peer.py
+++ b/packages/fescueshunt/src/fescueshunt/core/peer.py
@@ -68,13 +68,26 @@
     """The receiver did not run the request; `brief` says where to go.
 
     Attributes:
+      request_id: of the request, so that a late message meets no other one.
       suggested: the upstream to try next, "" where none is known.
       in_doubt: whether this attempt, or one before it, may have run.
       error: why; what the caller is told if no other attempt succeeds.
     """
 
     seq: int
+    request_id: bytes
     brief: GroupBrief | None = None
     suggested: str = ""
     in_doubt: bool = False
     error: errors.FescueshuntError | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonedTransaction(PeerMessage):
+    """The sender's caller is done with a transaction; it rolls back.
+
+    Attributes:
+      transaction: the request id of its BEGIN.
+    """
+
+    transaction: bytes
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -170,6 +170,13 @@
     outcome = Outcome.FAILED
 
 
+class ResultTooLargeError(FescueshuntError):
+    """The results exceed the bound on answers; the request was rolled back."""
+
+    code = "result_too_large"
+    outcome = Outcome.FAILED
+
+
 class OutcomeUnknownError(FescueshuntError):
     """A write couldn't be confirmed by its deadline; it may have run."""
 
--- a/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import document, filters, position, views
+from fescueshunt.core import (
+    document,
+    filters,
+    homes,
+    identity,
+    position,
+    views,
+)
 from fescueshunt.request import items, outcome, route
 
 if TYPE_CHECKING:
@@ -17,13 +24,17 @@
     """Holds commits until a majority of the group is seen to have them.
 
     A write whose term is over before that goes back to be settled by the
-    ledger at the new primary. One that isn't confirmed by its deadline has an
-    unknown outcome.
+    ledger at the new primary, and so does one of a database that this proxy
+    is no home of any more, since its group view ends. One that isn't confirmed
+    by its deadline has an unknown outcome.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, me: identity.Identity) -> None:
+        self._me = me
         self._held: dict[str, list[items.Committed]] = {}
         self._groups: dict[str, views.GroupView] = {}
+        self._settings = document.Document()
+        self._fleet = views.FleetView(0.0, ())
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the answers of commits as the group view confirms them."""
@@ -36,6 +47,12 @@
                 self._groups[item.database] = item
                 yield item
                 yield from self._review(item.database, item.at)
+            case views.SettingsView():
+                self._settings = item.document
+                yield item
+            case views.FleetView():
+                self._fleet = item
+                yield item
             case filters.Tick():
                 yield item
                 for database in list(self._held):
@@ -45,9 +62,12 @@
 
     def _review(self, database: str, now: float) -> Iterator[filters.Item]:
         view = self._groups.get(database)
+        hosted = self._is_hosted(database)
         kept: list[items.Committed] = []
         for held in self._held.pop(database, []):
             decided = _decide(held, view, now)
+            if decided is None and not hosted:
+                decided = _settle(held, view, now)
             if decided is None:
                 kept.append(held)
             else:
@@ -55,6 +75,12 @@
         if kept:
             self._held[database] = kept
 
+    def _is_hosted(self, database: str) -> bool:
+        declared = self._settings.database(database)
+        if declared is None:
+            return False
+        return bool(homes.hosted((declared,), self._fleet, self._me.name))
+
 
 def _decide(
     held: items.Committed, view: views.GroupView | None, now: float
@@ -72,8 +98,12 @@
 
 
 def is_confirmed(held: items.Committed, view: views.GroupView) -> bool:
-    """Tells whether the durability that the service declares is reached."""
-    if held.work.service.durability is document.Durability.PRIMARY:
+    """Tells whether the durability that the service declares is reached.
+
+    That an id never ran has to outlast every failover.
+    """
+    declared = held.work.service.durability
+    if declared is document.Durability.PRIMARY and held.answer.error is None:
         return view.confirmed_at >= held.at
     return count_holders(view, held.position) >= len(view.states) // 2 + 1
 
@@ -87,12 +117,13 @@
 
 
 def _settle(
-    held: items.Committed, view: views.GroupView, now: float
+    held: items.Committed, view: views.GroupView | None, now: float
 ) -> items.Retried:
     work = dataclasses.replace(
         held.work,
         in_doubt=True,
         suggested="",
-        error=errors.NoPrimaryError("the term is over"),
+        error=errors.NoPrimaryError("not confirmed here"),
     )
-    return items.Retried(now, work, route.brief_of(view))
+    brief = route.brief_of(view) if view is not None else None
+    return items.Retried(now, work, brief)
--- a/packages/fescueshunt/src/fescueshunt/request/admit.py
+++ b/packages/fescueshunt/src/fescueshunt/request/admit.py
@@ -17,19 +17,24 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, ledger
+from fescueshunt.request import items, ledger, limits, outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 WRITE_KINDS = frozenset(
-    {request.Kind.WRITE, request.Kind.BEGIN, request.Kind.COMMIT}
+    {
+        request.Kind.WRITE,
+        request.Kind.BEGIN,
+        request.Kind.STEP,
+        request.Kind.COMMIT,
+        request.Kind.OUTCOME,
+    }
 )
 IN_TRANSACTION = frozenset(
     {request.Kind.STEP, request.Kind.COMMIT, request.Kind.ROLLBACK}
 )
 NEEDS_STATEMENTS = frozenset({request.Kind.READ, request.Kind.WRITE})
-MAX_TIMEOUT_S = 60.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,7 +44,6 @@
     settings: document.Document = document.Document()
     wall_offset_s: float = 0.0
     stopping: bool = False
-    in_flight: int = 0
 
 
 class Admit(filters.Filter):
@@ -53,31 +57,21 @@
         """Yields work or a refusal for a request; notes settings and stop."""
         match item:
             case core_items.CallerRequest():
-                self._state.in_flight += 1
                 yield self._admit_caller(item)
             case core_items.PeerReceived(message=peer.ForwardedRequest()):
-                self._state.in_flight += 1
                 yield self._admit_peer(item.at, item.sender, item.message)
             case views.SettingsView():
                 self._state.settings = item.document
                 yield item
-            case items.Finished() | items.SentBack():
-                self._state.in_flight -= 1
-                yield from self._stop_if_idle(item.at)
             case core_items.StopAsked():
                 self._state.stopping = True
                 yield item
-                yield from self._stop_if_idle(item.at)
             case filters.Tick():
                 self._state.wall_offset_s = item.wall_s - item.at
                 yield item
             case _:
                 yield item
 
-    def _stop_if_idle(self, now: float) -> Iterator[filters.Item]:
-        if self._state.stopping and self._state.in_flight == 0:
-            yield core_items.Stopped(now)
-
     def _admit_caller(self, item: core_items.CallerRequest) -> filters.Item:
         origin = items.CallerOrigin(item.conn, item.seq)
         error = self._refusal(item.req, item.wall_s)
@@ -92,6 +86,8 @@
         wall_s = at + self._state.wall_offset_s
         error = self._refusal(message.request, wall_s, forwarded=True)
         if error is not None:
+            if message.in_doubt:
+                error = errors.OutcomeUnknownError(str(error))
             return self._refuse(at, origin, message.request, error)
         work = self._work(at, origin, message.request, message.remaining_s)
         return dataclasses.replace(
@@ -123,7 +119,7 @@
     ) -> items.Work:
         settings = self._state.settings
         service = settings.service(req.service)
-        deadline = at + min(remaining_s, MAX_TIMEOUT_S)
+        deadline = at + min(remaining_s, ledger.MAX_TIMEOUT_S)
         return items.Work(
             at=at,
             key=next(self._keys),
@@ -144,7 +140,14 @@
         service = self._state.settings.service(req.service)
         rank = service.rank if service else ""
         answer = request.Answer(req.request_id, error=error)
-        return items.Finished(at, origin, req.database, rank, answer)
+        return items.Finished(
+            at,
+            origin,
+            req.database,
+            rank,
+            answer,
+            transaction=outcome.transaction_of(req),
+        )
 
 
 def _check_form(
@@ -161,7 +164,7 @@
     )
     if needs_other_id and len(req.transaction) != request.REQUEST_ID_BYTES:
         return errors.RequestInvalidError("transaction id must be 16 bytes")
-    return None
+    return limits.check_statements(req.statements)
 
 
 def _check_id(
@@ -174,7 +177,13 @@
         subject = req.transaction
     age_s = wall_s - request.issued_at_s(subject)
     if age_s > ledger.RETENTION_S:
-        return errors.RequestExpiredError()
+        return _expired(req)
     if age_s < -ledger.CLOCK_SKEW_S:
         return errors.RequestInvalidError("request id is from the future")
     return None
+
+
+def _expired(req: request.Request) -> errors.FescueshuntError:
+    if req.kind is request.Kind.OUTCOME:
+        return errors.OutcomeUnknownError("ids are not kept for that long")
+    return errors.RequestExpiredError()
--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import document, filters, peer, position, request
@@ -27,6 +28,14 @@
     seq: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackgroundOrigin:
+    """The work is this proxy's own; nobody waits for its answer."""
+
+
+Origin = CallerOrigin | PeerOrigin | BackgroundOrigin
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work(filters.Item):
     """An admitted request on its way through the pipe.
@@ -43,7 +52,7 @@
     """
 
     key: int
-    origin: CallerOrigin | PeerOrigin
+    origin: Origin
     req: request.Request
     service: document.Service
     rank: document.Rank
@@ -122,10 +131,63 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finished(filters.Item):
-    """Work with its final answer, `latency_s` seconds after it arrived."""
+    """Work with its final answer, `latency_s` seconds after it arrived.
+
+    `transaction` is the transaction that it belonged to, empty for none.
+    """
 
-    origin: CallerOrigin | PeerOrigin
+    origin: Origin
     database: str
     rank: str
     answer: request.Answer
     latency_s: float = 0.0
+    transaction: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended(filters.Item):
+    """Work has left this proxy, answered or sent back."""
+
+    origin: Origin
+    request_id: bytes
+    transaction: bytes
+    failed: bool
+
+
+class Side(enum.StrEnum):
+    """Where an open transaction is known: at its entry or at its home."""
+
+    ENTRY = "entry"
+    HOME = "home"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionOpened(filters.Item):
+    """A transaction is open on one side of it."""
+
+    side: Side
+    transaction: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionEnded(filters.Item):
+    """A transaction is over on one side of it."""
+
+    side: Side
+    transaction: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandoned(filters.Item):
+    """A transaction whose caller is gone; `entry` is the proxy it came by."""
+
+    entry: str
+    transaction: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Purged(filters.Item):
+    """Old rows of a database's ledger were dropped."""
+
+    database: str
+    rows: int
--- a/packages/fescueshunt/src/fescueshunt/request/ledger.py
+++ b/packages/fescueshunt/src/fescueshunt/request/ledger.py
@@ -17,7 +17,8 @@
 TABLE = "fescueshunt_ledger"
 RETENTION_S = 24 * 3600.0
 CLOCK_SKEW_S = 60.0
-PURGE_AFTER_S = RETENTION_S + 2 * CLOCK_SKEW_S
+MAX_TIMEOUT_S = 60.0
+PURGE_AFTER_S = RETENTION_S + 2 * CLOCK_SKEW_S + MAX_TIMEOUT_S
 PURGE_ROWS = 500
 
 SCHEMA = (
@@ -26,6 +27,18 @@
     "answer BLOB, issued_s REAL NOT NULL) WITHOUT ROWID"
 )
 
+INSERT = (
+    f"INSERT INTO {TABLE} (id, fingerprint, state, answer, issued_s) "
+    "VALUES (?, ?, ?, ?, ?)"
+)
+UPDATE = f"UPDATE {TABLE} SET answer = ? WHERE id = ?"
+SELECT = f"SELECT fingerprint, state, answer FROM {TABLE} WHERE id = ?"
+DELETE = (
+    f"DELETE FROM {TABLE} WHERE id IN (SELECT id FROM {TABLE} "
+    f"WHERE issued_s < ? LIMIT {PURGE_ROWS})"
+)
+STATEMENTS = frozenset({SCHEMA, INSERT, UPDATE, SELECT, DELETE})
+
 
 class RowState(enum.StrEnum):
     """What a row of the ledger says of its id."""
@@ -58,7 +71,8 @@
 def fingerprint(req: request.Request) -> bytes:
     """Returns 16 bytes that tell one request from another."""
     digest = hashlib.blake2b(digest_size=16)
-    digest.update(repr((req.service, req.database, req.kind.value)).encode())
+    kind = (req.service, req.database, req.kind.value, req.transaction)
+    digest.update(repr(kind).encode())
     for statement in req.statements:
         digest.update(repr((statement.sql, statement.params)).encode())
     return digest.digest()
@@ -69,8 +83,7 @@
 ) -> request.Statement:
     """Returns the statement that claims `request_id`."""
     return request.Statement(
-        f"INSERT INTO {TABLE} (id, fingerprint, state, answer, issued_s) "
-        "VALUES (?, ?, ?, ?, ?)",
+        INSERT,
         (
             request_id,
             mark,
@@ -83,26 +96,17 @@
 
 def record(request_id: bytes, answer: bytes) -> request.Statement:
     """Returns the statement that records the answer of a claimed id."""
-    return request.Statement(
-        f"UPDATE {TABLE} SET answer = ? WHERE id = ?", (answer, request_id)
-    )
+    return request.Statement(UPDATE, (answer, request_id))
 
 
 def look_up(request_id: bytes) -> request.Statement:
     """Returns the statement that reads the row of `request_id`."""
-    return request.Statement(
-        f"SELECT fingerprint, state, answer FROM {TABLE} WHERE id = ?",
-        (request_id,),
-    )
+    return request.Statement(SELECT, (request_id,))
 
 
 def purge(wall_s: float) -> request.Statement:
     """Returns the statement that drops rows no repeat may ask for any more."""
-    return request.Statement(
-        f"DELETE FROM {TABLE} WHERE id IN (SELECT id FROM {TABLE} "
-        f"WHERE issued_s < ? LIMIT {PURGE_ROWS})",
-        (wall_s - PURGE_AFTER_S,),
-    )
+    return request.Statement(DELETE, (wall_s - PURGE_AFTER_S,))
 
 
 def read_row(results: tuple[request.ResultSet, ...]) -> Row | None:
--- a/packages/fescueshunt/src/fescueshunt/request/outcome.py
+++ b/packages/fescueshunt/src/fescueshunt/request/outcome.py
@@ -8,7 +8,15 @@
 from fescueshunt.core import request
 from fescueshunt.request import items
 
-EFFECTLESS_KINDS = frozenset({request.Kind.READ, request.Kind.ROLLBACK})
+# A transaction has no effect before its COMMIT.
+EFFECTLESS_KINDS = frozenset(
+    {
+        request.Kind.READ,
+        request.Kind.BEGIN,
+        request.Kind.STEP,
+        request.Kind.ROLLBACK,
+    }
+)
 
 
 def may_have_run(work: items.Work) -> bool:
@@ -16,13 +24,41 @@
     return work.req.kind not in EFFECTLESS_KINDS
 
 
+def transaction_of(req: request.Request) -> bytes:
+    """Returns the transaction that `req` belongs to, empty for none."""
+    match req.kind:
+        case request.Kind.BEGIN:
+            return req.request_id
+        case request.Kind.STEP | request.Kind.COMMIT | request.Kind.ROLLBACK:
+            return req.transaction
+        case _:
+            return b""
+
+
 def finish(
     now: float, work: items.Work, answer: request.Answer
 ) -> items.Finished:
-    """Returns the end of `work` with `answer`, made safe for doubt."""
-    if work.in_doubt and _contradicts_doubt(answer.error):
-        error = errors.OutcomeUnknownError(str(answer.error))
-        answer = dataclasses.replace(answer, results=(), error=error)
+    """Returns the end of `work` with `answer`, which says no more than known.
+
+    Work in doubt is not called failed or not run. The question for an
+    outcome is answered by the ledger or not at all. Work that is not in
+    doubt and only lost its connections was not run.
+    """
+    error = answer.error
+    if error is None or isinstance(error, SETTLED):
+        return pass_on(now, work, answer)
+    if work.in_doubt or work.req.kind is request.Kind.OUTCOME:
+        error = errors.OutcomeUnknownError(str(error))
+    elif isinstance(error, errors.ConnectionLostError):
+        error = errors.DeadlineError(str(error))
+    safe = dataclasses.replace(answer, results=(), error=error)
+    return pass_on(now, work, safe)
+
+
+def pass_on(
+    now: float, work: items.Work, answer: request.Answer
+) -> items.Finished:
+    """Returns the end of `work` with an answer that is safe already."""
     return items.Finished(
         now,
         work.origin,
@@ -30,6 +66,7 @@
         work.rank.name,
         answer,
         now - work.at,
+        transaction_of(work.req),
     )
 
 
@@ -47,11 +84,5 @@
     return refuse(now, work, errors.DeadlineError())
 
 
-def _contradicts_doubt(error: errors.FescueshuntError | None) -> bool:
-    if error is None or isinstance(error, SETTLED):
-        return False
-    return error.outcome in (errors.Outcome.NOT_RUN, errors.Outcome.FAILED)
-
-
 # The ledger itself has told these; no earlier attempt can still run.
 SETTLED = (errors.RequestCancelledError, errors.RequestIdReusedError)
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -7,9 +7,12 @@
 from fescueshunt.request import (
     acknowledge,
     admit,
+    dedupe,
+    drain,
     gate,
     items,
     ledger,
+    purge,
     queue,
     read,
     reply,
@@ -33,22 +36,27 @@
     views.GroupView,
     items.Retried,
     items.Released,
-    items.Finished,
-    items.SentBack,
+    items.Ended,
+    items.TransactionOpened,
+    items.TransactionEnded,
+    items.Purged,
 )
 
 
 def build(me: identity.Identity, codec: ledger.ResultCodec) -> filters.Pipe:
     """Returns the request pipe of the proxy `me`."""
     stages = (
+        dedupe.Dedupe(),
+        drain.Drain(),
         admit.Admit(),
         route.Route(me),
         gate.Gate(),
+        purge.Purge(me),
         queue.Queue(),
         read.Read(),
         write.Write(codec),
         transact.Transact(codec),
-        acknowledge.Acknowledge(),
+        acknowledge.Acknowledge(me),
         reply.Reply(),
     )
     return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/request/read.py
+++ b/packages/fescueshunt/src/fescueshunt/request/read.py
@@ -16,7 +16,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import choose, items, outcome, route
+from fescueshunt.request import choose, items, limits, outcome, route
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,7 +41,7 @@
                 yield from self._replied(item)
             case core_items.UpstreamFailed() if item.conn in self._running:
                 started = self._running.pop(item.conn)
-                yield self._again(item.at, started, item.error)
+                yield self._lost(item, started)
             case views.GroupView():
                 self._groups[item.database] = item
                 yield item
@@ -64,7 +64,10 @@
         self, item: core_items.UpstreamReplied
     ) -> Iterator[filters.Item]:
         started = self._running.pop(item.conn)
-        yield items.Released(item.at, item.conn, reusable=True)
+        is_result = isinstance(
+            item.reply, upstream.Executed | upstream.Rejected
+        )
+        yield items.Released(item.at, item.conn, reusable=is_result)
         match item.reply:
             case upstream.Executed():
                 yield self._check(item.at, started, item.reply)
@@ -79,10 +82,21 @@
                     item.at, started, errors.FrameOrderError("not a result")
                 )
 
+    def _lost(
+        self, item: core_items.UpstreamFailed, started: items.Started
+    ) -> filters.Item:
+        if isinstance(item.error, errors.FrameTooLargeError):
+            error = errors.ResultTooLargeError(item.error.detail)
+            return outcome.refuse(item.at, started.work, error)
+        return self._again(item.at, started, item.error)
+
     def _check(
         self, now: float, started: items.Started, reply: upstream.Executed
     ) -> filters.Item:
         work = started.work
+        error = limits.check_results(reply.results)
+        if error is not None:
+            return outcome.refuse(now, work, error)
         after = work.req.after
         if after is not None and not reply.history.holds(after):
             return self._again(now, started, errors.TooStaleError())
--- a/packages/fescueshunt/src/fescueshunt/request/reply.py
+++ b/packages/fescueshunt/src/fescueshunt/request/reply.py
@@ -18,10 +18,17 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the effect that answers, and what ended for the metrics."""
         match item:
+            case items.Finished(origin=items.BackgroundOrigin()):
+                return
             case items.Finished():
                 yield _answer(item)
+                yield _end_of(item)
             case items.SentBack():
                 yield _redirect(item)
+                work = item.work
+                yield items.Ended(
+                    item.at, work.origin, work.req.request_id, b"", failed=True
+                )
         yield item
 
 
@@ -34,10 +41,21 @@
             return core_items.SendPeer(item.at, name, message)
 
 
+def _end_of(item: items.Finished) -> items.Ended:
+    return items.Ended(
+        item.at,
+        item.origin,
+        item.answer.request_id,
+        item.transaction,
+        item.answer.error is not None,
+    )
+
+
 def _redirect(item: items.SentBack) -> core_items.SendPeer:
     work = item.work
     message = peer.Redirected(
         work.origin.seq,
+        work.req.request_id,
         item.brief,
         work.suggested,
         work.in_doubt,
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -32,6 +32,7 @@
 ANSWER_MARGIN_S = 0.02
 FIRST_RETRIES_AT_ONCE = 3
 OPEN_ONLY = frozenset({request.Kind.STEP, request.Kind.ROLLBACK})
+BOUND_KINDS = OPEN_ONLY | {request.Kind.BEGIN}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +43,14 @@
     home: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pin:
+    """An open transaction of a caller's connection, and the home it is at."""
+
+    conn: int
+    home: str
+
+
 @dataclasses.dataclass(slots=True)
 class RouteState:
     """What routing remembers."""
@@ -53,7 +62,7 @@
     waiting: list[tuple[float, items.Work]] = dataclasses.field(
         default_factory=list
     )
-    pinned: dict[bytes, str] = dataclasses.field(default_factory=dict)
+    pinned: dict[bytes, Pin] = dataclasses.field(default_factory=dict)
 
 
 class Route(filters.Filter):
@@ -71,11 +80,20 @@
             case items.Retried():
                 yield from self._retry(item)
             case core_items.PeerReceived(message=peer.ForwardedAnswer()):
-                yield from self._take_answer(item.at, item.message)
+                yield from self._take_answer(item, item.message)
             case core_items.PeerReceived(message=peer.Redirected()):
-                yield from self._take_redirect(item.at, item.message)
+                yield from self._take_redirect(item, item.message)
+            case core_items.PeerReceived(message=peer.AbandonedTransaction()):
+                transaction = item.message.transaction
+                yield items.Abandoned(item.at, item.sender, transaction)
             case core_items.PeerLost():
                 yield from self._reroute_from(item.name, item.at)
+                yield item
+            case core_items.CallerClosed():
+                yield from self._abandon_all(item)
+                yield item
+            case items.Ended():
+                yield from self._note_end(item)
             case filters.Tick():
                 yield from self._wake(item.at)
                 yield item
@@ -118,25 +136,79 @@
         A COMMIT of which nothing is known here is settled by the ledger.
         """
         if work.req.kind is request.Kind.COMMIT:
-            return work.req.transaction in self._state.pinned
+            return self._pin_of(work) is not None
         return work.req.kind in OPEN_ONLY
 
+    def _pin_of(self, work: items.Work) -> Pin | None:
+        """Returns the open transaction that `work` belongs to.
+
+        Only the connection that opened a transaction may go on with it.
+        """
+        pin = self._state.pinned.get(work.req.transaction)
+        if pin is None or pin.conn != work.origin.conn:
+            return None
+        return pin
+
     def _route_pinned(
         self, work: items.Work, now: float
     ) -> Iterator[filters.Item]:
-        home = self._state.pinned.get(work.req.transaction)
-        if home is None:
+        pin = self._pin_of(work)
+        if pin is None:
             yield outcome.refuse(now, work, errors.TransactionLostError())
             return
         if work.req.kind is not request.Kind.STEP:
-            del self._state.pinned[work.req.transaction]
-        yield from self._send(work, "", home, now)
+            yield self._unpin(now, work.req.transaction)
+        yield from self._send(work, "", pin.home, now)
+
+    def _pin(self, work: items.Work, home: str, now: float) -> filters.Item:
+        begin_id = work.req.request_id
+        self._state.pinned[begin_id] = Pin(work.origin.conn, home)
+        return items.TransactionOpened(now, items.Side.ENTRY, begin_id)
+
+    def _unpin(self, now: float, transaction: bytes) -> filters.Item:
+        self._state.pinned.pop(transaction, None)
+        return items.TransactionEnded(now, items.Side.ENTRY, transaction)
+
+    def _note_end(self, item: items.Ended) -> Iterator[filters.Item]:
+        """Ends a transaction with its first error."""
+        pin = self._state.pinned.get(item.transaction)
+        if pin is None or not item.failed:
+            return
+        is_callers = isinstance(item.origin, items.CallerOrigin)
+        if is_callers and item.origin.conn == pin.conn:
+            yield from self._abandon(item.at, item.transaction)
+
+    def _abandon(
+        self, now: float, transaction: bytes
+    ) -> Iterator[filters.Item]:
+        """Lets the home roll back a transaction."""
+        home = self._state.pinned[transaction].home
+        yield self._unpin(now, transaction)
+        if home == self._me.name:
+            yield items.Abandoned(now, "", transaction)
+            return
+        message = peer.AbandonedTransaction(transaction)
+        yield core_items.SendPeer(now, home, message)
+
+    def _abandon_all(
+        self, item: core_items.CallerClosed
+    ) -> Iterator[filters.Item]:
+        for transaction, pin in list(self._state.pinned.items()):
+            if pin.conn == item.conn:
+                yield from self._abandon(item.at, transaction)
 
     def _send(
         self, work: items.Work, upstream: str, home: str, now: float
     ) -> Iterator[filters.Item]:
+        if not home:
+            yield from self._pause(work, now)
+            return
         if work.req.kind is request.Kind.BEGIN:
-            self._state.pinned[work.req.request_id] = home
+            if work.req.request_id in self._state.pinned:
+                error = errors.RequestIdReusedError()
+                yield outcome.refuse(now, work, error)
+                return
+            yield self._pin(work, home, now)
         if home == self._me.name:
             yield items.Arrived(now, work, upstream)
             return
@@ -151,19 +223,36 @@
         )
 
     def _take_answer(
-        self, now: float, message: peer.ForwardedAnswer
+        self, item: core_items.PeerReceived, message: peer.ForwardedAnswer
     ) -> Iterator[filters.Item]:
-        forward = self._state.forwards.pop(message.seq, None)
+        request_id = message.answer.request_id
+        forward = self._take_forward(item.sender, message.seq, request_id)
         if forward is None:
             return
         if message.brief is not None:
             self._state.briefs[message.brief.database] = message.brief
-        yield outcome.finish(now, forward.work, message.answer)
+        yield outcome.pass_on(item.at, forward.work, message.answer)
+
+    def _take_forward(
+        self, sender: str, seq: int, request_id: bytes
+    ) -> Forward | None:
+        """Returns the forward that a message answers, None for a stray one.
+
+        A message of an earlier start of this process may carry a `seq` that
+        is in use again.
+        """
+        forward = self._state.forwards.get(seq)
+        if forward is None or forward.home != sender:
+            return None
+        if forward.work.req.request_id != request_id:
+            return None
+        return self._state.forwards.pop(seq)
 
     def _take_redirect(
-        self, now: float, message: peer.Redirected
+        self, item: core_items.PeerReceived, message: peer.Redirected
     ) -> Iterator[filters.Item]:
-        forward = self._state.forwards.pop(message.seq, None)
+        request_id = message.request_id
+        forward = self._take_forward(item.sender, message.seq, request_id)
         if forward is None:
             return
         work = dataclasses.replace(
@@ -172,19 +261,22 @@
             in_doubt=forward.work.in_doubt or message.in_doubt,
             error=message.error or forward.work.error,
         )
-        yield from self._retry(items.Retried(now, work, message.brief))
+        yield from self._retry(items.Retried(item.at, work, message.brief))
 
     def _retry(self, item: items.Retried) -> Iterator[filters.Item]:
         work = item.work
         if isinstance(work.origin, items.PeerOrigin):
             yield items.SentBack(item.at, work, item.brief)
             return
+        if isinstance(work.origin, items.BackgroundOrigin):
+            return
         if item.brief is not None:
             self._state.briefs[item.brief.database] = item.brief
         if work.req.kind in OPEN_ONLY:
             yield outcome.refuse(item.at, work, errors.TransactionLostError())
             return
-        self._state.pinned.pop(work.req.request_id, None)
+        if work.req.request_id in self._state.pinned:
+            yield self._unpin(item.at, work.req.request_id)
         again = dataclasses.replace(work, attempts=work.attempts + 1)
         if again.attempts <= FIRST_RETRIES_AT_ONCE and _has_way(again, item):
             yield from self._route(again, item.at)
@@ -203,13 +295,25 @@
         lost = [f for f in self._state.forwards.values() if f.home == home]
         for forward in lost:
             del self._state.forwards[forward.work.key]
-            work = dataclasses.replace(
-                forward.work,
-                in_doubt=outcome.may_have_run(forward.work),
-                error=errors.ConnectionLostError(home),
-            )
-            again = dataclasses.replace(work, attempts=work.attempts + 1)
-            yield from self._pause(again, now)
+            yield from self._retry_lost(forward.work, home, now)
+        for transaction, pin in list(self._state.pinned.items()):
+            if pin.home == home:
+                yield from self._abandon(now, transaction)
+
+    def _retry_lost(
+        self, work: items.Work, home: str, now: float
+    ) -> Iterator[filters.Item]:
+        """Routes lost work anew; statements of a transaction can't be."""
+        if work.req.kind in BOUND_KINDS:
+            yield outcome.refuse(now, work, errors.TransactionLostError(home))
+            return
+        again = dataclasses.replace(
+            work,
+            attempts=work.attempts + 1,
+            in_doubt=work.in_doubt or outcome.may_have_run(work),
+            error=errors.ConnectionLostError(home),
+        )
+        yield from self._pause(again, now)
 
     def _wake(self, now: float) -> Iterator[filters.Item]:
         due = [work for wake_at, work in self._state.waiting if wake_at <= now]
--- a/packages/fescueshunt/src/fescueshunt/request/transact.py
+++ b/packages/fescueshunt/src/fescueshunt/request/transact.py
@@ -17,12 +17,13 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, ledger, outcome, route
+from fescueshunt.request import items, ledger, limits, outcome, route
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 IDLE_LIMIT_S = 5.0
+OPEN_LIMIT_S = 30.0
 MAX_CALL_S = 2.0
 
 
@@ -39,15 +40,26 @@
 
 @dataclasses.dataclass(slots=True)
 class Pinned:
-    """An open transaction and its connection."""
+    """An open transaction and its connection.
+
+    Attributes:
+      work: the newest request of the transaction.
+      used_at: when its last statement ended; seconds, local clock.
+      begun: its BEGIN.
+      abandoned: whether it ends with the call in flight.
+      seen: the request ids of its statements.
+    """
 
     conn: int
     upstream: str
     term: position.Term
     work: items.Work
     used_at: float
+    begun: items.Work
     phase: Phase = Phase.BEGIN
     results: tuple[request.ResultSet, ...] = ()
+    abandoned: bool = False
+    seen: set[bytes] = dataclasses.field(default_factory=set)
 
 
 class Transact(filters.Filter):
@@ -58,6 +70,7 @@
         self._pinned: dict[bytes, Pinned] = {}
         self._by_conn: dict[int, bytes] = {}
         self._groups: dict[str, views.GroupView] = {}
+        self._abandoned: dict[bytes, float] = {}
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields calls and answers for the statements of transactions."""
@@ -67,13 +80,15 @@
             case items.Started(work=work) if (
                 work.req.kind is request.Kind.BEGIN
             ):
-                yield self._begin(item)
+                yield from self._begin(item)
             case core_items.UpstreamReplied() if item.conn in self._by_conn:
                 yield from self._replied(item)
             case core_items.UpstreamFailed() if item.conn in self._by_conn:
                 yield from self._failed(item)
-            case core_items.CallerClosed():
+            case items.Abandoned():
                 yield from self._abandon(item)
+            case core_items.PeerLost():
+                yield from self._abandon_all(item)
                 yield item
             case filters.Tick():
                 yield from self._expire(item.at)
@@ -84,23 +99,42 @@
             case _:
                 yield item
 
-    def _begin(self, item: items.Started) -> core_items.RunUpstream:
+    def _begin(self, item: items.Started) -> Iterator[filters.Item]:
         work = item.work
+        begin_id = work.req.request_id
+        error = self._refusal(item.at, work)
+        if error is not None:
+            yield items.Released(item.at, item.conn, reusable=True)
+            yield outcome.refuse(item.at, work, error)
+            return
         term = self._groups[work.req.database].term
-        pinned = Pinned(item.conn, item.upstream, term, work, item.at)
-        self._pinned[work.req.request_id] = pinned
-        self._by_conn[item.conn] = work.req.request_id
-        return self._call(
+        pinned = Pinned(item.conn, item.upstream, term, work, item.at, work)
+        self._pinned[begin_id] = pinned
+        self._by_conn[item.conn] = begin_id
+        yield items.TransactionOpened(item.at, items.Side.HOME, begin_id)
+        yield self._call(
             item.at, pinned, upstream.Mode.BEGIN, work.req.statements
         )
 
+    def _refusal(
+        self, now: float, work: items.Work
+    ) -> errors.FescueshuntError | None:
+        if work.req.request_id in self._pinned:
+            return errors.RequestIdReusedError()
+        if work.req.request_id in self._abandoned:
+            return errors.TransactionLostError()
+        if now >= work.deadline:
+            return errors.DeadlineError()
+        return None
+
     def _continue(self, now: float, work: items.Work) -> Iterator[filters.Item]:
         pinned = self._pinned.get(work.req.transaction)
-        if pinned is None or pinned.phase is not Phase.IDLE:
+        if pinned is None or not _may_continue(pinned, work):
             yield self._not_open(now, work)
             return
         pinned.work = work
         req = work.req
+        pinned.seen.add(req.request_id)
         match req.kind:
             case request.Kind.STEP:
                 pinned.phase = Phase.STEP
@@ -153,11 +187,22 @@
     def _executed(
         self, now: float, pinned: Pinned, reply: upstream.Executed
     ) -> Iterator[filters.Item]:
+        too_large = limits.check_results(reply.results)
+        if too_large is not None and pinned.phase is not Phase.COMMIT:
+            yield from self._end(now, pinned, reusable=False)
+            yield outcome.refuse(now, pinned.work, too_large)
+            return
         match pinned.phase:
             case Phase.BEGIN | Phase.STEP:
                 pinned.phase = Phase.IDLE
                 pinned.used_at = now
                 yield self._answer(now, pinned, reply.results)
+                if pinned.abandoned:
+                    yield from self._end(now, pinned, reusable=False)
+            case Phase.LAST_STEP if now >= pinned.work.deadline:
+                yield from self._end(now, pinned, reusable=False)
+                error = errors.DeadlineError()
+                yield outcome.refuse(now, pinned.work, error)
             case Phase.LAST_STEP:
                 pinned.phase = Phase.COMMIT
                 pinned.results = reply.results
@@ -201,6 +246,14 @@
         self, now: float, pinned: Pinned, reply: upstream.Rejected
     ) -> filters.Item:
         work = pinned.work
+        claimed = (
+            pinned.phase is Phase.COMMIT
+            and reply.reason is upstream.Reason.CONSTRAINT
+            and reply.statement == 0
+        )
+        if claimed:
+            # The id was used, or settled as not run; the ledger says which.
+            return self._again(now, work, errors.TransactionLostError())
         if reply.reason in (
             upstream.Reason.CONSTRAINT,
             upstream.Reason.STATEMENT,
@@ -224,40 +277,90 @@
         self, item: core_items.UpstreamFailed
     ) -> Iterator[filters.Item]:
         pinned = self._pinned[self._by_conn[item.conn]]
-        self._forget(pinned)
+        yield self._forget(item.at, pinned)
         work = pinned.work
         match pinned.phase:
             case Phase.IDLE:
-                return
+                pass
             case Phase.BEGIN:
                 yield self._again(item.at, work, item.error)
             case Phase.COMMIT:
                 doubtful = dataclasses.replace(work, in_doubt=True)
                 yield self._again(item.at, doubtful, item.error)
             case _:
-                error = errors.TransactionLostError()
-                yield outcome.refuse(item.at, work, error)
+                yield outcome.refuse(item.at, work, _lost_by(item.error))
+
+    def _abandon(self, item: items.Abandoned) -> Iterator[filters.Item]:
+        pinned = self._pinned.get(item.transaction)
+        if pinned is None:
+            # Its BEGIN may still be queued here, or on its way.
+            self._abandoned[item.transaction] = item.at
+        elif _entry_of(pinned) == item.entry:
+            yield from self._end_soon(item.at, pinned)
 
-    def _abandon(self, item: core_items.CallerClosed) -> Iterator[filters.Item]:
+    def _abandon_all(self, item: core_items.PeerLost) -> Iterator[filters.Item]:
         for pinned in list(self._pinned.values()):
-            origin = pinned.work.origin
-            if isinstance(origin, items.CallerOrigin) and (
-                origin.conn == item.conn and pinned.phase is Phase.IDLE
-            ):
-                yield from self._end(item.at, pinned, reusable=False)
+            if _entry_of(pinned) == item.name:
+                yield from self._end_soon(item.at, pinned)
+
+    def _end_soon(self, now: float, pinned: Pinned) -> Iterator[filters.Item]:
+        pinned.abandoned = True
+        if pinned.phase is Phase.IDLE:
+            yield from self._end(now, pinned, reusable=False)
 
     def _expire(self, now: float) -> Iterator[filters.Item]:
         for pinned in list(self._pinned.values()):
             idle_s = now - pinned.used_at
-            if pinned.phase is Phase.IDLE and idle_s > IDLE_LIMIT_S:
+            open_s = now - pinned.begun.at
+            is_over = idle_s > IDLE_LIMIT_S or open_s > OPEN_LIMIT_S
+            if pinned.phase is Phase.IDLE and is_over:
                 yield from self._end(now, pinned, reusable=False)
+        self._abandoned = {
+            transaction: since
+            for transaction, since in self._abandoned.items()
+            if now - since < ledger.MAX_TIMEOUT_S
+        }
 
     def _end(
         self, now: float, pinned: Pinned, reusable: bool = True
     ) -> Iterator[filters.Item]:
-        self._forget(pinned)
+        yield self._forget(now, pinned)
         yield items.Released(now, pinned.conn, reusable)
 
-    def _forget(self, pinned: Pinned) -> None:
+    def _forget(self, now: float, pinned: Pinned) -> filters.Item:
         transaction = self._by_conn.pop(pinned.conn)
         del self._pinned[transaction]
+        return items.TransactionEnded(now, items.Side.HOME, transaction)
+
+
+def _may_continue(pinned: Pinned, work: items.Work) -> bool:
+    """Tells whether `work` is the next statement of the transaction.
+
+    It comes by the same entry, once, after the one before it, and for the
+    same database.
+    """
+    return (
+        pinned.phase is Phase.IDLE
+        and _entry(work) == _entry_of(pinned)
+        and work.req.request_id not in pinned.seen
+        and work.req.database == pinned.begun.req.database
+    )
+
+
+def _entry_of(pinned: Pinned) -> str:
+    return _entry(pinned.begun)
+
+
+def _entry(work: items.Work) -> str:
+    """Returns the proxy that `work` came by, "" for this one."""
+    match work.origin:
+        case items.PeerOrigin(name=name):
+            return name
+        case _:
+            return ""
+
+
+def _lost_by(error: errors.FescueshuntError) -> errors.FescueshuntError:
+    if isinstance(error, errors.FrameTooLargeError):
+        return errors.ResultTooLargeError(error.detail)
+    return errors.TransactionLostError()
--- a/packages/fescueshunt/src/fescueshunt/request/write.py
+++ b/packages/fescueshunt/src/fescueshunt/request/write.py
@@ -22,7 +22,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, ledger, outcome, route
+from fescueshunt.request import items, ledger, limits, outcome, route
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -40,12 +40,22 @@
 
 @dataclasses.dataclass(slots=True)
 class Running:
-    """A write that holds a connection."""
+    """A write that holds a connection.
+
+    `verdict` is set once statements failed while an earlier attempt is in
+    doubt: a tombstone shall make sure of it.
+    """
 
     started: items.Started
     term: position.Term
     phase: Phase = Phase.OPEN
     results: tuple[request.ResultSet, ...] = ()
+    verdict: errors.FescueshuntError | None = None
+
+    @property
+    def is_claimed(self) -> bool:
+        """Whether the first statement claims the request id."""
+        return not isinstance(self.work.origin, items.BackgroundOrigin)
 
     @property
     def work(self) -> items.Work:
@@ -72,28 +82,28 @@
         """Yields calls, commits and returns for writes."""
         match item:
             case items.Started(work=work) if work.req.kind in self.KINDS:
-                yield self._open(item)
+                yield from self._open(item)
             case core_items.UpstreamReplied() if item.conn in self._running:
                 running = self._running[item.conn]
                 yield from self._replied(item, running)
             case core_items.UpstreamFailed() if item.conn in self._running:
-                running = self._running.pop(item.conn)
-                yield self._again(item.at, running, item.error)
+                yield self._lost(item, self._running.pop(item.conn))
             case views.GroupView():
                 self._groups[item.database] = item
                 yield item
             case _:
                 yield item
 
-    def _open(self, item: items.Started) -> core_items.RunUpstream:
+    def _open(self, item: items.Started) -> Iterator[filters.Item]:
+        if item.at >= item.work.deadline:
+            yield items.Released(item.at, item.conn, reusable=True)
+            yield outcome.refuse(item.at, item.work, errors.DeadlineError())
+            return
         view = self._groups[item.work.req.database]
         running = Running(item, view.term)
         self._running[item.conn] = running
-        req = item.work.req
-        statements = (_claim(req),)
-        if req.kind is request.Kind.WRITE:
-            statements = (*statements, *req.statements)
-        return self._call(item.at, running, upstream.Mode.BEGIN, statements)
+        statements = _opening(running)
+        yield self._call(item.at, running, upstream.Mode.BEGIN, statements)
 
     def _call(
         self,
@@ -111,6 +121,15 @@
             running.work.req.request_id,
         )
 
+    def _lost(
+        self, item: core_items.UpstreamFailed, running: Running
+    ) -> filters.Item:
+        too_large = isinstance(item.error, errors.FrameTooLargeError)
+        if too_large and running.phase is Phase.OPEN:
+            error = errors.ResultTooLargeError(item.error.detail)
+            return outcome.refuse(item.at, running.work, error)
+        return self._again(item.at, running, item.error)
+
     def _replied(
         self, item: core_items.UpstreamReplied, running: Running
     ) -> Iterator[filters.Item]:
@@ -129,34 +148,55 @@
     ) -> Iterator[filters.Item]:
         match running.phase:
             case Phase.OPEN:
-                yield self._commit(now, running, reply)
+                yield from self._commit(now, running, reply)
             case Phase.COMMIT:
                 yield from self._end(running, now)
-                answer = self._answer(running, running.results)
-                yield items.Committed(
-                    now, running.work, answer, reply.history.last
-                )
+                yield self._committed(now, running, reply)
             case Phase.LOOK_UP:
                 yield from self._end(running, now)
                 yield self._looked_up(now, running, reply)
 
     def _commit(
         self, now: float, running: Running, reply: upstream.Executed
-    ) -> filters.Item:
+    ) -> Iterator[filters.Item]:
+        running.results = reply.results[int(running.is_claimed) :]
+        error = limits.check_results(running.results)
+        if error is None and now >= running.work.deadline:
+            error = errors.DeadlineError()
+        if error is not None:
+            yield from self._end(running, now, reusable=False)
+            yield outcome.refuse(now, running.work, error)
+            return
         running.phase = Phase.COMMIT
-        running.results = reply.results[1:]
+        yield self._call(
+            now, running, upstream.Mode.COMMIT, self._recording(running)
+        )
+
+    def _recording(self, running: Running) -> tuple[request.Statement, ...]:
+        """Returns the statement that records the answer, if there is one."""
         req = running.work.req
-        if req.kind is not request.Kind.WRITE:
-            return self._call(now, running, upstream.Mode.COMMIT, ())
+        records = running.is_claimed and running.verdict is None
+        if not records or req.kind is not request.Kind.WRITE:
+            return ()
         answer = self._codec.encode(running.results)
-        statement = ledger.record(req.request_id, answer)
-        return self._call(now, running, upstream.Mode.COMMIT, (statement,))
+        return (ledger.record(req.request_id, answer),)
+
+    def _committed(
+        self, now: float, running: Running, reply: upstream.Executed
+    ) -> filters.Item:
+        work = running.work
+        if not running.is_claimed:
+            rows = sum(result.changed for result in running.results)
+            return items.Purged(now, work.req.database, rows)
+        answer = self._answer(running, running.results)
+        return items.Committed(now, work, answer, reply.history.last)
 
     def _rejected(
         self, now: float, running: Running, reply: upstream.Rejected
     ) -> Iterator[filters.Item]:
         claimed = (
             running.phase is Phase.OPEN
+            and running.is_claimed
             and reply.reason is upstream.Reason.CONSTRAINT
             and reply.statement == 0
         )
@@ -165,17 +205,27 @@
             look_up = ledger.look_up(_subject(running.work.req))
             yield self._call(now, running, upstream.Mode.READ, (look_up,))
             return
-        yield from self._end(running, now)
-        if reply.reason in (
-            upstream.Reason.CONSTRAINT,
-            upstream.Reason.STATEMENT,
-        ):
+        if reply.reason in STATEMENT_REASONS:
             error = errors.StatementError(reply.detail)
-            yield outcome.refuse(now, running.work, error)
+            yield from self._fail(now, running, error)
             return
+        yield from self._end(running, now)
         error = errors.NoPrimaryError(reply.reason.value)
         yield self._again(now, running, error, doubt=False)
 
+    def _fail(
+        self, now: float, running: Running, error: errors.FescueshuntError
+    ) -> Iterator[filters.Item]:
+        """Refuses a write, after a tombstone if an attempt is in doubt."""
+        if running.work.in_doubt and running.verdict is None:
+            running.verdict = error
+            running.phase = Phase.OPEN
+            statements = _opening(running)
+            yield self._call(now, running, upstream.Mode.BEGIN, statements)
+            return
+        yield from self._end(running, now)
+        yield outcome.refuse(now, running.work, error)
+
     def _looked_up(
         self, now: float, running: Running, reply: upstream.Executed
     ) -> filters.Item:
@@ -188,10 +238,13 @@
                 work.req.request_id, error=_cancelled(work.req)
             )
             return items.Committed(now, work, answer, reply.history.last)
-        if work.req.kind is request.Kind.WRITE and (
+        if work.req.kind is not request.Kind.OUTCOME and (
             row.fingerprint != ledger.fingerprint(work.req)
         ):
-            return outcome.refuse(now, work, errors.RequestIdReusedError())
+            answer = request.Answer(
+                work.req.request_id, error=errors.RequestIdReusedError()
+            )
+            return items.Committed(now, work, answer, reply.history.last)
         results = self._codec.decode(row.answer)
         answer = self._answer(running, results, repeated=True)
         return items.Committed(now, work, answer, reply.history.last)
@@ -203,8 +256,13 @@
         repeated: bool = False,
     ) -> request.Answer:
         req = running.work.req
-        settled = req.kind is not request.Kind.WRITE and not repeated
-        error = _cancelled(req) if settled else None
+        error = running.verdict
+        if req.kind is not request.Kind.WRITE:
+            error = _cancelled(req)
+        if repeated:
+            error = None
+        if error is not None:
+            results = ()
         return request.Answer(
             req.request_id,
             results,
@@ -239,12 +297,21 @@
         return items.Retried(now, work, brief)
 
 
-def _claim(req: request.Request) -> request.Statement:
-    if req.kind is request.Kind.WRITE:
-        return ledger.insert(
-            req.request_id, ledger.fingerprint(req), ledger.RowState.RUN
-        )
-    return ledger.insert(_subject(req), b"", ledger.RowState.TOMBSTONE)
+STATEMENT_REASONS = frozenset(
+    {upstream.Reason.CONSTRAINT, upstream.Reason.STATEMENT}
+)
+
+
+def _opening(running: Running) -> tuple[request.Statement, ...]:
+    """Returns what the first call runs: the claim and the statements."""
+    req = running.work.req
+    if not running.is_claimed:
+        return req.statements
+    if req.kind is request.Kind.WRITE and running.verdict is None:
+        mark = ledger.fingerprint(req)
+        claim = ledger.insert(req.request_id, mark, ledger.RowState.RUN)
+        return (claim, *req.statements)
+    return (ledger.insert(_subject(req), b"", ledger.RowState.TOMBSTONE),)
 
 
 def _cancelled(req: request.Request) -> errors.FescueshuntError:
--- a/tests/functional/test_replays.py
+++ b/tests/functional/test_replays.py
@@ -1,14 +1,11 @@
 """Recorded traces, replayed against their stated outcomes."""
 
-from fescueshunt.core import items
 from lib import replayer
 
-OUTCOME = (items.AnswerCaller, items.RunUpstream, items.SendPeer)
-
 
 def test_whole_path(snapshot):
     replayed = replayer.replay(replayer.TRACES / "whole_path.jsonl")
-    assert replayer.as_lines(replayed.of(*OUTCOME)) == snapshot
+    assert replayer.as_lines(replayed.effects) == snapshot
     assert [a.answer.error for a in replayed.answers()] == [None] * 9
     assert replayed.answers()[-1].answer.repeated
 
--- a/tests/lib/replayer.py
+++ b/tests/lib/replayer.py
@@ -43,5 +43,20 @@
 
 
 def as_lines(effects: Iterable[filters.Item]) -> str:
-    """Returns effects as the lines that a stated outcome holds."""
-    return "\n".join(records.to_line(effect) for effect in effects)
+    """Returns answers and calls as the lines that a stated outcome holds."""
+    lines = (_line(effect) for effect in effects)
+    return "\n".join(line for line in lines if line)
+
+
+def _line(effect: filters.Item) -> str:
+    match effect:
+        case items.AnswerCaller():
+            return records.to_line(effect)
+        case items.RunUpstream(conn=conn, call=call):
+            return (
+                f"call {conn}: {call.mode}, {len(call.statements)} statements"
+            )
+        case items.SendPeer(name=name, message=message):
+            return f"{type(message).__name__} to {name}"
+        case _:
+            return ""
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -99,6 +99,7 @@
         self.now = 100.0
         self.chance = random.Random(seed)
         self.faults = Faults()
+        self.meddle: Callable[[object], list[float] | None] = lambda _: None
         self.settings = settings
         self.answers: dict[tuple[str, int, int], request.Answer] = {}
         self.extra_answers = 0
@@ -274,7 +275,7 @@
             item = items.PeerReceived(self.now, sender, effect.message)
             self.feed(target, item)
 
-        for delay_s in self._deliveries():
+        for delay_s in self._deliveries(effect.message):
             self.at(delay_s, deliver)
 
     def _lose_peer(self, name: str, lost: str) -> None:
@@ -306,14 +307,14 @@
         session.call = number
 
         def replied(reply: upstream.Reply) -> None:
-            for delay_s in self._deliveries():
+            for delay_s in self._deliveries(reply):
                 self.at(delay_s, lambda: self._end(session, number, reply))
 
         def execute() -> None:
             if session.fake.alive:
                 session.fake.execute(session.key, effect.call, replied)
 
-        for delay_s in self._deliveries()[:1]:
+        for delay_s in self._deliveries(effect.call)[:1]:
             session.busy_until = self.now + delay_s
             self.at(delay_s, execute)
         self.at(
@@ -423,8 +424,14 @@
     def _hop(self) -> float:
         return HOP_S * self.chance.uniform(0.5, 1.5)
 
-    def _deliveries(self) -> list[float]:
-        """Returns after how long each copy of a message arrives."""
+    def _deliveries(self, message: object = None) -> list[float]:
+        """Returns after how long each copy of a message arrives.
+
+        A test may decide on single messages by `meddle`.
+        """
+        decided = self.meddle(message)
+        if decided is not None:
+            return decided
         if self.chance.random() < self.faults.lost:
             return []
         delay_s = self._hop()
