--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -20,7 +20,9 @@
     base,
     calls,
     documents,
+    heartbeats,
     proxies,
+    settings,
     stores,
 )
 
@@ -48,7 +50,7 @@
             yield value
 
 
-_MODULES = (calls, stores, proxies, documents)
+_MODULES = (calls, heartbeats, stores, proxies, documents, settings)
 _BY_TAG = {
     model.__name__.removesuffix("Model"): model
     for module in _MODULES
--- a/packages/fescueshunt/src/fescueshunt/request/admit.py
+++ b/packages/fescueshunt/src/fescueshunt/request/admit.py
@@ -83,6 +83,14 @@
         self, at: float, sender: str, message: peer.ForwardedRequest
     ) -> filters.Item:
         origin = items.PeerOrigin(sender, message.seq)
+        if not self._knows(message.request):
+            return items.SentBack(
+                at,
+                origin,
+                message.request.request_id,
+                in_doubt=message.in_doubt,
+                error=errors.NoRouteError("settings are behind"),
+            )
         wall_s = at + self._state.wall_offset_s
         error = self._refusal(message.request, wall_s, forwarded=True)
         if error is not None:
@@ -99,14 +107,23 @@
     ) -> errors.FescueshuntError | None:
         if self._is_new_session(req) and self._state.stopping and not forwarded:
             return errors.StoppingError()
+        if self._state.settings.revision == 0:
+            return errors.NoRouteError("no settings yet")
+        if not self._knows(req):
+            return errors.RequestInvalidError("unknown service or database")
         service = self._state.settings.service(req.service)
         database = self._state.settings.database(req.database)
-        if service is None or database is None:
-            return errors.RequestInvalidError("unknown service or database")
         if service.group != database.group:
             return errors.RequestInvalidError("service of another group")
         return _check_form(req, service) or _check_id(req, wall_s)
 
+    def _knows(self, req: request.Request) -> bool:
+        settings = self._state.settings
+        service = settings.service(req.service)
+        return (
+            service is not None and settings.database(req.database) is not None
+        )
+
     def _is_new_session(self, req: request.Request) -> bool:
         return req.kind not in IN_TRANSACTION
 
--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -114,10 +114,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentBack(filters.Item):
-    """A peer's work that was not run here and goes back to it."""
+    """A peer's work that was not run here and goes back to it.
 
-    work: Work
-    brief: peer.GroupBrief | None
+    The fields are those of `Work`.
+    """
+
+    origin: PeerOrigin
+    request_id: bytes
+    brief: peer.GroupBrief | None = None
+    suggested: str = ""
+    in_doubt: bool = False
+    error: errors.FescueshuntError | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/request/reply.py
+++ b/packages/fescueshunt/src/fescueshunt/request/reply.py
@@ -25,9 +25,8 @@
                 yield _end_of(item)
             case items.SentBack():
                 yield _redirect(item)
-                work = item.work
                 yield items.Ended(
-                    item.at, work.origin, work.req.request_id, b"", failed=True
+                    item.at, item.origin, item.request_id, b"", failed=True
                 )
         yield item
 
@@ -52,13 +51,12 @@
 
 
 def _redirect(item: items.SentBack) -> core_items.SendPeer:
-    work = item.work
     message = peer.Redirected(
-        work.origin.seq,
-        work.req.request_id,
+        item.origin.seq,
+        item.request_id,
         item.brief,
-        work.suggested,
-        work.in_doubt,
-        work.error,
+        item.suggested,
+        item.in_doubt,
+        item.error,
     )
-    return core_items.SendPeer(item.at, work.origin.name, message)
+    return core_items.SendPeer(item.at, item.origin.name, message)
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -266,7 +266,15 @@
     def _retry(self, item: items.Retried) -> Iterator[filters.Item]:
         work = item.work
         if isinstance(work.origin, items.PeerOrigin):
-            yield items.SentBack(item.at, work, item.brief)
+            yield items.SentBack(
+                item.at,
+                work.origin,
+                work.req.request_id,
+                item.brief,
+                work.suggested,
+                work.in_doubt,
+                work.error,
+            )
             return
         if isinstance(work.origin, items.BackgroundOrigin):
             return
--- a/tests/functional/test_replays.py
+++ b/tests/functional/test_replays.py
@@ -5,7 +5,7 @@
 
 def test_whole_path(snapshot):
     replayed = replayer.replay(replayer.TRACES / "whole_path.jsonl")
-    assert replayer.as_lines(replayed.effects) == snapshot
+    assert replayer.as_lines(replayed.path_of_requests()) == snapshot
     assert [a.answer.error for a in replayed.answers()] == [None] * 9
     assert replayed.answers()[-1].answer.repeated
 
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -29,6 +29,7 @@
 HOP_S = 0.001
 LATE_S = 0.3
 STORE_S = 0.005
+START_S = 3.0
 ZONES = ("zone-a", "zone-b", "zone-c")
 SCHEMA = ("CREATE TABLE hit (tag TEXT NOT NULL)",)
 SETTINGS = document.Document(
@@ -120,7 +121,7 @@
         for name in self._names:
             self.start(name)
         self._replicate()
-        self.run(1.0)
+        self.run(START_S)
 
     # The clock.
 
@@ -243,8 +244,11 @@
                 self._control(source, effect)
             case items.ReadHosts():
                 self._reply(source, self._hosts)
-            case items.ReadSettings(above=0):
-                self._reply(source, self._settings)
+            case items.ReadSettings(above=above, wait_s=wait_s):
+                delay_s = wait_s if above else STORE_S
+                self.at(
+                    delay_s, lambda: self._feed_to(source, self._settings())
+                )
             case items.Stopped():
                 source.stopped = True
                 self.kill(source.me.name)
@@ -266,7 +270,7 @@
         return items.SettingsRead(self.now, self.settings, 1)
 
     def _send_peer(self, source: Proxy, effect: items.SendPeer) -> None:
-        sender, target = source.me.name, effect.name
+        sender, target = source.me.name, self._target(effect)
         if target not in self.proxies:
             self._lose_peer(sender, target)
             return
@@ -278,6 +282,13 @@
         for delay_s in self._deliveries(effect.message):
             self.at(delay_s, deliver)
 
+    def _target(self, effect: items.SendPeer) -> str:
+        """Returns the proxy that a message reaches, as its address says."""
+        for name, running in self.proxies.items():
+            if effect.address == running.me.address:
+                return name
+        return effect.name
+
     def _lose_peer(self, name: str, lost: str) -> None:
         self.at(
             self._hop(),
