--- a/packages/fescueshunt-cli/src/fescueshunt_cli/caller.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/caller.py
@@ -132,16 +132,28 @@
             after=self.token.positions.get(req.database),
             unsure=req.database in self.token.unsure,
         )
+        answer = await self._call(req)
+        self._note(req, answer)
+        return answer
+
+    async def _call(self, req: request.Request) -> request.Answer:
+        if self._calls.is_closed:
+            error = errors.NoRouteError("the connection is closed")
+            return request.Answer(req.request_id, error=error)
         try:
             answer = await self._calls.call(req, req.timeout_s + GRACE_S)
         except errors.FescueshuntError as exc:
-            answer = request.Answer(req.request_id, error=exc)
-        self._note(req, answer)
+            return request.Answer(req.request_id, error=exc)
+        is_answer = isinstance(answer, request.Answer)
+        if not is_answer or answer.request_id != req.request_id:
+            error = errors.ConnectionLostError("not an answer to this")
+            return request.Answer(req.request_id, error=error)
         return answer
 
     def _note(self, req: request.Request, answer: request.Answer) -> None:
         if answer.token is not None:
-            self.token.positions[req.database] = answer.token
+            known = self.token.positions.get(req.database, position.ORIGIN)
+            self.token.positions[req.database] = max(known, answer.token)
             self.token.unsure.discard(req.database)
         is_write = req.kind in (request.Kind.WRITE, request.Kind.COMMIT)
         if is_write and answer.outcome is errors.Outcome.UNKNOWN:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/callers.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/callers.py
@@ -10,13 +10,15 @@
 
 from fescueshunt import errors
 from fescueshunt.core import items, request
-from fescueshunt_wire import codec, link
+from fescueshunt_wire import codec, failure, link
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from fescueshunt_proxy._internal import runtime
 
+LIMITS = link.Limits(links=4096, first_s=5.0, idle_s=300.0)
+
 
 @dataclasses.dataclass(slots=True)
 class CallerConn:
@@ -27,10 +29,17 @@
 
 
 class Callers:
-    """Source and sink of callers' connections."""
+    """Source and sink of callers' connections.
+
+    A connection ends that sends no frame for as long as `limits` says, that
+    sends one out of order, or that doesn't read its answers.
+    """
 
-    def __init__(self, joined: runtime.Runtime) -> None:
+    def __init__(
+        self, joined: runtime.Runtime, limits: link.Limits = LIMITS
+    ) -> None:
         self._joined = joined
+        self._limits = limits
         self._conns: dict[int, CallerConn] = {}
         self._numbers = itertools.count(1)
         joined.subscribe(items.AnswerCaller, self._answer)
@@ -38,11 +47,12 @@
     @contextlib.asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[str]:
         """Accepts callers at `address`; yields the bound address."""
-        async with link.listen(address, self._serve) as bound:
+        async with link.listen(address, self._serve, self._limits) as bound:
             yield bound
 
     async def _serve(self, conn_link: link.Link) -> None:
         number = next(self._numbers)
+        conn_link.unsendable = _unknown
         conn = CallerConn(conn_link)
         self._conns[number] = conn
         try:
@@ -76,3 +86,11 @@
             return
         with contextlib.suppress(errors.ConnectionLostError):
             conn.link.post(codec.Envelope(item.seq, item.answer))
+
+
+def _unknown(
+    envelope: codec.Envelope, error: errors.FrameError
+) -> codec.Envelope:
+    """Returns what is said in place of an answer that can't be sent."""
+    unknown = errors.OutcomeUnknownError(str(error))
+    return codec.Envelope(envelope.seq, failure.Failure(unknown))
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -171,6 +171,16 @@
     return [_read_ini(p.settings)["peers"] for p in fleet.proxies.values()]
 
 
+def restart_proxy(fleet: Fleet, name: str) -> Process:
+    """Starts a proxy that has ended again, with the settings it had."""
+    path = fleet.proxies[name].settings
+    process = _start(
+        fleet, name, path, [sys.executable, "-m", "fescueshunt_proxy"]
+    )
+    fleet.proxies[name] = process
+    return process
+
+
 def stop_all(fleet: Fleet) -> None:
     """Ends every process that still runs."""
     running_now = [p for p in fleet.all() if p.popen.poll() is None]
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/channel.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/channel.py
@@ -22,12 +22,14 @@
         self._seqs = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._closed = asyncio.Event()
+        conn.unsendable = self._refuse_unsent
 
     async def call(self, message: Any, timeout_s: float) -> Any:
         """Sends `message` and returns the answer to it.
 
         Raises:
           ConnectionLostError: if no answer comes within `timeout_s` seconds.
+          FrameError: if no frame can hold `message`; it was not sent.
           FescueshuntError: the typed failure that came as the answer.
         """
         if self._closed.is_set():
@@ -47,6 +49,11 @@
             raise answer.error
         return answer
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the link has ended."""
+        return self._closed.is_set()
+
     async def wait_closed(self) -> None:
         """Returns once the link has ended."""
         await self._closed.wait()
@@ -57,10 +64,10 @@
             async for envelope in self._link.receive():
                 self._take(envelope)
         except errors.FrameError as exc:
-            self._fail(exc)
+            self._fail(str(exc))
         finally:
             self._closed.set()
-            self._fail(errors.ConnectionLostError("closed"))
+            self._fail("closed")
 
     def _take(self, envelope: codec.Envelope) -> None:
         if envelope.seq == 0 and isinstance(envelope.message, failure.Failure):
@@ -69,10 +76,19 @@
         if fut is not None and not fut.done():
             fut.set_result(envelope.message)
 
-    def _fail(self, error: errors.FescueshuntError) -> None:
+    def _fail(self, reason: str) -> None:
+        """Ends the calls in flight; what was sent may have had its effect."""
         for fut in self._waiting.values():
             if not fut.done():
-                fut.set_exception(error)
+                fut.set_exception(errors.ConnectionLostError(reason))
+
+    def _refuse_unsent(
+        self, envelope: codec.Envelope, error: errors.FrameError
+    ) -> codec.Envelope | None:
+        fut = self._waiting.get(envelope.seq)
+        if fut is not None and not fut.done():
+            fut.set_exception(error)
+        return None
 
 
 @contextlib.asynccontextmanager
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -64,8 +64,12 @@
 
     Raises:
       FrameTooLargeError: if the frame would exceed MAX_FRAME_BYTES.
+      FrameError: if a message is out of the bounds of its model.
     """
-    body = [_pack(envelope) for envelope in envelopes]
+    try:
+        body = [_pack(envelope) for envelope in envelopes]
+    except pydantic.ValidationError as exc:
+        raise errors.FrameError(exc.title) from exc
     data = cbor2.dumps([VERSION, body])
     if len(data) > MAX_FRAME_BYTES:
         raise errors.FrameTooLargeError(f"{len(data)} bytes")
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
@@ -17,8 +17,19 @@
 MAX_INDEX = 1 << 53
 MAX_SECONDS = 1e9
 
+
+def cut(value: object) -> object:
+    """Returns the start of a text for people, which a frame can hold."""
+    return value[:TEXT_CHARS] if isinstance(value, str) else value
+
+
 Name = Annotated[str, pydantic.Field(max_length=NAME_CHARS)]
 Text = Annotated[str, pydantic.Field(max_length=TEXT_CHARS)]
+Detail = Annotated[
+    str,
+    pydantic.BeforeValidator(cut),
+    pydantic.Field(max_length=TEXT_CHARS),
+]
 Bytes = Annotated[bytes, pydantic.Field(max_length=MAX_BYTES)]
 Count = Annotated[int, pydantic.Field(ge=0, le=MAX_INDEX)]
 Index = Annotated[int, pydantic.Field(ge=-MAX_INDEX, le=MAX_INDEX)]
@@ -57,7 +68,7 @@
     """Any error of fescueshunt, by its code."""
 
     code: Name
-    detail: Text = ""
+    detail: Detail = ""
     retry_after_s: Seconds = 0.0
 
     def to_data(self) -> errors.FescueshuntError:
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/calls.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/calls.py
@@ -71,7 +71,7 @@
     """The rows of one statement."""
 
     of = request.ResultSet
-    columns: tuple[base.Name, ...] = ()
+    columns: tuple[base.Text, ...] = ()
     rows: tuple[Values, ...] = ()
     changed: base.Index = 0
 
@@ -114,7 +114,7 @@
 
     of = upstream.Rejected
     reason: upstream.Reason
-    detail: base.Text = ""
+    detail: base.Detail = ""
     statement: base.Index = -1
     promised: TermModel = TermModel(number=0)
 
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -72,6 +72,12 @@
     code = "frame_order"
 
 
+class FrameTimeoutError(FrameError):
+    """No whole frame came in time."""
+
+    code = "frame_timeout"
+
+
 class ConnectionLostError(FescueshuntError):
     """A connection ended, or went silent, with a request in flight."""
 
