Let answers wait for an address, and take a lost answer as a lost peer

The entry also learnt only of the end of its own outgoing connection; answers come on the other one, whose end now counts as a lost peer too, so that what is forwarded is settled by the ledger at once and not at its deadline.

Ruled out: a longer linger at the stop, since the proxy that started was at fault.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
@@ -17,14 +17,19 @@
     from fescueshunt_proxy._internal import runtime, tracing
 
 REDIAL_PAUSE_S = 0.1
+LOCATE_S = 3.0
 MAX_WAITING = 10_000
 
 
 @dataclasses.dataclass(slots=True)
 class Sender:
-    """The outgoing connection to one proxy; None before it is open."""
+    """The outgoing connection to one proxy; None before it is open.
+
+    `address` is "" until a fleet view names it.
+    """
 
     address: str
+    located: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     link: link.Link | None = None
     waiting: list[peer.PeerMessage] = dataclasses.field(default_factory=list)
@@ -60,20 +65,30 @@
             yield bound
 
     async def _serve(self, conn: link.Link) -> None:
+        """Takes messages; once they end, answers may be lost on their way."""
         sender = ""
-        async for envelope in conn.receive():
-            message = envelope.message
-            if isinstance(message, upstream.Hello) and not sender:
-                sender = message.host
-            elif isinstance(message, peer.PeerMessage) and sender:
-                self._joined.feed(
-                    items.PeerReceived(self._joined.now(), sender, message)
-                )
-            else:
-                raise errors.FrameOrderError(type(message).__name__)
+        try:
+            async for envelope in conn.receive():
+                message = envelope.message
+                if isinstance(message, upstream.Hello) and not sender:
+                    sender = message.host
+                elif isinstance(message, peer.PeerMessage) and sender:
+                    self._joined.feed(
+                        items.PeerReceived(self._joined.now(), sender, message)
+                    )
+                else:
+                    raise errors.FrameOrderError(type(message).__name__)
+        finally:
+            if sender:
+                lost = items.PeerLost(self._joined.now(), sender)
+                self._joined.feed(lost)
 
     def _note_fleet(self, view: views.FleetView) -> None:
         self._addresses = {m.name: m.address for m in view.members}
+        for name, sender in self._senders.items():
+            if not sender.address and name in self._addresses:
+                sender.address = self._addresses[name]
+                sender.located.set()
 
     def _send(self, item: items.SendPeer) -> None:
         message = self._with_span(item.message)
@@ -100,8 +115,7 @@
     async def _hold(self, name: str, sender: Sender) -> None:
         """Keeps the connection to `name` open until it is lost."""
         with contextlib.suppress(errors.FescueshuntError):
-            if not sender.address:
-                raise errors.NoRouteError(name)
+            await self._locate(name, sender)
             async with link.dial(sender.address) as conn:
                 self._greet(sender, conn)
                 async for _ in conn.receive():
@@ -111,6 +125,20 @@
         del self._senders[name]
         self._joined.feed(items.PeerLost(self._joined.now(), name))
 
+    async def _locate(self, name: str, sender: Sender) -> None:
+        """Waits for the address of a proxy that is heard of before it is known.
+
+        A proxy that has just started may have to answer before its first
+        fleet view.
+        """
+        if sender.address:
+            return
+        try:
+            async with asyncio.timeout(LOCATE_S):
+                await sender.located.wait()
+        except TimeoutError as exc:
+            raise errors.NoRouteError(name) from exc
+
     def _greet(self, sender: Sender, conn: link.Link) -> None:
         hello = upstream.Hello(self._me.name, self._me.zone)
         conn.post(codec.Envelope(0, hello))
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -40,7 +40,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerLost(filters.Item):
-    """The connection to another proxy ended; what was sent may be lost."""
+    """A connection to or from another proxy ended.
+
+    What was sent either way may be lost.
+    """
 
     name: str
 
