--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
@@ -108,6 +108,7 @@
 
     of = peer.Redirected
     seq: base.Count
+    request_id: RequestId
     brief: GroupBriefModel | None = None
     suggested: base.Name = ""
     in_doubt: bool = False
@@ -134,3 +135,10 @@
     ] = ()
     pending: calls.TermModel = calls.TermModel(number=0)
     pending_for_s: base.Seconds = 0.0
+
+
+class AbandonedTransactionModel(base.Model):
+    """A transaction that rolls back."""
+
+    of = peer.AbandonedTransaction
+    transaction: RequestId
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -29,6 +29,7 @@
 HOP_S = 0.001
 LATE_S = 0.3
 STORE_S = 0.005
+START_S = 3.0
 ZONES = ("zone-a", "zone-b", "zone-c")
 SCHEMA = ("CREATE TABLE hit (tag TEXT NOT NULL)",)
 SETTINGS = document.Document(
@@ -99,6 +100,7 @@
         self.now = 100.0
         self.chance = random.Random(seed)
         self.faults = Faults()
+        self.meddle: Callable[[object], list[float] | None] = lambda _: None
         self.settings = settings
         self.answers: dict[tuple[str, int, int], request.Answer] = {}
         self.extra_answers = 0
@@ -119,7 +121,7 @@
         for name in self._names:
             self.start(name)
         self._replicate()
-        self.run(1.0)
+        self.run(START_S)
 
     # The clock.
 
@@ -242,8 +244,11 @@
                 self._control(source, effect)
             case items.ReadHosts():
                 self._reply(source, self._hosts)
-            case items.ReadSettings(above=0):
-                self._reply(source, self._settings)
+            case items.ReadSettings(above=above, wait_s=wait_s):
+                delay_s = wait_s if above else STORE_S
+                self.at(
+                    delay_s, lambda: self._feed_to(source, self._settings())
+                )
             case items.Stopped():
                 source.stopped = True
                 self.kill(source.me.name)
@@ -265,7 +270,7 @@
         return items.SettingsRead(self.now, self.settings, 1)
 
     def _send_peer(self, source: Proxy, effect: items.SendPeer) -> None:
-        sender, target = source.me.name, effect.name
+        sender, target = source.me.name, self._target(effect)
         if target not in self.proxies:
             self._lose_peer(sender, target)
             return
@@ -274,9 +279,16 @@
             item = items.PeerReceived(self.now, sender, effect.message)
             self.feed(target, item)
 
-        for delay_s in self._deliveries():
+        for delay_s in self._deliveries(effect.message):
             self.at(delay_s, deliver)
 
+    def _target(self, effect: items.SendPeer) -> str:
+        """Returns the proxy that a message reaches, as its address says."""
+        for name, running in self.proxies.items():
+            if effect.address == running.me.address:
+                return name
+        return effect.name
+
     def _lose_peer(self, name: str, lost: str) -> None:
         self.at(
             self._hop(),
@@ -306,14 +318,14 @@
         session.call = number
 
         def replied(reply: upstream.Reply) -> None:
-            for delay_s in self._deliveries():
+            for delay_s in self._deliveries(reply):
                 self.at(delay_s, lambda: self._end(session, number, reply))
 
         def execute() -> None:
             if session.fake.alive:
                 session.fake.execute(session.key, effect.call, replied)
 
-        for delay_s in self._deliveries()[:1]:
+        for delay_s in self._deliveries(effect.call)[:1]:
             session.busy_until = self.now + delay_s
             self.at(delay_s, execute)
         self.at(
@@ -423,8 +435,14 @@
     def _hop(self) -> float:
         return HOP_S * self.chance.uniform(0.5, 1.5)
 
-    def _deliveries(self) -> list[float]:
-        """Returns after how long each copy of a message arrives."""
+    def _deliveries(self, message: object = None) -> list[float]:
+        """Returns after how long each copy of a message arrives.
+
+        A test may decide on single messages by `meddle`.
+        """
+        decided = self.meddle(message)
+        if decided is not None:
+            return decided
         if self.chance.random() < self.faults.lost:
             return []
         delay_s = self._hop()
