Count holders in the entry's own term only; serve no abandoned tail

Ruled out: refusing all token reads in a cut-off zone; what a majority is known to hold can be served there.

Change: count_holders asks for term and promise, and counts the entry's own primary, which wrote it; is_current judges a log's end. Small changes in request/ (gate, read, choose) use them.

--- a/packages/fescueshunt/src/fescueshunt/core/views.py
+++ b/packages/fescueshunt/src/fescueshunt/core/views.py
@@ -7,6 +7,8 @@
 
 from fescueshunt.core import document, filters, position, upstream
 
+SUPPORT_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsView(filters.Item):
@@ -102,6 +104,48 @@
                 return state
         return None
 
+    def is_supported(self, now: float) -> bool:
+        """Tells whether a majority supported the term up to a moment ago."""
+        return now - self.confirmed_at <= SUPPORT_S
+
+    def is_current(self, history: position.History, now: float) -> bool:
+        """Tells whether `history` is known to have no abandoned tail.
+
+        A log that ends in an older term counts only if the term in force has
+        kept its last entry; an old primary may have entries of its own. Where
+        the term in force is no longer known to be supported, a majority must
+        hold the last entry.
+        """
+        last = history.last
+        if last.term > self.term or last == position.ORIGIN:
+            return True
+        if last.term == self.term:
+            majority = len(self.states) // 2 + 1
+            held = self.count_holders(last) >= majority
+            return held or self.is_supported(now)
+        return any(
+            state.status is not None
+            and state.status.history.last.term == self.term
+            and state.status.history.holds(last)
+            for state in self.states
+        )
+
+    def count_holders(self, place: position.Position) -> int:
+        """Returns how many upstreams are known to hold the entry at `place`.
+
+        The primary of the entry's term wrote it. Another upstream counts only
+        while it serves that term and has promised no higher one; what it took
+        over in another term may still be cut off. Source: Ongaro and
+        Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014,
+        figure 8.
+        """
+        if place.term != self.term:
+            return 0
+        return sum(
+            state.name == self.primary or _holds(state.status, place)
+            for state in self.states
+        )
+
     def age_bound_s(self, history: position.History, now: float) -> float:
         """Returns an upper bound on the age of data at the end of `history`.
 
@@ -118,6 +162,14 @@
         return now - min(newest, self.confirmed_at)
 
 
+def _holds(status: upstream.Status | None, place: position.Position) -> bool:
+    return (
+        status is not None
+        and status.term == place.term == status.promised
+        and status.history.holds(place)
+    )
+
+
 class Cause(enum.StrEnum):
     """Why a primary is replaced.
 
--- a/packages/fescueshunt/src/fescueshunt/health/track.py
+++ b/packages/fescueshunt/src/fescueshunt/health/track.py
@@ -156,13 +156,16 @@
 ) -> Tracked:
     leaving = frozenset(u.name for u in database.upstreams if u.draining)
     if tracked is None:
-        states = tuple(views.UpstreamState(u.name) for u in database.upstreams)
-        view = views.GroupView(
-            now, database.name, states=states, leaving=leaving
-        )
-        return Tracked(database, view)
+        tracked = Tracked(database, views.GroupView(now, database.name))
+    known = tracked.view
+    states = tuple(
+        known.find(u.name) or views.UpstreamState(u.name)
+        for u in database.upstreams
+    )
     tracked.database = database
-    tracked.view = dataclasses.replace(tracked.view, at=now, leaving=leaving)
+    tracked.view = dataclasses.replace(
+        known, at=now, states=states, leaving=leaving
+    )
     return tracked
 
 
@@ -176,7 +179,7 @@
     )
     term, primary = _serving(states, view, tracked.database)
     samples = view.samples if term == view.term else ()
-    if changed.name == primary and changed.failed_at is None:
+    if changed.name == primary and _is_primary(changed, term):
         samples = _add_sample(samples, changed)
     return dataclasses.replace(
         view,
@@ -218,6 +221,16 @@
     return ""
 
 
+def _is_primary(state: views.UpstreamState, term: position.Term) -> bool:
+    status = state.status
+    return (
+        status is not None
+        and state.failed_at is None
+        and status.role is upstream.Role.PRIMARY
+        and status.term == term
+    )
+
+
 def _add_sample(
     samples: tuple[tuple[float, int], ...], state: views.UpstreamState
 ) -> tuple[tuple[float, int], ...]:
--- a/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import document, filters, position, views
+from fescueshunt.core import document, filters, views
 from fescueshunt.request import items, outcome, route
 
 if TYPE_CHECKING:
@@ -75,15 +75,7 @@
     """Tells whether the durability that the service declares is reached."""
     if held.work.service.durability is document.Durability.PRIMARY:
         return view.confirmed_at >= held.at
-    return count_holders(view, held.position) >= len(view.states) // 2 + 1
-
-
-def count_holders(view: views.GroupView, place: position.Position) -> int:
-    """Returns how many upstreams are seen to hold the entry at `place`."""
-    return sum(
-        state.status is not None and state.status.history.holds(place)
-        for state in view.states
-    )
+    return view.count_holders(held.position) >= len(view.states) // 2 + 1
 
 
 def _settle(
--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -120,6 +120,8 @@
     if state.status is None or state.failed_at is not None:
         return False
     history = state.status.history
+    if not view.is_current(history, now):
+        return False
     if work.req.after is not None and not history.holds(work.req.after):
         return False
     limit_s = max_age_s(work)
--- a/packages/fescueshunt/src/fescueshunt/request/gate.py
+++ b/packages/fescueshunt/src/fescueshunt/request/gate.py
@@ -13,7 +13,6 @@
     from collections.abc import Iterator
 
 CATCH_UP_WAIT_S = 0.05
-SUPPORT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,8 +73,7 @@
         upstream: str,
         view: views.GroupView,
     ) -> filters.Item:
-        supported = now - view.confirmed_at <= SUPPORT_S
-        if upstream == view.primary and supported:
+        if upstream == view.primary and view.is_supported(now):
             return items.Placed(now, work, upstream)
         suggested = view.primary if upstream != view.primary else ""
         return self._send_back(now, work, upstream, view, suggested)
--- a/packages/fescueshunt/src/fescueshunt/request/read.py
+++ b/packages/fescueshunt/src/fescueshunt/request/read.py
@@ -87,6 +87,8 @@
         if after is not None and not reply.history.holds(after):
             return self._again(now, started, errors.TooStaleError())
         view = self._groups.get(work.req.database)
+        if view is not None and not view.is_current(reply.history, now):
+            return self._again(now, started, errors.TooStaleError())
         age_s = None
         if view is not None:
             age_s = view.age_bound_s(reply.history, now)
