Merge failover's rules for holders; cut replication for good in a test

A test cut replication by forgetting whom a replica follows. The failover pipe now turns such a replica to its primary again, as it should, so the cut did not last. The fake upstream has a switch for it; what the test asks is unchanged.

--- a/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
@@ -11,7 +11,6 @@
     filters,
     homes,
     identity,
-    position,
     views,
 )
 from fescueshunt.request import items, outcome, route
@@ -61,10 +60,13 @@
                 yield item
 
     def _review(self, database: str, now: float) -> Iterator[filters.Item]:
+        waiting = self._held.pop(database, None)
+        if not waiting:
+            return
         view = self._groups.get(database)
         hosted = self._is_hosted(database)
         kept: list[items.Committed] = []
-        for held in self._held.pop(database, []):
+        for held in waiting:
             decided = _decide(held, view, now)
             if decided is None and not hosted:
                 decided = _settle(held, view, now)
@@ -105,15 +107,7 @@
     declared = held.work.service.durability
     if declared is document.Durability.PRIMARY and held.answer.error is None:
         return view.confirmed_at >= held.at
-    return count_holders(view, held.position) >= len(view.states) // 2 + 1
-
-
-def count_holders(view: views.GroupView, place: position.Position) -> int:
-    """Returns how many upstreams are seen to hold the entry at `place`."""
-    return sum(
-        state.status is not None and state.status.history.holds(place)
-        for state in view.states
-    )
+    return view.count_holders(held.position) >= len(view.states) // 2 + 1
 
 
 def _settle(
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -365,7 +365,7 @@
     settings = dataclasses.replace(world.SETTINGS, services=services)
     played = world.World(settings=settings)
     for name in ("db-1", "db-2"):
-        played.upstreams[name].follows = ""
+        played.upstreams[name].reads_log = False
     home = scenarios.home_of(played)[0]
     assert played.ask(home, scenarios.write(played, "weak")).error is None
     asked = outcome_of(played, played.new_id(), timeout_s=1.0)
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -419,6 +419,8 @@
             replica.expire(self.now)
             if primary is None or not (replica.alive and primary.alive):
                 continue
+            if not replica.reads_log:
+                continue
             term = replica.engine.term
             read = primary.engine.entries_after(term, replica.engine.history)
             replica.engine.replicate(term, read)
