--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -113,6 +113,7 @@
     joined.subscribe(views.SettingsView, changes.settings)
     joined.subscribe(views.FleetView, changes.fleet)
     joined.subscribe(views.GroupView, changes.group)
+    joined.subscribe(views.Promotion, changes.promotion)
     return measured
 
 
--- a/packages/fescueshunt/src/fescueshunt/core/homes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/homes.py
@@ -9,6 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+MIN_WATCHERS = 3
+HOME_STATES = frozenset({views.MemberState.LIVE})
+WATCHER_STATES = frozenset({views.MemberState.LIVE, views.MemberState.SUSPECT})
+
 
 def home_of(
     database: str, upstream: document.Upstream, fleet: views.FleetView
@@ -19,23 +23,57 @@
     one of the live proxies of all zones. "" where no proxy is live. A home
     moves as soon as it is suspected: being home is for efficiency only.
     """
-    live = [m for m in fleet.members if m.state is views.MemberState.LIVE]
-    near = [m.name for m in live if m.zone == upstream.zone]
-    names = near or [m.name for m in live]
-    ordered = rendezvous.rank(f"{database}/{upstream.name}", names)
-    return ordered[0] if ordered else ""
+    return _nearest(database, upstream, fleet, HOME_STATES)
+
+
+def watchers(
+    database: document.Database, fleet: views.FleetView
+) -> tuple[str, ...]:
+    """Returns the proxies whose majority may find a primary failing, by name.
+
+    One for each upstream, of its zone where that has any, and others up to
+    MIN_WATCHERS. A suspected proxy stays one of them: a proxy that reaches no
+    other must not become the majority by itself.
+    """
+    names = {
+        _nearest(database.name, upstream, fleet, WATCHER_STATES)
+        for upstream in database.upstreams
+    }
+    names.discard("")
+    others = [
+        member.name
+        for member in fleet.members
+        if member.state in WATCHER_STATES and member.name not in names
+    ]
+    missing = max(MIN_WATCHERS - len(names), 0)
+    joining = rendezvous.rank(database.name, others)[:missing]
+    return tuple(sorted(names.union(joining)))
 
 
-def hosted(
+def watched(
     databases: Iterable[document.Database],
     fleet: views.FleetView,
     name: str,
 ) -> list[document.Database]:
-    """Returns the databases for whose upstreams `name` is a home."""
+    """Returns the databases that `name` watches or has an upstream of."""
     return [
         database
         for database in databases
-        if any(
+        if name in watchers(database, fleet)
+        or any(
             home_of(database.name, u, fleet) == name for u in database.upstreams
         )
     ]
+
+
+def _nearest(
+    database: str,
+    upstream: document.Upstream,
+    fleet: views.FleetView,
+    states: frozenset[views.MemberState],
+) -> str:
+    able = [m for m in fleet.members if m.state in states]
+    near = [m.name for m in able if m.zone == upstream.zone]
+    names = near or [m.name for m in able]
+    ordered = rendezvous.rank(f"{database}/{upstream.name}", names)
+    return ordered[0] if ordered else ""
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import filters
+from fescueshunt.failover import pipe as failover_pipe
 from fescueshunt.health import pipe as health_pipe
 from fescueshunt.members import pipe as members_pipe
 from fescueshunt.request import pipe as request_pipe
@@ -38,6 +39,7 @@
             settings_pipe.build(me, chance),
             members_pipe.build(me, chance, seeds),
             health_pipe.build(me),
+            failover_pipe.build(me, chance),
             request_pipe.build(me, codec),
         )
     )
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -417,7 +417,9 @@
         for replica in self.upstreams.values():
             primary = self.upstreams.get(replica.follows)
             replica.expire(self.now)
-            if primary is None or not (replica.alive and primary.alive):
+            if primary is None or replica.frozen:
+                continue
+            if not (replica.alive and primary.alive):
                 continue
             term = replica.engine.term
             read = primary.engine.entries_after(term, replica.engine.history)
