--- a/packages/fescueshunt/src/fescueshunt/core/peer.py
+++ b/packages/fescueshunt/src/fescueshunt/core/peer.py
@@ -84,6 +84,17 @@
     error: errors.FescueshuntError | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonedTransaction(PeerMessage):
+    """The sender's caller is done with a transaction; it rolls back.
+
+    Attributes:
+      transaction: the request id of its BEGIN.
+    """
+
+    transaction: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailingUpstream:
     """An upstream whose calls have failed for `for_s` seconds."""
@@ -115,14 +126,3 @@
     def is_empty(self) -> bool:
         """Tells whether the sender finds nothing wrong."""
         return not self.failing and self.pending == position.NO_TERM
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AbandonedTransaction(PeerMessage):
-    """The sender's caller is done with a transaction; it rolls back.
-
-    Attributes:
-      transaction: the request id of its BEGIN.
-    """
-
-    transaction: bytes
--- a/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
@@ -24,7 +24,7 @@
 
     A write whose term is over before that goes back to be settled by the
     ledger at the new primary, and so does one of a database that this proxy
-    is no home of any more, since its group view ends. One that isn't confirmed
+    doesn't watch any more, since its group view ends. One that isn't confirmed
     by its deadline has an unknown outcome.
     """
 
@@ -34,6 +34,7 @@
         self._groups: dict[str, views.GroupView] = {}
         self._settings = document.Document()
         self._fleet = views.FleetView(0.0, ())
+        self._watched: frozenset[str] = frozenset()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the answers of commits as the group view confirms them."""
@@ -48,9 +49,11 @@
                 yield from self._review(item.database, item.at)
             case views.SettingsView():
                 self._settings = item.document
+                self._note_watched()
                 yield item
             case views.FleetView():
                 self._fleet = item
+                self._note_watched()
                 yield item
             case filters.Tick():
                 yield item
@@ -60,15 +63,12 @@
                 yield item
 
     def _review(self, database: str, now: float) -> Iterator[filters.Item]:
-        waiting = self._held.pop(database, None)
-        if not waiting:
-            return
         view = self._groups.get(database)
-        hosted = self._is_hosted(database)
+        watched = database in self._watched
         kept: list[items.Committed] = []
-        for held in waiting:
+        for held in self._held.pop(database, []):
             decided = _decide(held, view, now)
-            if decided is None and not hosted:
+            if decided is None and not watched:
                 decided = _settle(held, view, now)
             if decided is None:
                 kept.append(held)
@@ -77,11 +77,11 @@
         if kept:
             self._held[database] = kept
 
-    def _is_hosted(self, database: str) -> bool:
-        declared = self._settings.database(database)
-        if declared is None:
-            return False
-        return bool(homes.watched((declared,), self._fleet, self._me.name))
+    def _note_watched(self) -> None:
+        watched = homes.watched(
+            self._settings.databases, self._fleet, self._me.name
+        )
+        self._watched = frozenset(database.name for database in watched)
 
 
 def _decide(
