Answer operators and bring their changes into the store

Cause: settings could only be put into an empty store; nobody could ask a proxy what is in force, and a lost answer left a change in doubt.

Ruled out: a queue of changes in each proxy (the second would overwrite the first unseen), a history beside the document (a change could be in force with no entry), sending statements as text (a second front end would need the parser).

Change: typed statements; the operators pipe checks the document as a whole and swaps it in with the operation's id, settles lost answers by reading the id back, and shows the other's change in a conflict; an archive of 64 revisions for rolling forward; the observe pipe keeps sessions, refusals and the steps of requests; an admin listener with tokens compared in constant time. A first try let a value out of its bounds end the process when the document was encoded; that is a SettingsError now, with a test.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/daemon.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/daemon.py
@@ -8,7 +8,7 @@
 
 import defopt
 
-from fescueshunt_proxy._internal import root, settings
+from fescueshunt_proxy._internal import access, root, settings
 from fescueshunt_wire import ini
 
 SUCCESS = 0
@@ -25,6 +25,7 @@
     """
     try:
         cfg = settings.load(path)
+        access.load(cfg.tokens_file)
     except ini.InvalidSettingsError as exc:
         print(exc.detail, file=sys.stderr)
         return SETTINGS_INVALID
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
@@ -7,6 +7,8 @@
 
 from hdrh import histogram
 
+from fescueshunt.core import statements
+
 if TYPE_CHECKING:
     from fescueshunt.request import items
 
@@ -14,6 +16,8 @@
 HIGHEST_US = 120_000_000
 DIGITS = 3
 US_PER_S = 1_000_000
+PERCENTILES = (50.0, 90.0, 99.0, 100.0)
+COLUMNS = ("name", "count", "p50", "p90", "p99", "max")
 
 
 class Metrics:
@@ -35,3 +39,19 @@
                 LOWEST_US, HIGHEST_US, DIGITS
             )
         self.latencies[name].record_value(int(item.latency_s * US_PER_S) or 1)
+
+    def table(self) -> statements.Table:
+        """Returns every counter, and quantiles of every latency."""
+        counters = (
+            (name, count, *(None,) * len(PERCENTILES))
+            for name, count in sorted(self.counters.items())
+        )
+        latencies = (
+            (f"latency_us.{name}", seen.get_total_count(), *_quantiles(seen))
+            for name, seen in sorted(self.latencies.items())
+        )
+        return statements.Table(COLUMNS, (*counters, *latencies))
+
+
+def _quantiles(seen: histogram.HdrHistogram) -> tuple[int, ...]:
+    return tuple(seen.get_value_at_percentile(p) for p in PERCENTILES)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/platform.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/platform.py
@@ -85,6 +85,22 @@
           StoreUnavailableError: if the store doesn't answer; it may be set.
         """
 
+    @abc.abstractmethod
+    async def archive(self, value: document.Document) -> None:
+        """Keeps an accepted document, in place of one much older.
+
+        Raises:
+          StoreUnavailableError: if the store doesn't answer.
+        """
+
+    @abc.abstractmethod
+    async def read_archive(self, revision: int) -> document.Document:
+        """Returns the document in the archive's place for `revision`.
+
+        Raises:
+          StoreUnavailableError: if the store doesn't answer.
+        """
+
 
 class HostList(abc.ABC):
     """The platform's lagging list of live and leaving hosts."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -14,6 +14,8 @@
 from fescueshunt.core import identity, items, views
 from fescueshunt.request import items as request_items
 from fescueshunt_proxy._internal import (
+    access,
+    admin,
     callers,
     clock,
     logs,
@@ -50,14 +52,14 @@
     )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
-    _watch(joined)
+    measured = _watch(joined)
     with (
         recording.recording(cfg.record_file, me, joined),
         tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer,
     ):
         async with (
             _background() as tasks,
-            _border(cfg, me, joined, tasks, tracer),
+            _border(cfg, me, joined, tasks, tracer, measured),
         ):
             logger.info("started", incarnation=me.incarnation)
             _catch_signals(joined)
@@ -84,6 +86,7 @@
     joined: runtime.Runtime,
     tasks: asyncio.TaskGroup,
     tracer: tracing.Tracer | None,
+    measured: metrics.Metrics,
 ) -> AsyncIterator[None]:
     """Builds sources and sinks and serves while the block runs."""
     channels = wired.Channels(tasks)
@@ -97,8 +100,11 @@
     _trace(joined, tracer)
     peer_border = peers.Peers(joined, me, tasks, tracer)
     caller_border = callers.Callers(joined)
+    tokens = access.load(cfg.tokens_file)
+    admin_border = admin.Admin(joined, tokens, measured)
     async with (
         peer_border.serving(cfg.peers),
+        admin_border.serving(cfg.admin),
         caller_border.serving(cfg.callers) as bound,
     ):
         print(bound, flush=True)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
 
@@ -39,6 +39,8 @@
       callers: where callers connect; port 0 takes a free one.
       peers: where other proxies connect.
       platform: the platform's store and host list.
+      admin: where operators connect; empty for nowhere.
+      tokens_file: the file with the operators' tokens; empty for no operator.
       seeds: addresses of other proxies' `peers`, for a start while the host
         list can't be read.
       tick_ms: milliseconds between two ticks.
@@ -54,6 +56,8 @@
     callers: Address
     peers: Address
     platform: Address
+    admin: Address | Literal[""] = ""
+    tokens_file: str = ""
     seeds: tuple[Address, ...] = ()
     tick_ms: float = pydantic.Field(20.0, ge=1, le=1000)
     trace_file: str = ""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/wired.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/wired.py
@@ -19,6 +19,7 @@
 OPEN_TIMEOUT_S = 2.0
 STORE_TIMEOUT_S = 1.0
 SETTINGS_KEY = "fescueshunt/settings"
+ARCHIVE_PLACES = 64
 
 
 class WiredSession(platform.Session):
@@ -142,6 +143,24 @@
         swapped = await self._call(call, STORE_TIMEOUT_S)
         return swapped.done, swapped.version
 
+    async def archive(self, value: document.Document) -> None:
+        """Keeps an accepted document.
+
+        The revisions share ARCHIVE_PLACES keys in turn, so that the version
+        of a key tells how many revisions were kept there.
+        """
+        kept_before = (value.revision - 1) // ARCHIVE_PLACES
+        data = codec.encode_document(value)
+        key = _archive_key(value.revision)
+        call = messages.CompareAndSwap(key, kept_before, data)
+        await self._call(call, STORE_TIMEOUT_S)
+
+    async def read_archive(self, revision: int) -> document.Document:
+        """Returns the document in the archive's place for `revision`."""
+        call = messages.Get(_archive_key(revision))
+        found = await self._call(call, STORE_TIMEOUT_S)
+        return codec.decode_document(found.value)
+
     async def _call(self, call: Any, timeout_s: float) -> Any:
         return await _call_platform(
             self._channels, self._address, call, timeout_s
@@ -169,6 +188,10 @@
         )
 
 
+def _archive_key(revision: int) -> str:
+    return f"{SETTINGS_KEY}/{(revision - 1) % ARCHIVE_PLACES}"
+
+
 async def _call_platform(
     channels: Channels, address: str, call: Any, timeout_s: float
 ) -> Any:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -28,6 +28,8 @@
 STOP_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 5.0
 SEEDS = 3
+CHANGER_TOKEN = "changer-of-stand-ins"
+READER_TOKEN = "reader-of-stand-ins"
 SETTINGS_KEY = "fescueshunt/settings"
 
 
@@ -155,6 +157,8 @@
         "callers": free_address(),
         "peers": peers,
         "platform": fleet.platform.address,
+        "admin": free_address(),
+        "tokens_file": write_tokens(fleet),
         "seeds": ", ".join(_peer_addresses(fleet)[:SEEDS]),
         "trace_file": fleet.folder / f"{name}.trace",
         "trace_share": 1.0,
@@ -168,6 +172,21 @@
     return process
 
 
+def write_tokens(fleet: Fleet) -> pathlib.Path:
+    """Writes the operators' tokens: one may change settings, one reads."""
+    path = fleet.folder / "operators.ini"
+    path.write_text(
+        f"[operator changer]\nrole = change\ntoken = {CHANGER_TOKEN}\n"
+        f"[operator reader]\nrole = read\ntoken = {READER_TOKEN}\n"
+    )
+    return path
+
+
+def admin_address(process: Process) -> str:
+    """Returns where a proxy serves operators."""
+    return _read_ini(process.settings)["admin"]
+
+
 def _peer_addresses(fleet: Fleet) -> list[str]:
     return [_read_ini(p.settings)["peers"] for p in fleet.proxies.values()]
 
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -21,6 +21,7 @@
     calls,
     documents,
     heartbeats,
+    operators,
     proxies,
     settings,
     stores,
@@ -50,7 +51,7 @@
             yield value
 
 
-_MODULES = (calls, heartbeats, stores, proxies, documents, settings)
+_MODULES = (calls, heartbeats, stores, proxies, documents, settings, operators)
 _BY_TAG = {
     model.__name__.removesuffix("Model"): model
     for module in _MODULES
@@ -115,8 +116,19 @@
 
 
 def encode_document(value: document.Document) -> bytes:
-    """Returns the settings document as bytes for the store."""
-    return encode((Envelope(0, value),))
+    """Returns the settings document as bytes for the store.
+
+    Raises:
+      SettingsError: if a value is out of its bounds, or the whole too large.
+    """
+    try:
+        return encode((Envelope(0, value),))
+    except pydantic.ValidationError as exc:
+        found = exc.errors(include_input=False)[0]
+        place = ".".join(str(part) for part in found["loc"])
+        raise errors.SettingsError(f"{place}: {found['msg']}") from exc
+    except errors.FrameTooLargeError as exc:
+        raise errors.SettingsError(f"too large: {exc.detail}") from exc
 
 
 def decode_document(data: bytes) -> document.Document:
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
@@ -16,6 +16,7 @@
 MAX_BYTES = 1 << 20
 MAX_INDEX = 1 << 53
 MAX_SECONDS = 1e9
+MAX_WALL_SECONDS = 1e11
 
 Name = Annotated[str, pydantic.Field(max_length=NAME_CHARS)]
 Text = Annotated[str, pydantic.Field(max_length=TEXT_CHARS)]
@@ -25,6 +26,9 @@
 Seconds = Annotated[
     float, pydantic.Field(ge=0, le=MAX_SECONDS, allow_inf_nan=False)
 ]
+WallSeconds = Annotated[
+    float, pydantic.Field(ge=0, le=MAX_WALL_SECONDS, allow_inf_nan=False)
+]
 Share = Annotated[float, pydantic.Field(ge=0, le=1, allow_inf_nan=False)]
 
 
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/documents.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/documents.py
@@ -9,9 +9,17 @@
 from fescueshunt.core import document
 from fescueshunt_wire.models import base
 
+MAX_REVISIONS = 256
 Date = Annotated[str, pydantic.Field(pattern=r"^\d{4}-\d{2}-\d{2}$")]
 
 
+Operation = Annotated[bytes, pydantic.Field(max_length=16)]
+Reason = Annotated[str, pydantic.Field(max_length=500)]
+Floors = Annotated[
+    tuple[tuple[base.Name, base.Share], ...], pydantic.Field(max_length=64)
+]
+
+
 class RankModel(base.Model):
     """A rank of work."""
 
@@ -74,21 +82,37 @@
     zone: base.Name
     state: document.DayState
     lead_s: base.Seconds = 3600.0
-    floors: tuple[tuple[base.Name, base.Share], ...] = ()
+    floors: Floors = ()
     warm: base.Share = 1.0
 
 
+class RevisionModel(base.Model):
+    """An accepted change."""
+
+    of = document.Revision
+    revision: base.Count
+    operation: Operation
+    operator: base.Name
+    author: base.Name
+    reason: Reason
+    statement: base.Text
+    asked_s: base.WallSeconds
+
+
 class DocumentModel(base.Model):
     """The settings document."""
 
     of = document.Document
     revision: base.Count = 0
-    operation: Annotated[bytes, pydantic.Field(max_length=16)] = b""
+    operation: Operation = b""
     author: base.Name = ""
-    reason: base.Text = ""
+    reason: Reason = ""
     ranks: tuple[RankModel, ...] = ()
     groups: tuple[GroupModel, ...] = ()
     databases: tuple[DatabaseModel, ...] = ()
     services: tuple[ServiceModel, ...] = ()
     calendar: tuple[CalendarDayModel, ...] = ()
     draining_hosts: tuple[base.Name, ...] = ()
+    history: Annotated[
+        tuple[RevisionModel, ...], pydantic.Field(max_length=MAX_REVISIONS)
+    ] = ()
--- a/packages/fescueshunt/src/fescueshunt/core/document.py
+++ b/packages/fescueshunt/src/fescueshunt/core/document.py
@@ -130,9 +130,34 @@
     warm: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Revision:
+    """What is kept of one accepted change.
+
+    Attributes:
+      operation: the change's operation id.
+      operator: the operator whose token asked for it.
+      author: who wanted it.
+      statement: the change, in the operators' language.
+      asked_s: when it was asked for; wall clock, seconds.
+    """
+
+    revision: int
+    operation: bytes
+    operator: str
+    author: str
+    reason: str
+    statement: str
+    asked_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Document:
-    """All that operators declare. `revision` counts accepted changes."""
+    """All that operators declare. `revision` counts accepted changes.
+
+    `history` has the newest changes, oldest first; the last one led to this
+    revision.
+    """
 
     revision: int = 0
     operation: bytes = b""
@@ -144,6 +169,7 @@
     services: tuple[Service, ...] = ()
     calendar: tuple[CalendarDay, ...] = ()
     draining_hosts: tuple[str, ...] = ()
+    history: tuple[Revision, ...] = ()
 
     def rank(self, name: str) -> Rank | None:
         """Returns the rank called `name`."""
@@ -161,6 +187,20 @@
         """Returns the service called `name`."""
         return _named(self.services, name)
 
+    def accepted(self, operation: bytes) -> Revision | None:
+        """Returns the change that `operation` made, if it is in the history."""
+        for entry in self.history:
+            if entry.operation == operation:
+                return entry
+        return None
+
+    def change_to(self, revision: int) -> Revision | None:
+        """Returns the change that led to `revision`, if it is kept."""
+        for entry in self.history:
+            if entry.revision == revision:
+                return entry
+        return None
+
 
 def _named(entries: tuple, name: str) -> object | None:
     for entry in entries:
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -5,7 +5,14 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, filters, peer, request, upstream
+from fescueshunt.core import (
+    document,
+    filters,
+    peer,
+    request,
+    statements,
+    upstream,
+)
 
 if TYPE_CHECKING:
     from fescueshunt import errors
@@ -233,10 +240,83 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SwapSettings(filters.Item):
-    """Puts `document` into the store if its version is `expected`."""
+    """Puts `document` into the store if its version is `expected`.
+
+    `replaced`, the accepted document before it, is put into the archive first.
+    """
 
     document: document.Document
     expected: int
+    replaced: document.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadBack(filters.Item):
+    """Reads the store at once, to settle what became of `operation`."""
+
+    operation: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackRead(filters.Item):
+    """What the store holds, read to settle `operation`."""
+
+    operation: bytes
+    document: document.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadArchive(filters.Item):
+    """Reads the archived document of `revision`, for `operation`."""
+
+    operation: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ArchiveRead(filters.Item):
+    """The document in the archive's place for the revision asked for.
+
+    It is of a later revision where the archive keeps the asked one no more.
+    """
+
+    operation: bytes
+    document: document.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreReadFailed(filters.Item):
+    """A read for `operation` was not answered."""
+
+    operation: bytes
+    error: errors.FescueshuntError
+
+
+# Operators.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorAsked(filters.Item):
+    """An operator's statement, on the admin connection `conn`.
+
+    `operator` is the name that belongs to the token that was checked.
+    """
+
+    wall_s: float
+    conn: int
+    seq: int
+    operator: str
+    may_change: bool
+    statement: statements.Statement
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerOperator(filters.Item):
+    """Sends an operator the one answer to its statement."""
+
+    conn: int
+    seq: int
+    answer: statements.OperatorAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/statement_text.py
@@ -0,0 +1,119 @@
+"""Statements as text, in the operators' language."""
+
+from __future__ import annotations
+
+from fescueshunt.core import statements
+
+KEYWORDS = frozenset(
+    {
+        "and",
+        "as",
+        "asc",
+        "because",
+        "by",
+        "desc",
+        "dry",
+        "false",
+        "floors",
+        "if",
+        "like",
+        "limit",
+        "null",
+        "order",
+        "run",
+        "to",
+        "true",
+    }
+)
+_TO_WORD = {True: "true", False: "false", None: "null"}
+
+
+def text_of(statement: statements.Statement) -> str:
+    """Returns `statement` as an operator would write it."""
+    match statement:
+        case statements.Show():
+            return " ".join(_show(statement))
+        case statements.Change():
+            return " ".join(_change(statement))
+        case statements.Explain(event=event, name=name):
+            return f"EXPLAIN {event.value.upper()} {quote(name)}"
+        case _:
+            raise TypeError(type(statement).__name__)
+
+
+def quote(text: str) -> str:
+    """Returns `text` as a string of the language; quotes are doubled."""
+    doubled = text.replace("'", "''")
+    return f"'{doubled}'"
+
+
+def column(name: str) -> str:
+    """Returns the name of a column or field, quoted if it is a keyword."""
+    return quote(name) if name in KEYWORDS else name
+
+
+def literal(value: statements.Value) -> str:
+    """Returns a value as the language writes it."""
+    match value:
+        case None | bool():
+            return _TO_WORD[value]
+        case str():
+            return quote(value)
+        case _:
+            return repr(value)
+
+
+def _show(show: statements.Show) -> list[str]:
+    words = ["SHOW", show.subject.value.upper()]
+    conditions = " AND ".join(
+        f"{column(c.column)} {c.comparison.value.upper()} {literal(c.value)}"
+        for c in show.conditions
+    )
+    order = ", ".join(
+        column(o.column) + (" DESC" if o.descending else "") for o in show.order
+    )
+    if conditions:
+        words.append(f"WHERE {conditions}")
+    if order:
+        words.append(f"ORDER BY {order}")
+    if show.limit is not None:
+        words.append(f"LIMIT {show.limit}")
+    return words
+
+
+def _change(change: statements.Change) -> list[str]:
+    return [*action_words(change), *_clauses(change)]
+
+
+def action_words(change: statements.Change) -> list[str]:
+    """Returns what a change does, without author, reason and the like."""
+    words = [change.verb.value.upper()]
+    if change.verb is statements.Verb.ROLL_FORWARD:
+        return [*words, "TO", str(change.target)]
+    words.append(change.kind.value.upper())
+    if change.name:
+        words.append(quote(change.name))
+    if change.verb is statements.Verb.MOVE:
+        return [*words, "TO", *(literal(f.value) for f in change.fields)]
+    fields = [f"{column(f.name)} = {literal(f.value)}" for f in change.fields]
+    floors = [f"{quote(n)} = {share!r}" for n, share in change.floors]
+    if fields:
+        words.append(", ".join(fields))
+    if floors and change.kind is not statements.Kind.FLOORS:
+        words.append("FLOORS")
+    if floors:
+        words.append(", ".join(floors))
+    return words
+
+
+def _clauses(change: statements.Change) -> list[str]:
+    words = []
+    if change.if_revision is not None:
+        words.append(f"IF REVISION {change.if_revision}")
+    if change.author:
+        words.append(f"BY {quote(change.author)}")
+    if change.reason:
+        words.append(f"BECAUSE {quote(change.reason)}")
+    if change.dry_run:
+        words.append("DRY RUN")
+    return words
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/observe/__init__.py
@@ -0,0 +1,1 @@
+"""The observe pipe: sessions, refusals and how requests were decided."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators pipe: from statements to answers and changes of settings."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/operators/promotions.py
@@ -0,0 +1,127 @@
+"""Promotions: what was replaced, on whose word, and how it was decided."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from fescueshunt import errors
+from fescueshunt.core import filters, statements, tables, views
+from fescueshunt.core import items as core_items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from fescueshunt.core import position
+
+MAX_PROMOTIONS = 256
+MS_DIGITS = 3
+COLUMNS = (
+    "database",
+    "term",
+    "proposer",
+    "primary",
+    "previous",
+    "cause",
+    "witnesses",
+    "reason",
+    "attempts",
+    "took_s",
+    "ago_s",
+)
+STEP_COLUMNS = ("step", "facts")
+Row = tuple[statements.Value, ...]
+
+
+class Promotions(filters.Filter):
+    """Keeps the newest promotions that this proxy carried out."""
+
+    def __init__(self) -> None:
+        self._kept: collections.deque[views.Promotion] = collections.deque(
+            maxlen=MAX_PROMOTIONS
+        )
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields answers to SHOW PROMOTIONS and EXPLAIN PROMOTION."""
+        match item:
+            case views.Promotion():
+                self._kept.append(item)
+            case core_items.OperatorAsked(
+                statement=statements.Show(subject=statements.Subject.PROMOTIONS)
+            ):
+                rows = (_row(kept, item.at) for kept in reversed(self._kept))
+                answer = tables.answer(item.statement, COLUMNS, rows)
+                yield _to(item, answer)
+            case core_items.OperatorAsked(
+                statement=statements.Explain(event=statements.Event.PROMOTION)
+            ):
+                yield _to(item, self._explain(item.statement.name))
+            case _:
+                yield item
+
+    def _explain(self, database: str) -> statements.OperatorAnswer:
+        for kept in reversed(self._kept):
+            if kept.database == database:
+                table = statements.Table(STEP_COLUMNS, tuple(_steps(kept)))
+                return statements.OperatorAnswer(table)
+        unknown = errors.RequestInvalidError(
+            f"this proxy carried out no promotion of {database}; "
+            "SHOW PROMOTIONS on its watchers lists theirs"
+        )
+        return statements.OperatorAnswer(error=unknown)
+
+
+def _to(
+    asked: core_items.OperatorAsked, answer: statements.OperatorAnswer
+) -> core_items.AnswerOperator:
+    return core_items.AnswerOperator(asked.at, asked.conn, asked.seq, answer)
+
+
+def _row(kept: views.Promotion, now: float) -> Row:
+    return (
+        kept.database,
+        kept.term.number,
+        kept.term.proposer,
+        kept.primary,
+        kept.previous,
+        kept.cause.value,
+        ", ".join(kept.witnesses),
+        kept.reason.value,
+        kept.attempts,
+        round(kept.at - kept.suspected_at, MS_DIGITS),
+        round(now - kept.at, MS_DIGITS),
+    )
+
+
+def _steps(kept: views.Promotion) -> Iterator[Row]:
+    previous = kept.previous or "no primary"
+    yield (
+        "suspected",
+        f"{previous} of term {kept.previous_term.number} {kept.cause.value}, "
+        f"on the word of {', '.join(kept.witnesses)}",
+    )
+    term = kept.term
+    yield (
+        "ballot",
+        f"{term.number} by {term.proposer}, attempt {kept.attempts}",
+    )
+    for vote in kept.votes:
+        yield (
+            "promise",
+            f"{vote.upstream}, whose log ended at {_place(vote.last)}",
+        )
+    for name in kept.refused:
+        yield ("refusal", name)
+    for name in kept.silent:
+        yield ("no answer", name)
+    took_s = kept.at - kept.suspected_at
+    yield ("choice", f"{kept.primary}, by {kept.reason.value}")
+    yield (
+        "promoted",
+        f"{kept.primary} as primary of term {term.number}, {took_s:.3f} s "
+        "after the suspicion",
+    )
+
+
+def _place(last: position.Position) -> str:
+    return f"{last.index} of term {last.term.number}"
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -9,6 +9,8 @@
 from fescueshunt.failover import pipe as failover_pipe
 from fescueshunt.health import pipe as health_pipe
 from fescueshunt.members import pipe as members_pipe
+from fescueshunt.observe import pipe as observe_pipe
+from fescueshunt.operators import pipe as operators_pipe
 from fescueshunt.request import pipe as request_pipe
 from fescueshunt.settings import pipe as settings_pipe
 
@@ -41,5 +43,7 @@
             health_pipe.build(me),
             failover_pipe.build(me, chance),
             request_pipe.build(me, codec),
+            operators_pipe.build(me),
+            observe_pipe.build(me),
         )
     )
