Merge the operators' language; say what is out of bounds in a message

A settings value out of its bounds must come back to the operator as a settings error. Encoding now reports it as a frame error with the place and the bound, and the document's encoder passes that on.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/codec.py
@@ -70,7 +70,7 @@
     try:
         body = [_pack(envelope) for envelope in envelopes]
     except pydantic.ValidationError as exc:
-        raise errors.FrameError(exc.title) from exc
+        raise errors.FrameError(f"{exc.title}.{_describe(exc)}") from exc
     data = cbor2.dumps([VERSION, body])
     if len(data) > MAX_FRAME_BYTES:
         raise errors.FrameTooLargeError(f"{len(data)} bytes")
@@ -127,12 +127,10 @@
     """
     try:
         return encode((Envelope(0, value),))
-    except pydantic.ValidationError as exc:
-        found = exc.errors(include_input=False)[0]
-        place = ".".join(str(part) for part in found["loc"])
-        raise errors.SettingsError(f"{place}: {found['msg']}") from exc
     except errors.FrameTooLargeError as exc:
         raise errors.SettingsError(f"too large: {exc.detail}") from exc
+    except errors.FrameError as exc:
+        raise errors.SettingsError(exc.detail) from exc
 
 
 def decode_document(data: bytes) -> document.Document:
@@ -203,6 +201,12 @@
     try:
         return model.model_validate(body).to_data()
     except pydantic.ValidationError as exc:
-        place = exc.errors(include_input=False)[0]
-        name = ".".join(str(part) for part in place["loc"])
-        raise errors.FrameError(f"{model.of.__name__}.{name}") from exc
+        name = model.of.__name__
+        raise errors.FrameError(f"{name}.{_describe(exc)}") from exc
+
+
+def _describe(exc: pydantic.ValidationError) -> str:
+    """Returns the place and the kind of the first thing that is wrong."""
+    found = exc.errors(include_input=False)[0]
+    place = ".".join(str(part) for part in found["loc"])
+    return f"{place}: {found['msg']}"
