Write the operators' and developers' pages, tested against the code

README, install, runbook, upgrade, draining, CONTRIBUTING, the glossary and an index; the capacity page worked out from slopes by capacity.budget. Tests hold links, commands, error codes, log events, questions and names of the pages against the code, and the tables of the capacity page against the figures.

--- /dev/null
+++ b/capacity/budget.py
@@ -0,0 +1,395 @@
+"""What each role needs at the target size, line by line from the slopes."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import TYPE_CHECKING, Any
+
+from capacity import slopes, target
+from fescueshunt.health import track
+from fescueshunt.members import listed, probe
+from fescueshunt.settings import spread, watch
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable, Iterator
+
+PING_MESSAGES_PER_PERIOD = 4
+FRAME_BYTES = 12
+MS = 1e3
+US = 1e6
+KB = 1e3
+MB = 1e6
+PERCENT = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One budget: what is needed, how it was worked out, what is allowed.
+
+    `allowed` is None where the letter sets no bound.
+    """
+
+    role: str
+    what: str
+    sum: str
+    needed: float
+    unit: str
+    allowed: float | None
+    mechanism: str
+
+    @property
+    def verdict(self) -> str:
+        """Whether the budget is met."""
+        if self.allowed is None:
+            return "no bound"
+        return "met" if self.needed <= self.allowed else "short"
+
+
+class Measured:
+    """The slopes of one run, by measurement and quantity."""
+
+    def __init__(self, found: dict[str, list[slopes.Slope]]) -> None:
+        self.found = found
+
+    def find(self, name: str, quantity: str) -> slopes.Slope:
+        """Returns one slope."""
+        for slope in self.found[name]:
+            if slope.quantity == quantity:
+                return slope
+        raise LookupError(f"{name}: {quantity}")
+
+    def slope(self, name: str, quantity: str) -> float:
+        """Returns what one more costs; negative noise counts as nothing."""
+        return max(self.find(name, quantity).slope, 0.0)
+
+    def at(self, name: str, quantity: str, size: float) -> float:
+        """Returns the value of the line at `size`."""
+        found = self.find(name, quantity)
+        return max(found.base, 0.0) + max(found.slope, 0.0) * size
+
+    def least(self, name: str, quantity: str) -> float:
+        """Returns the value at the smallest size that was measured."""
+        return self.find(name, quantity).points[0][1]
+
+
+def load(path: pathlib.Path) -> Measured:
+    """Returns the slopes in the JSON file at `path`."""
+    plain = json.loads(path.read_text(encoding="utf-8"))
+    return Measured(
+        {
+            name: [_slope(entry) for entry in rows]
+            for name, rows in plain.items()
+        }
+    )
+
+
+def _slope(entry: dict[str, Any]) -> slopes.Slope:
+    points = tuple((size, value) for size, value in entry["points"])
+    return slopes.Slope(**{**entry, "points": points})
+
+
+def work_out(measured: Measured) -> Iterator[Line]:
+    """Yields every line, role by role."""
+    for part in _PARTS:
+        yield from part(measured)
+
+
+def _entry(m: Measured) -> Iterator[Line]:
+    held = target.CONNECTIONS_PER_NODE
+    each_kb = m.slope("connections", "memory")
+    yield Line(
+        "entry",
+        "memory of callers' connections",
+        f"{held:.0f} x {each_kb:.1f} KB",
+        held * each_kb / KB,
+        "MB",
+        None,
+        "`fescueshunt_wire.link`",
+    )
+    each_ms = m.slope("connections", "processor time a second")
+    yield Line(
+        "entry",
+        "idle callers' connections (websocket pings)",
+        f"{held:.0f} x {each_ms:.3f} ms/s",
+        held * each_ms / MS,
+        "cores",
+        1.0,
+        "`fescueshunt_wire.link`",
+    )
+    yield _statements(m, "entry")
+    each_us = m.at("members", "homes, a routed statement", target.NODES)
+    yield Line(
+        "entry",
+        "finding the home of each statement",
+        f"{target.STATEMENTS_PER_NODE:.0f}/s x {each_us:.0f} us",
+        target.STATEMENTS_PER_NODE * each_us / US,
+        "cores",
+        1.0,
+        "`fescueshunt.core.homes`",
+    )
+
+
+def _home(m: Measured) -> Iterator[Line]:
+    yield _statements(m, "home")
+
+
+def _statements(m: Measured, role: str) -> Line:
+    quantity = f"process, {role}, read, processor time a second"
+    each_us = m.slope("reads", quantity)
+    return Line(
+        role,
+        "statements, all of them reads",
+        f"{target.STATEMENTS_PER_NODE:.0f}/s x {each_us:.0f} us",
+        target.STATEMENTS_PER_NODE * each_us / US,
+        "cores",
+        1.0,
+        "`fescueshunt.request`, `fescueshunt_wire.codec`",
+    )
+
+
+def _watcher(m: Measured) -> Iterator[Line]:
+    count = target.WATCHED_PER_NODE
+    each_ms = m.slope("hosted", "processor time a second")
+    yield _core_share(
+        "watcher",
+        "polls of idle databases",
+        f"{count:.2f} x {each_ms:.2f} ms/s",
+        count * each_ms / MS,
+        "`fescueshunt.health.track`",
+    )
+    each_kb = m.slope("hosted", "memory")
+    yield Line(
+        "watcher",
+        "memory of watched databases",
+        f"{count:.2f} x {each_kb:.0f} KB",
+        count * each_kb / KB,
+        "MB",
+        target.CONTROL_MEMORY_MB,
+        "`fescueshunt.health.track`",
+    )
+    polls = count * target.UPSTREAMS_PER_DATABASE / track.POLL_WAIT_S
+    size = 2 * FRAME_BYTES
+    for message in ("read status", "status"):
+        size += m.least("messages", f"{message}, bytes")
+    yield _bytes(
+        "watcher",
+        "polls of idle databases",
+        f"{polls:.0f}/s x {size:.0f} B",
+        polls * size,
+        "`fescueshunt.health.track`",
+    )
+
+
+def _member(m: Measured) -> Iterator[Line]:
+    sent = PING_MESSAGES_PER_PERIOD / probe.PERIOD_S
+    size = FRAME_BYTES + m.least("messages", "ping with 6 rumors, bytes")
+    yield _bytes(
+        "member",
+        "pings and acks, each with 6 rumors",
+        f"{sent:.0f}/s x {size:.0f} B",
+        sent * size,
+        "`fescueshunt.members.probe`, `.spread`",
+    )
+    used_ms = m.find("proxies", "one process, processor time a second").base
+    yield _core_share(
+        "member",
+        "an idle process: ticks, pings, digests",
+        f"{used_ms:.1f} ms/s, flat in the fleet's size",
+        used_ms / MS,
+        "`fescueshunt_proxy._internal.clock`",
+    )
+    yield from _links(m)
+    yield from _fleet(m)
+    yield from _list(m)
+
+
+def _links(m: Measured) -> Iterator[Line]:
+    links = 2 * (target.NODES - 1)
+    each_kb = m.slope("connections", "memory")
+    yield Line(
+        "member",
+        "links to and from all other proxies, memory",
+        f"{links} x {each_kb:.1f} KB",
+        links * each_kb / KB,
+        "MB",
+        target.CONTROL_MEMORY_MB,
+        "`fescueshunt_proxy._internal.peers`",
+    )
+    each_ms = m.slope("connections", "processor time a second")
+    yield _core_share(
+        "member",
+        "links to and from all other proxies, websocket pings",
+        f"{links} x {each_ms:.3f} ms/s",
+        links * each_ms / MS,
+        "`fescueshunt_proxy._internal.peers`",
+    )
+
+
+def _fleet(m: Measured) -> Iterator[Line]:
+    rate = target.FLEET_CHANGES_PER_S
+    quantity = "core, a fleet change, no database"
+    change_s = m.at("members", quantity, target.NODES) / US
+    yield _core_share(
+        "member",
+        "fleet changes: table, digest, view",
+        f"{rate:.3f}/s x {change_s * MS:.1f} ms",
+        rate * change_s,
+        "`fescueshunt.members.table`, `.spread`",
+    )
+    quantity = "homes, a fleet change, for each database"
+    each_ms = m.at("members", quantity, target.NODES)
+    yield _core_share(
+        "member",
+        "fleet changes: which databases are watched here",
+        f"{rate:.3f}/s x {target.DATABASES} x {each_ms:.2f} ms",
+        rate * target.DATABASES * each_ms / MS,
+        "`fescueshunt.core.homes.watched`",
+    )
+    quantity = "core, joining, for each member"
+    each_us = m.at("members", quantity, target.NODES)
+    yield Line(
+        "member",
+        "joining: the loop is busy for",
+        f"{target.NODES} x {each_us:.0f} us",
+        target.NODES * each_us / US,
+        "s",
+        1.0,
+        "`fescueshunt.members.table`, `.spread`",
+    )
+
+
+def _list(m: Measured) -> Iterator[Line]:
+    size = m.at("host-list", "host list, bytes", target.NODES)
+    yield _bytes(
+        "member",
+        "reads of the host list",
+        f"{size / KB:.0f} KB each {listed.READ_EVERY_S:.0f} s",
+        size / listed.READ_EVERY_S,
+        "`fescueshunt.members.listed`",
+    )
+    spent_us = m.at("host-list", "host list, decode", target.NODES)
+    yield _core_share(
+        "member",
+        "reads of the host list",
+        f"{spent_us / MS:.0f} ms each {listed.READ_EVERY_S:.0f} s",
+        spent_us / US / listed.READ_EVERY_S,
+        "`fescueshunt.members.listed`",
+    )
+    yield Line(
+        "member",
+        "reads of the host list, all nodes",
+        f"{target.NODES} / {listed.READ_EVERY_S:.0f} s",
+        target.NODES / listed.READ_EVERY_S,
+        "calls/s",
+        target.STORE_READS_PER_S,
+        "`fescueshunt.members.listed`",
+    )
+
+
+def _settings(m: Measured) -> Iterator[Line]:
+    count = target.DATABASES
+    each_b = m.slope("document", "document, bytes")
+    size = count * each_b
+    yield Line(
+        "settings",
+        "the document in the store",
+        f"{count} x {each_b:.0f} B",
+        size / MB,
+        "MB",
+        target.STORE_VALUE_BYTES / MB,
+        "`fescueshunt_proxy._internal.wired`",
+    )
+    rate = target.REVISIONS_PER_S
+    yield _bytes(
+        "settings",
+        "revisions, each as a whole document",
+        f"{rate:.2f}/s x {size / MB:.2f} MB",
+        rate * size,
+        "`fescueshunt.settings.spread`",
+    )
+    yield Line(
+        "settings",
+        "passing one document on",
+        f"{size / MB:.2f} MB / {spread.OFFER_BYTES_PER_S / KB:.0f} KB/s",
+        size / spread.OFFER_BYTES_PER_S,
+        "s",
+        target.SETTINGS_IN_FORCE_S,
+        "`fescueshunt.settings.spread`",
+    )
+    each_us = m.slope("document", "document, decode") * MS
+    yield _core_share(
+        "settings",
+        "decoding revisions",
+        f"{rate:.2f}/s x {count} x {each_us:.0f} us",
+        rate * count * each_us / US,
+        "`fescueshunt_wire.codec`",
+    )
+    each_kb = m.slope("document", "document, memory")
+    yield Line(
+        "settings",
+        "memory of the document, old and new",
+        f"2 x {count} x {each_kb:.2f} KB",
+        2 * count * each_kb / KB,
+        "MB",
+        target.CONTROL_MEMORY_MB,
+        "`fescueshunt.core.document`",
+    )
+    watchers = watch.WATCHERS_PER_ZONE * target.ZONES
+    calls = watchers * (rate + 1 / watch.WATCH_S)
+    yield Line(
+        "settings",
+        "watches of the store, all zones",
+        f"{watchers} x ({rate:.2f} + 1/{watch.WATCH_S:.0f} s)",
+        calls,
+        "calls/s",
+        target.STORE_READS_PER_S,
+        "`fescueshunt.settings.watch`",
+    )
+    yield Line(
+        "settings",
+        "changes in the store",
+        f"{target.SETTINGS_CHANGES_PER_DAY} a day",
+        rate,
+        "calls/s",
+        target.STORE_WRITES_PER_S,
+        "`fescueshunt_proxy._internal.stores`",
+    )
+
+
+def _core_share(
+    role: str, what: str, arithmetic: str, cores: float, mechanism: str
+) -> Line:
+    return Line(
+        role,
+        what,
+        arithmetic,
+        cores * PERCENT,
+        "% of a core",
+        target.CONTROL_CORE_SHARE * PERCENT,
+        mechanism,
+    )
+
+
+def _bytes(
+    role: str, what: str, arithmetic: str, needed: float, mechanism: str
+) -> Line:
+    return Line(
+        role,
+        what,
+        arithmetic,
+        needed / KB,
+        "KB/s",
+        target.CONTROL_BYTES_PER_S / KB,
+        mechanism,
+    )
+
+
+_PARTS: tuple[Callable[[Measured], Iterator[Line]], ...] = (
+    _entry,
+    _home,
+    _watcher,
+    _member,
+    _settings,
+)
--- a/capacity/decisions.py
+++ b/capacity/decisions.py
@@ -131,7 +131,7 @@
     ) -> Iterator[slopes.Reading]:
         databases = declared.declare(DATABASES_RANKED).databases
         me = view.members[0].name
-        spent_s = timed(lambda: homes.hosted(databases, view, me))
+        spent_s = timed(lambda: homes.watched(databases, view, me))
         yield slopes.Reading(
             "homes, a fleet change, for each database",
             "ms",
--- /dev/null
+++ b/tests/unit/test_docs.py
@@ -0,0 +1,140 @@
+"""Pages name only what exists: links, commands, codes, names of the code."""
+
+import importlib
+import inspect
+import pathlib
+import re
+
+import pytest
+from capacity import __main__ as capacity_main
+from capacity import budget, page
+
+from fescueshunt import errors
+from fescueshunt.core import document
+from fescueshunt_cli._internal import main
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+DOCS = ROOT / "docs"
+PAGES = sorted(
+    [ROOT / "README.md", ROOT / "CONTRIBUTING.md", *DOCS.rglob("*.md")]
+)
+SOURCES = [path.read_text() for path in ROOT.glob("packages/*/src/**/*.py")]
+GRAMMAR = sorted(ROOT.glob("packages/**/language/grammar.lark"))
+PACKAGES = (
+    "fescueshunt",
+    "fescueshunt_wire",
+    "fescueshunt_proxy",
+    "fescueshunt_cli",
+    "fescueshunt_standins",
+)
+LOCAL_LINK = re.compile(r"\]\((?!https?:|#)([^)#]+)")
+MAKE = re.compile(r"(?:`|^ {4})make ([a-z]+)", re.MULTILINE)
+COMMAND = re.compile(r"(?:`|^ {4})fescueshunt ([a-z]+)", re.MULTILINE)
+CAPACITY = re.compile(r"`python -m capacity ([a-z-]+)`")
+LOG_EVENT = re.compile(r"[Ll]og(?:s|'s)? (?:has |ends with )?`([a-z_]+)`")
+SHOWN = re.compile(r"`SHOW ([A-Z]+)")
+
+
+def parameters(pages: list[pathlib.Path]) -> list:
+    return [pytest.param(p, id=str(p.relative_to(ROOT))) for p in pages]
+
+
+def errors_by_code() -> dict[str, type[errors.FescueshuntError]]:
+    found = [
+        value
+        for _, value in inspect.getmembers(errors, inspect.isclass)
+        if issubclass(value, errors.FescueshuntError)
+    ]
+    return {e.code: e for e in found if e is not errors.FescueshuntError}
+
+
+@pytest.mark.parametrize("path", parameters(PAGES))
+def test_links_resolve(path):
+    links = LOCAL_LINK.findall(path.read_text())
+    missing = [link for link in links if not (path.parent / link).exists()]
+    assert not missing
+
+
+@pytest.mark.parametrize("path", parameters(PAGES))
+def test_commands_exist(path):
+    text = path.read_text()
+    makefile = (ROOT / "Makefile").read_text()
+    targets = set(re.findall(r"^([a-z]+):", makefile, re.MULTILINE))
+    commands = {command.name for command in main.COMMANDS}
+    assert set(MAKE.findall(text)) <= targets
+    assert set(COMMAND.findall(text)) <= commands
+    assert set(CAPACITY.findall(text)) <= set(capacity_main.MEASURES)
+
+
+def test_index_lists_every_page():
+    index = (DOCS / "README.md").read_text()
+    listed = {(DOCS / link).resolve() for link in LOCAL_LINK.findall(index)}
+    assert set(DOCS.rglob("*.md")) - {DOCS / "README.md"} <= listed
+
+
+def test_runbook_has_every_error_code():
+    text = (DOCS / "operators" / "runbook.md").read_text()
+    rows = re.findall(r"^\| `([a-z_]+)` \| ([a-z_]+) \|", text, re.MULTILINE)
+    wanted = {code: e.outcome.value for code, e in errors_by_code().items()}
+    assert dict(rows) == wanted
+
+
+def test_operators_pages_name_codes_logs_and_questions_that_exist():
+    text = "".join(p.read_text() for p in (DOCS / "operators").glob("*.md"))
+    codes = set(re.findall(r"`errors\.([a-z_]+)`", text))
+    assert codes
+    assert codes <= set(errors_by_code())
+    for event in LOG_EVENT.findall(text):
+        assert any(f'"{event}"' in source for source in SOURCES), event
+    grammar = "".join(path.read_text() for path in GRAMMAR).lower()
+    for subject in set(SHOWN.findall(text)):
+        assert subject.lower() in grammar, subject
+
+
+def resolve(name: str) -> object:
+    """Returns what a dotted name of the glossary stands for."""
+    first = name.split(".", maxsplit=1)[0]
+    parts = (
+        name.split(".")
+        if first in PACKAGES
+        else [PACKAGES[0], *name.split(".")]
+    )
+    found: object = importlib.import_module(parts[0])
+    for number, part in enumerate(parts[1:], 2):
+        try:
+            found = importlib.import_module(".".join(parts[:number]))
+        except ModuleNotFoundError:
+            fields = getattr(found, "__dataclass_fields__", {})
+            found = fields[part] if part in fields else getattr(found, part)
+    return found
+
+
+def test_glossary_names_resolve():
+    names = re.findall(
+        r"`((?:core|request|settings|members|failover|errors|fescueshunt_\w+)"
+        r"\.[\w.]+)`",
+        (DOCS / "GLOSSARY.md").read_text(),
+    )
+    assert len(names) > 40
+    for name in names:
+        assert resolve(name) is not None
+
+
+def test_glossary_has_the_kinds_of_the_settings():
+    text = (DOCS / "GLOSSARY.md").read_text()
+    for kind in (
+        document.Rank,
+        document.Upstream,
+        document.Database,
+        document.Group,
+        document.CalendarDay,
+    ):
+        assert f"core.document.{kind.__name__}`" in text
+
+
+def test_capacity_page_is_worked_out_from_the_figures():
+    text = page.PAGE.read_text()
+    measured = budget.load(page.MEASURED)
+    assert set(measured.found) == set(capacity_main.MEASURES)
+    for table in page.tables(measured).values():
+        assert table in text
