--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,5 @@
 	$(BIN)/python -m bench
 
 capacity: env
-	$(BIN)/python -m capacity
+	$(BIN)/python -m capacity --json-file capacity/measured.json
+	$(BIN)/python -m capacity.page
--- a/capacity/budget.py
+++ b/capacity/budget.py
@@ -22,6 +22,7 @@
 KB = 1e3
 MB = 1e6
 PERCENT = 100
+_SHARES = (("read", 1 - target.WRITE_SHARE), ("write", target.WRITE_SHARE))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +119,7 @@
         1.0,
         "`fescueshunt_wire.link`",
     )
-    yield _statements(m, "entry")
+    yield from _statements(m, "entry")
     each_us = m.at("members", "homes, a routed statement", target.NODES)
     yield Line(
         "entry",
@@ -132,21 +133,23 @@
 
 
 def _home(m: Measured) -> Iterator[Line]:
-    yield _statements(m, "home")
+    yield from _statements(m, "home")
 
 
-def _statements(m: Measured, role: str) -> Line:
-    quantity = f"process, {role}, read, processor time a second"
-    each_us = m.slope("reads", quantity)
-    return Line(
-        role,
-        "statements, all of them reads",
-        f"{target.STATEMENTS_PER_NODE:.0f}/s x {each_us:.0f} us",
-        target.STATEMENTS_PER_NODE * each_us / US,
-        "cores",
-        1.0,
-        "`fescueshunt.request`, `fescueshunt_wire.codec`",
-    )
+def _statements(m: Measured, role: str) -> Iterator[Line]:
+    for service, share in _SHARES:
+        quantity = f"process, {role}, {service}, processor time a second"
+        each_us = m.slope(f"{service}s", quantity)
+        rate = target.STATEMENTS_PER_NODE * share
+        yield Line(
+            role,
+            f"{service}s, {share * PERCENT:.0f}% of the statements",
+            f"{rate:.0f}/s x {each_us:.0f} us",
+            rate * each_us / US,
+            "cores",
+            1.0,
+            "`fescueshunt.request`, `fescueshunt_wire.codec`",
+        )
 
 
 def _watcher(m: Measured) -> Iterator[Line]:
@@ -192,11 +195,21 @@
         sent * size,
         "`fescueshunt.members.probe`, `.spread`",
     )
+    base_kb = m.find("proxies", "one process, memory").base
+    yield Line(
+        "member",
+        "an idle process, memory",
+        f"{base_kb / KB:.1f} MB, links apart",
+        base_kb / KB,
+        "MB",
+        target.CONTROL_MEMORY_MB,
+        "the interpreter and the libraries",
+    )
     used_ms = m.find("proxies", "one process, processor time a second").base
     yield _core_share(
         "member",
         "an idle process: ticks, pings, digests",
-        f"{used_ms:.1f} ms/s, flat in the fleet's size",
+        f"{used_ms:.1f} ms/s, links apart",
         used_ms / MS,
         "`fescueshunt_proxy._internal.clock`",
     )
@@ -206,23 +219,24 @@
 
 
 def _links(m: Measured) -> Iterator[Line]:
-    links = 2 * (target.NODES - 1)
-    each_kb = m.slope("connections", "memory")
+    others = target.NODES - 1
+    each_kb = m.slope("proxies", "one process, memory")
     yield Line(
         "member",
         "links to and from all other proxies, memory",
-        f"{links} x {each_kb:.1f} KB",
-        links * each_kb / KB,
+        f"{others} x {each_kb:.1f} KB",
+        others * each_kb / KB,
         "MB",
         target.CONTROL_MEMORY_MB,
         "`fescueshunt_proxy._internal.peers`",
     )
-    each_ms = m.slope("connections", "processor time a second")
+    quantity = "one process, processor time a second"
+    each_ms = m.slope("proxies", quantity)
     yield _core_share(
         "member",
         "links to and from all other proxies, websocket pings",
-        f"{links} x {each_ms:.3f} ms/s",
-        links * each_ms / MS,
+        f"{others} x {each_ms:.3f} ms/s",
+        others * each_ms / MS,
         "`fescueshunt_proxy._internal.peers`",
     )
 
--- a/capacity/page.py
+++ b/capacity/page.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 MEASURED = ROOT / "capacity" / "measured.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
+HUNDRED = 100
 SECTION = "<!-- {0}: by python -m capacity.page -->\n{1}\n<!-- end {0} -->"
 
 
@@ -63,13 +64,18 @@
     yield "| role | what | worked out as | needed | allowed | | carried by |"
     yield "|---|---|---|---|---|---|---|"
     for line in lines:
-        allowed = "-" if line.allowed is None else f"{line.allowed:.4g}"
+        allowed = "-" if line.allowed is None else _short(line.allowed)
         yield (
             f"| {line.role} | {line.what} | {line.sum} "
-            f"| {line.needed:.3g} {line.unit} | {allowed} "
+            f"| {_short(line.needed)} {line.unit} | {allowed} "
             f"| {line.verdict} | {line.mechanism} |"
         )
 
 
+def _short(value: float) -> str:
+    """Returns three digits, or all before the point."""
+    return f"{value:,.0f}" if value >= HUNDRED else f"{value:.3g}"
+
+
 if __name__ == "__main__":
     main()
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -66,10 +66,15 @@
     assert set(CAPACITY.findall(text)) <= set(capacity_main.MEASURES)
 
 
-def test_index_lists_every_page():
+def test_index_leads_to_every_page():
     index = (DOCS / "README.md").read_text()
-    listed = {(DOCS / link).resolve() for link in LOCAL_LINK.findall(index)}
-    assert set(DOCS.rglob("*.md")) - {DOCS / "README.md"} <= listed
+    linked = {(DOCS / link).resolve() for link in LOCAL_LINK.findall(index)}
+    missing = [
+        path
+        for path in DOCS.rglob("*.md")
+        if path not in linked and path.parent not in linked
+    ]
+    assert missing == [DOCS / "README.md"]
 
 
 def test_runbook_has_every_error_code():
