Keep steps of requests as values and write them when asked

Cause: each step of each request was formatted as text though hardly any is ever read.

Change: a data class for each kind of step; its text is made by EXPLAIN.

--- a/packages/fescueshunt/src/fescueshunt/observe/record.py
+++ b/packages/fescueshunt/src/fescueshunt/observe/record.py
@@ -9,25 +9,27 @@
 from fescueshunt import errors
 from fescueshunt.core import filters, peer, statements, views
 from fescueshunt.core import items as core_items
+from fescueshunt.observe import steps
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fescueshunt.core import request
-
 MAX_STEPS = 8192
 COLUMNS = ("after_ms", "proxy", "step", "facts")
 MS_PER_S = 1000
+MS_DIGITS = 3
+Seq = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """One step of a request: what was decided, and on what facts."""
+class Conn:
+    """A connection to an upstream."""
+
+    database: str
+    upstream: str
 
-    at: float
-    request_id: bytes
-    name: str
-    facts: str
+
+NO_CONN = Conn("", "")
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,21 +38,18 @@
 
     Attributes:
       steps: the newest steps of all requests, bounded.
-      conns: the database and upstream of each connection to an upstream.
+      conns: the connections to upstreams.
       running: the request that runs on a connection.
       forwarded: request ids by (home proxy, seq).
       arrived: request ids by (sending proxy, seq).
+      groups: the newest view of each group.
     """
 
-    steps: collections.deque[Step]
-    conns: dict[int, tuple[str, str]] = dataclasses.field(default_factory=dict)
+    steps: collections.deque[steps.Step]
+    conns: dict[int, Conn] = dataclasses.field(default_factory=dict)
     running: dict[int, bytes] = dataclasses.field(default_factory=dict)
-    arrived: dict[tuple[str, int], bytes] = dataclasses.field(
-        default_factory=dict
-    )
-    forwarded: dict[tuple[str, int], bytes] = dataclasses.field(
-        default_factory=dict
-    )
+    forwarded: dict[Seq, bytes] = dataclasses.field(default_factory=dict)
+    arrived: dict[Seq, bytes] = dataclasses.field(default_factory=dict)
     groups: dict[str, views.GroupView] = dataclasses.field(default_factory=dict)
 
 
@@ -60,35 +59,26 @@
     def __init__(self, name: str, max_steps: int = MAX_STEPS) -> None:
         self._name = name
         self._state = RecordState(collections.deque(maxlen=max_steps))
+        self._notes = {
+            core_items.CallerRequest: self._asked,
+            core_items.SendPeer: self._sent,
+            core_items.PeerReceived: self._received,
+            core_items.OpenUpstream: self._open,
+            core_items.CloseUpstream: self._close,
+            core_items.RunUpstream: self._run,
+            core_items.UpstreamReplied: self._replied,
+            core_items.UpstreamFailed: self._failed,
+            core_items.AnswerCaller: self._answered,
+            views.GroupView: self._see,
+        }
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers to EXPLAIN REQUEST."""
+        note = self._notes.get(type(item))
+        if note is not None:
+            note(item)
+            return
         match item:
-            case core_items.CallerRequest(req=req):
-                facts = _asked(req)
-                self._note(
-                    item.at, req.request_id, "request of a caller", facts
-                )
-            case core_items.SendPeer():
-                self._sent(item)
-            case core_items.PeerReceived():
-                self._received(item)
-            case core_items.OpenUpstream():
-                self._state.conns[item.conn] = (item.database, item.upstream)
-            case core_items.RunUpstream(request_id=request_id) if request_id:
-                self._run(item)
-            case core_items.UpstreamReplied():
-                self._replied(item)
-            case core_items.UpstreamFailed():
-                self._failed(item)
-            case core_items.CloseUpstream():
-                self._state.conns.pop(item.conn, None)
-                self._state.running.pop(item.conn, None)
-            case core_items.AnswerCaller(answer=answer):
-                facts = _answered(answer)
-                self._note(item.at, answer.request_id, "answer", facts)
-            case views.GroupView():
-                self._state.groups[item.database] = item
             case core_items.OperatorAsked(
                 statement=statements.Explain(event=statements.Event.REQUEST)
             ):
@@ -96,80 +86,136 @@
             case _:
                 yield item
 
-    def _note(
-        self, now: float, request_id: bytes, name: str, facts: str
-    ) -> None:
-        self._state.steps.append(Step(now, request_id, name, facts))
+    def _asked(self, item: core_items.CallerRequest) -> None:
+        req = item.req
+        self._state.steps.append(
+            steps.Asked(
+                item.at,
+                req.request_id,
+                req.kind,
+                req.service,
+                req.database,
+                req.caller,
+                req.timeout_s,
+                req.after,
+                req.unsure,
+                req.max_age_s,
+            )
+        )
+
+    def _answered(self, item: core_items.AnswerCaller) -> None:
+        self._state.steps.append(steps.answered(item.at, "", item.answer))
 
     def _sent(self, item: core_items.SendPeer) -> None:
+        key = (item.name, getattr(item.message, "seq", 0))
         match item.message:
             case peer.ForwardedRequest() as sent:
                 request_id = sent.request.request_id
-                _bounded(
-                    self._state.forwarded, (item.name, sent.seq), request_id
+                _remember(self._state.forwarded, key, request_id)
+                self._state.steps.append(
+                    steps.Forwarded(
+                        item.at, request_id, item.name, sent.upstream
+                    )
                 )
-                facts = f"chose {sent.upstream}, whose home is {item.name}"
-                self._note(item.at, request_id, "forward", facts)
             case peer.ForwardedAnswer(answer=answer):
-                self._state.arrived.pop((item.name, item.message.seq), None)
-                facts = f"to {item.name}: {_answered(answer)}"
-                self._note(item.at, answer.request_id, "answer a proxy", facts)
+                self._state.arrived.pop(key, None)
+                step = steps.answered(item.at, f"to {item.name}", answer)
+                self._state.steps.append(step)
             case peer.Redirected() as sent:
-                request_id = self._state.arrived.pop((item.name, sent.seq), b"")
-                self._note(item.at, request_id, "send back", _redirected(sent))
+                request_id = self._state.arrived.pop(key, b"")
+                self._send_back(item.at, f"to {item.name}", request_id, sent)
 
     def _received(self, item: core_items.PeerReceived) -> None:
+        key = (item.sender, getattr(item.message, "seq", 0))
         match item.message:
             case peer.ForwardedRequest() as got:
                 request_id = got.request.request_id
-                _bounded(
-                    self._state.arrived, (item.sender, got.seq), request_id
-                )
-                facts = (
-                    f"from {item.sender} for {got.upstream}; "
-                    f"{got.remaining_s:.3f} s left; in doubt: {got.in_doubt}"
+                _remember(self._state.arrived, key, request_id)
+                self._state.steps.append(
+                    steps.Arrived(
+                        item.at,
+                        request_id,
+                        item.sender,
+                        got.upstream,
+                        got.remaining_s,
+                        got.in_doubt,
+                    )
                 )
-                self._note(item.at, request_id, "request of a proxy", facts)
             case peer.ForwardedAnswer(answer=answer):
-                self._state.forwarded.pop((item.sender, item.message.seq), None)
-                facts = f"of {item.sender}: {_answered(answer)}"
-                self._note(item.at, answer.request_id, "home's answer", facts)
+                self._state.forwarded.pop(key, None)
+                step = steps.answered(item.at, f"of {item.sender}", answer)
+                self._state.steps.append(step)
             case peer.Redirected() as got:
-                key = (item.sender, got.seq)
                 request_id = self._state.forwarded.pop(key, b"")
-                facts = f"by {item.sender}: {_redirected(got)}"
-                self._note(item.at, request_id, "sent back", facts)
+                self._send_back(item.at, f"by {item.sender}", request_id, got)
+
+    def _send_back(
+        self, now: float, who: str, request_id: bytes, sent: peer.Redirected
+    ) -> None:
+        primary = sent.brief.primary if sent.brief is not None else ""
+        self._state.steps.append(
+            steps.SentBack(
+                now,
+                request_id,
+                who,
+                sent.error,
+                sent.suggested,
+                primary,
+                sent.in_doubt,
+            )
+        )
+
+    def _open(self, item: core_items.OpenUpstream) -> None:
+        self._state.conns[item.conn] = Conn(item.database, item.upstream)
+
+    def _close(self, item: core_items.CloseUpstream) -> None:
+        self._state.conns.pop(item.conn, None)
+        self._state.running.pop(item.conn, None)
+
+    def _see(self, view: views.GroupView) -> None:
+        self._state.groups[view.database] = view
 
     def _run(self, item: core_items.RunUpstream) -> None:
-        database, upstream = self._state.conns.get(item.conn, ("", ""))
+        if not item.request_id:
+            return
+        conn = self._state.conns.get(item.conn, NO_CONN)
         self._state.running[item.conn] = item.request_id
-        mode = getattr(item.call, "mode", None)
-        facts = f"{mode or type(item.call).__name__} on {upstream}"
-        view = self._state.groups.get(database)
-        if view is not None:
-            facts += f"; {_group(view, upstream, item.at)}"
-        self._note(item.at, item.request_id, "run", facts)
+        view = self._state.groups.get(conn.database)
+        self._state.steps.append(
+            steps.Run(
+                item.at,
+                item.request_id,
+                getattr(item.call, "mode", type(item.call).__name__),
+                conn.upstream,
+                view.primary if view is not None else "",
+                view.term.number if view is not None else 0,
+                view.confirmed_at if view is not None else 0.0,
+            )
+        )
 
     def _replied(self, item: core_items.UpstreamReplied) -> None:
         request_id = self._state.running.pop(item.conn, b"")
         if not request_id:
             return
-        _, upstream = self._state.conns.get(item.conn, ("", ""))
-        facts = f"{upstream}: {type(item.reply).__name__.lower()}"
-        reason = getattr(item.reply, "reason", None)
         history = getattr(item.reply, "history", None)
-        if reason is not None:
-            facts += f", {reason.value}"
-        if history is not None:
-            facts += f", log ends at {history.end}"
-        self._note(item.at, request_id, "reply", facts)
+        self._state.steps.append(
+            steps.Replied(
+                item.at,
+                request_id,
+                self._state.conns.get(item.conn, NO_CONN).upstream,
+                type(item.reply).__name__,
+                getattr(item.reply, "reason", ""),
+                history.end if history is not None else 0,
+            )
+        )
 
     def _failed(self, item: core_items.UpstreamFailed) -> None:
         request_id = self._state.running.pop(item.conn, b"")
-        _, upstream = self._state.conns.pop(item.conn, ("", ""))
+        conn = self._state.conns.pop(item.conn, NO_CONN)
         if request_id:
-            facts = f"{upstream}: {item.error}"
-            self._note(item.at, request_id, "connection lost", facts)
+            self._state.steps.append(
+                steps.Lost(item.at, request_id, conn.upstream, item.error)
+            )
 
     def _explain(
         self, asked: core_items.OperatorAsked
@@ -187,8 +233,8 @@
                 "a request id is 32 hex digits"
             )
             return statements.OperatorAnswer(error=invalid)
-        steps = [s for s in self._state.steps if s.request_id == request_id]
-        if not steps:
+        found = [s for s in self._state.steps if s.request_id == request_id]
+        if not found:
             unknown = errors.RequestInvalidError(
                 "this proxy has no record of the request; ask the proxy that "
                 "the caller used"
@@ -196,68 +242,18 @@
             return statements.OperatorAnswer(error=unknown)
         rows = tuple(
             (
-                round((step.at - steps[0].at) * MS_PER_S, 3),
+                round((step.at - found[0].at) * MS_PER_S, MS_DIGITS),
                 self._name,
                 step.name,
-                step.facts,
+                step.facts(),
             )
-            for step in steps
+            for step in found
         )
         return statements.OperatorAnswer(statements.Table(COLUMNS, rows))
 
 
-def _bounded(
-    entries: dict[tuple[str, int], bytes], key: tuple[str, int], value: bytes
-) -> None:
+def _remember(entries: dict[Seq, bytes], key: Seq, request_id: bytes) -> None:
     """Adds an entry; the oldest makes room."""
-    entries[key] = value
+    entries[key] = request_id
     if len(entries) > MAX_STEPS:
         del entries[next(iter(entries))]
-
-
-def _asked(req: request.Request) -> str:
-    facts = (
-        f"{req.kind.value} of {req.service} on {req.database} "
-        f"by {req.caller or '-'}; {req.timeout_s:g} s to answer"
-    )
-    if req.after is not None:
-        term = req.after.term.number
-        facts += f"; after {req.after.index} of term {term}"
-    if req.unsure:
-        facts += "; an earlier write has an unknown outcome"
-    if req.max_age_s is not None:
-        facts += f"; age up to {req.max_age_s:g} s"
-    return facts
-
-
-def _answered(answer: request.Answer) -> str:
-    facts = f"{answer.outcome.value} by {answer.upstream or '-'}"
-    if answer.error is not None:
-        return f"{facts}; {answer.error}"
-    if answer.repeated:
-        facts += "; the recorded answer of an earlier run"
-    if answer.from_replica:
-        facts += "; a replica"
-    if answer.age_s is not None:
-        facts += f"; at most {answer.age_s:.3f} s old"
-    if answer.token is not None:
-        facts += f"; its log position is {answer.token.index}"
-    return facts
-
-
-def _redirected(message: peer.Redirected) -> str:
-    facts = f"not run here: {message.error or '-'}"
-    if message.suggested:
-        facts += f"; try {message.suggested}"
-    if message.brief is not None:
-        facts += f"; primary {message.brief.primary or '-'}"
-    return f"{facts}; in doubt: {message.in_doubt}"
-
-
-def _group(view: views.GroupView, upstream: str, now: float) -> str:
-    role = "primary" if upstream == view.primary else "replica"
-    ago_s = now - view.confirmed_at
-    return (
-        f"{role} in term {view.term.number}, which a majority supported "
-        f"{ago_s:.3f} s before"
-    )
