Let DRAIN HOST take effect in the fleet view

Cause: drained hosts stood in the settings and nothing acted on them.

Change: the members pipe shows a drained proxy as leaving, so it is home and watcher to nothing; settings still reach it, as they do any proxy not dead.

--- a/packages/fescueshunt/src/fescueshunt/members/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/members/pipe.py
@@ -21,6 +21,7 @@
     core_items.StopAsked,
     filters.Tick,
     views.FleetView,
+    views.SettingsView,
     items.Claimed,
 )
 
--- a/packages/fescueshunt/src/fescueshunt/members/publish.py
+++ b/packages/fescueshunt/src/fescueshunt/members/publish.py
@@ -27,6 +27,7 @@
       started_at: the time of the first tick.
       changed_at: the time of the last change.
       lost_at: since when a member is suspect or dead.
+      draining: the hosts that operators drain.
     """
 
     members: dict[str, views.Member]
@@ -35,6 +36,7 @@
     joined: bool = False
     dirty: bool = True
     listed: frozenset[str] = frozenset()
+    draining: frozenset[str] = frozenset()
     lost_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -62,6 +64,9 @@
             case items.ListSeen():
                 self._state.listed = item.names
                 yield item
+            case views.SettingsView():
+                self._drain(frozenset(item.document.draining_hosts))
+                yield item
             case filters.Tick():
                 yield from self._tick(item.at)
                 yield item
@@ -78,6 +83,11 @@
         else:
             self._state.lost_at.pop(member.name, None)
 
+    def _drain(self, draining: frozenset[str]) -> None:
+        if draining != self._state.draining:
+            self._state.draining = draining
+            self._state.dirty = True
+
     def _tick(self, now: float) -> Iterator[filters.Item]:
         state = self._state
         if state.started_at is None:
@@ -99,11 +109,21 @@
     def _view(self, now: float) -> views.FleetView:
         cut = self._cut_zones()
         members = tuple(
-            _as_cut(member) if member.zone in cut else member
+            self._as_seen(member, cut)
             for _, member in sorted(self._state.members.items())
         )
         return views.FleetView(now, members, cut)
 
+    def _as_seen(
+        self, member: views.Member, cut: frozenset[str]
+    ) -> views.Member:
+        if member.zone in cut:
+            return _as_cut(member)
+        is_live = member.state is views.MemberState.LIVE
+        if is_live and member.name in self._state.draining:
+            return dataclasses.replace(member, state=views.MemberState.LEAVING)
+        return member
+
     def _cut_zones(self) -> frozenset[str]:
         """Returns zones that went silent whole, at once, and are listed.
 
--- a/packages/fescueshunt/src/fescueshunt/settings/spread.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/spread.py
@@ -27,7 +27,7 @@
 OFFER_BYTES_PER_S = 4_000
 OFFER_BURST_BYTES = 64_000
 ENTRY_BYTES = 120
-REACHABLE = frozenset({views.MemberState.LIVE, views.MemberState.SUSPECT})
+REACHABLE = frozenset(views.MemberState) - {views.MemberState.DEAD}
 
 
 @dataclasses.dataclass(slots=True)
