--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/bootstrap.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/bootstrap.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import pathlib
+import time
 
 from fescueshunt import errors
+from fescueshunt.core import document as documents
+from fescueshunt.core import statements
 from fescueshunt_cli._internal import deployment
 from fescueshunt_cli._internal.commands import base
 from fescueshunt_wire import channel, codec, platform
 
 SETTINGS_KEY = "fescueshunt/settings"
 TIMEOUT_S = 5.0
+AUTHOR = "bootstrap"
 
 
 class BootstrapCommand(base.Command):
@@ -36,9 +41,7 @@
       SettingsError: if the file is invalid.
       RevisionConflictError: if the store has settings already.
     """
-    document = dataclasses.replace(
-        deployment.load(file), revision=1, author="bootstrap"
-    )
+    document = first_revision(deployment.load(file))
     data = codec.encode_document(document)
     call = platform.CompareAndSwap(SETTINGS_KEY, 0, data)
     async with channel.connect(store) as calls:
@@ -46,3 +49,18 @@
     if not swapped.done:
         raise errors.RevisionConflictError("the store has settings already")
     return base.SUCCESS
+
+
+def first_revision(declared: documents.Document) -> documents.Document:
+    """Returns `declared` as revision 1, with its place in the history."""
+    operation = os.urandom(statements.OPERATION_BYTES)
+    entry = documents.Revision(
+        1, operation, AUTHOR, AUTHOR, "", AUTHOR, time.time()
+    )
+    return dataclasses.replace(
+        declared,
+        revision=1,
+        operation=operation,
+        author=AUTHOR,
+        history=(entry,),
+    )
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from fescueshunt.core import document
+from fescueshunt.core import document, validation
 from fescueshunt_wire import ini
 from fescueshunt_wire.models import base, documents
 
@@ -57,7 +57,7 @@
         elif kind in _KINDS and name:
             self._read_model(header, kind, name, values)
         else:
-            self._add(header, "", "", "expected a known section kind and name")
+            self._add(header, "", "", "a known section kind and name")
 
     def _read_model(
         self, header: str, kind: str, name: str, values: ini.Section
@@ -74,25 +74,20 @@
             self._found[kind][name] = model.to_data()
 
     def join(self) -> None:
-        """Checks that what sections refer to is declared."""
+        """Joins databases with upstreams and checks the whole."""
         for name, (header, values) in self._databases.items():
             self._join_database(name, header, values)
-        for service in self._found["service"].values():
-            header = f"service {service.name}"
-            self._check(header, "group", service.group, self._found["group"])
-            self._check(header, "rank", service.rank, self._found["rank"])
+        for found in validation.problems(self.document()):
+            self._add(found.entry, found.field, found.found, found.expected)
 
     def _join_database(
         self, name: str, header: str, values: ini.Section
     ) -> None:
         group = values.get("group", "")
-        self._check(header, "group", group, self._found["group"])
         names = ini.split(values.get("upstreams", ""))
         for upstream in names:
             self._check(header, "upstreams", upstream, self._found["upstream"])
         known = [n for n in names if n in self._found["upstream"]]
-        if not known:
-            self._add(header, "upstreams", "", "expected at least one upstream")
         upstreams = tuple(self._found["upstream"][n] for n in known)
         self._joined.append(document.Database(name, group, upstreams))
 
@@ -110,9 +105,9 @@
         self, header: str, key: str, value: str, known: dict[str, Any]
     ) -> None:
         if value not in known:
-            self._add(header, key, value, f"expected a declared {key}")
+            self._add(header, key, value, f"a declared {key}")
 
     def _add(self, header: str, key: str, value: str, expected: str) -> None:
         self.problems.append(
-            ini.Problem(self._file, header, key, value, expected)
+            ini.Problem(self._file, header, key, value, f"expected {expected}")
         )
