--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 bench: env
 	$(BIN)/python -m bench
+	$(BIN)/python -m bench.propagation
 
 capacity: env
 	$(BIN)/python -m capacity
