--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol, checked exhaustively."""
