Replay the specification's counterexamples against the real decisions

Each trace in spec/traces drives the real proposer, write, acknowledge and health filters over real engines and must leave no contradiction.

--- /dev/null
+++ b/tests/unit/test_spec.py
@@ -0,0 +1,29 @@
+"""The specification holds, each rule is needed, and real parts keep to it."""
+
+import pytest
+from spec import model, removals
+
+from lib import spec_replayer
+
+
+@pytest.mark.parametrize("bounds", removals.CHECKED, ids=str)
+def test_every_property_holds_in_every_state(bounds):
+    found = model.check(bounds)
+    assert found["exhaustive"]
+    broken = [n for n, p in found["properties"].items() if not p["holds"]]
+    assert broken == []
+
+
+@pytest.mark.parametrize("removal", removals.REMOVALS, ids=lambda r: r.name)
+def test_a_rule_taken_out_breaks_its_property(removal):
+    assert removal.find() == removal.read()
+
+
+@pytest.mark.parametrize("removal", removals.REMOVALS, ids=lambda r: r.name)
+def test_the_real_decisions_withstand_the_counterexample(removal):
+    labels = removal.read()
+    group = spec_replayer.Group(removal.bounds, labels)
+    for label in labels:
+        group.play(label)
+        assert group.faults() == []
+    assert any(attempt.fake for attempt in group.attempts)
