--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 bench: env
 	$(BIN)/python -m bench
+
+soak: env
+	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -489,3 +489,29 @@
     played.run(2.0)
     assert played.answers["proxy-1", 1, seq].error is None
     assert played.rows() == ["once"]
+
+
+# Leaving upstreams.
+
+
+@pytest.mark.parametrize("leaving", ["db-1", "db-2"])
+def test_leaving_replica_gets_no_new_work(played, leaving):
+    for number in range(20):
+        played.ask("proxy-0", scenarios.read(played, "old"), conn=number)
+    assert played.open_connections(leaving) > 0
+    (declared,) = played.settings.databases
+    upstreams = tuple(
+        dataclasses.replace(u, draining=u.name == leaving)
+        for u in declared.upstreams
+    )
+    played.settings = dataclasses.replace(
+        played.settings,
+        revision=2,
+        databases=(dataclasses.replace(declared, upstreams=upstreams),),
+    )
+    played.feed("proxy-0", items.SettingsRead(played.now, played.settings, 2))
+    played.run(2.0)
+    for number in range(20):
+        answer = played.ask("proxy-1", scenarios.read(played, "old"))
+        assert answer.error is None, number
+        assert answer.upstream != leaving
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -104,6 +104,7 @@
         self.settings = settings
         self.answers: dict[tuple[str, int, int], request.Answer] = {}
         self.extra_answers = 0
+        self.disturbed = 0
         self.counts: dict[str, int] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -162,6 +163,13 @@
         """Ends a caller's connection."""
         self.feed(name, items.CallerClosed(self.now, conn))
 
+    def open_connections(self, upstream_name: str) -> int:
+        """Returns how many connections proxies hold to an upstream."""
+        return sum(
+            session.fake.name == upstream_name
+            for session in self._sessions.values()
+        )
+
     def cut_upstreams(self) -> int:
         """Breaks every connection with a call in flight; returns how many."""
         cut = [s for s in self._sessions.values() if s.call]
@@ -210,18 +218,19 @@
 
     def rows(self) -> list[str]:
         """Returns the tags that the database holds, from its newest primary."""
-        primary = max(
-            (
-                fake
-                for fake in self.upstreams.values()
-                if fake.engine.role is upstream.Role.PRIMARY
-            ),
-            key=lambda fake: fake.engine.term,
-        )
         select = request.Statement("SELECT tag FROM hit ORDER BY rowid")
-        (found,) = primary.engine.read((select,))
+        (found,) = self.primary().engine.read((select,))
         return [row[0] for row in found.rows]
 
+    def primary(self) -> engines.FakeUpstream:
+        """Returns the upstream that serves the newest term."""
+        serving = (
+            fake
+            for fake in self.upstreams.values()
+            if fake.engine.role is upstream.Role.PRIMARY
+        )
+        return max(serving, key=lambda fake: fake.engine.term)
+
     # What the cores want done.
 
     def _act(self, source: Proxy, effect: filters.Item) -> None:
@@ -446,10 +455,13 @@
         if decided is not None:
             return decided
         if self.chance.random() < self.faults.lost:
+            self.disturbed += 1
             return []
         delay_s = self._hop()
         if self.chance.random() < self.faults.late:
+            self.disturbed += 1
             delay_s += self.chance.uniform(0.0, LATE_S)
         if self.chance.random() < self.faults.doubled:
+            self.disturbed += 1
             return [delay_s, delay_s + self.chance.uniform(0.0, LATE_S)]
         return [delay_s]
