--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: env demo test bench soak format
+.PHONY: env demo test bench soak format capacity
 
 env: $(VENV)/.ready
 
@@ -29,3 +29,6 @@
 
 soak: env
 	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
+
+capacity: env
+	$(BIN)/python -m capacity
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/proxies.py
@@ -115,13 +115,6 @@
     error: base.ErrorModel | None = None
 
 
-class AbandonedTransactionModel(base.Model):
-    """A transaction that rolls back."""
-
-    of = peer.AbandonedTransaction
-    transaction: RequestId
-
-
 class FailingUpstreamModel(base.Model):
     """An upstream that doesn't answer."""
 
@@ -142,3 +135,10 @@
     ] = ()
     pending: calls.TermModel = calls.TermModel(number=0)
     pending_for_s: base.Seconds = 0.0
+
+
+class AbandonedTransactionModel(base.Model):
+    """A transaction that rolls back."""
+
+    of = peer.AbandonedTransaction
+    transaction: RequestId
