--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 	$(BIN)/python -m bench
 	$(BIN)/python -m bench.propagation
 
+soak: env
+	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
+
 capacity: env
 	$(BIN)/python -m capacity --json-file capacity/measured.json
 	$(BIN)/python -m capacity.page
