Serve the next item after one that caused an exception

Cause: an observable ends with the first exception that leaves a subscriber. One item that a filter or a sink failed on left a process that held its connections and served nothing. Ruled out: ending the process, as a request that fails would then end one home after the other while it is tried again. Change: the runtime contains such an exception, logs it with its stack and counts it as items_failed.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
@@ -17,6 +17,7 @@
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            structlog.processors.format_exc_info,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.JSONRenderer(),
         ],
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
@@ -10,6 +10,7 @@
 from fescueshunt.core import statements
 
 if TYPE_CHECKING:
+    from fescueshunt.core import items as core_items
     from fescueshunt.request import items
 
 LOWEST_US = 1
@@ -40,6 +41,10 @@
             )
         self.latencies[name].record_value(int(item.latency_s * US_PER_S) or 1)
 
+    def item_failed(self, item: core_items.ItemFailed) -> None:
+        """Counts an item that was dropped."""
+        self.counters[f"items_failed.{item.error}"] += 1
+
     def table(self) -> statements.Table:
         """Returns every counter, and quantiles of every latency."""
         counters = (
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/recording.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/recording.py
@@ -32,5 +32,5 @@
             stream.write(records.to_line(item) + "\n")
 
         stream.write(records.to_line(me) + "\n")
-        with joined.entering().subscribe(write):
+        with joined.observe(write):
             yield
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -116,6 +116,7 @@
     measured = metrics.Metrics()
     changes = logs.ChangeLog()
     joined.subscribe(request_items.Finished, measured.finished)
+    joined.subscribe(items.ItemFailed, measured.item_failed)
     joined.subscribe(views.SettingsView, changes.settings)
     joined.subscribe(views.FleetView, changes.fleet)
     joined.subscribe(views.GroupView, changes.group)
@@ -126,7 +127,7 @@
 def _trace(joined: runtime.Runtime, tracer: tracing.Tracer | None) -> None:
     if tracer is None:
         return
-    joined.entering().subscribe(tracer.enter)
+    joined.observe(tracer.enter)
     joined.subscribe(items.AnswerCaller, tracer.answer_caller)
     joined.subscribe(items.SendPeer, tracer.send_peer)
     joined.subscribe(items.RunUpstream, tracer.run_upstream)
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -169,6 +169,13 @@
     timeout_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemFailed(filters.Item):
+    """An item caused an exception of type `error`, and was dropped."""
+
+    error: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stopped(filters.Item):
     """Nothing is in flight any more; the process may exit."""
