Answer for the whole fleet on any proxy

Cause: SHOW UPSTREAMS, SESSIONS, REFUSALS, PROMOTIONS and EXPLAIN told only what the asked proxy had seen itself.

Ruled out: sharing these tables all the time (bytes on every node for a rare question), sending the operator from proxy to proxy.

Change: such statements are put to at most 16 peers and merged; conditions apply to the merged table; after 0.5 s the answer names who was silent.

In a fleet of more than 17 the answer says how many were not asked.

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/answers.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/answers.py
@@ -14,6 +14,10 @@
     """Prints an answer and returns the exit code for it."""
     if answer.table is not None:
         print(output.text_of(answer.table, form))
+    if answer.silent:
+        print(f"no answer from {', '.join(answer.silent)}", file=sys.stderr)
+    if answer.not_asked:
+        print(f"{answer.not_asked} proxies not asked", file=sys.stderr)
     if answer.conflict is not None:
         print(_conflict(answer), file=sys.stderr)
     if answer.error is not None:
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/language/complete.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/language/complete.py
@@ -17,9 +17,9 @@
     from prompt_toolkit import document
 
 COLUMNS = {
-    statements.Subject.SESSIONS: tally.SESSION_COLUMNS,
-    statements.Subject.REFUSALS: tally.REFUSAL_COLUMNS,
-    statements.Subject.PROMOTIONS: promotions.COLUMNS,
+    statements.Subject.SESSIONS: ("proxy", *tally.SESSION_COLUMNS),
+    statements.Subject.REFUSALS: ("proxy", *tally.REFUSAL_COLUMNS),
+    statements.Subject.PROMOTIONS: ("proxy", *promotions.COLUMNS),
     **{subject: it.columns for subject, it in listings.LISTINGS.items()},
 }
 
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/operators.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/operators.py
@@ -6,12 +6,13 @@
 
 import pydantic
 
-from fescueshunt.core import statements
+from fescueshunt.core import questions, statements
 from fescueshunt_wire import access
 from fescueshunt_wire.models import base, documents
 
 MAX_CLAUSES = 64
 MAX_COLUMNS = 64
+MAX_SILENT = 64
 TOKEN_CHARS = 512
 Value = (
     None
@@ -131,3 +132,24 @@
     operation: Operation = b""
     conflict: documents.RevisionModel | None = None
     error: base.ErrorModel | None = None
+    silent: Annotated[
+        tuple[base.Name, ...], pydantic.Field(max_length=MAX_SILENT)
+    ] = ()
+    not_asked: base.Count = 0
+
+
+class PeerQuestionModel(base.Model):
+    """Asks another proxy what it knows."""
+
+    of = questions.PeerQuestion
+    seq: base.Count
+    show: ShowModel | None = None
+    explain: ExplainModel | None = None
+
+
+class PeerReplyModel(base.Model):
+    """What the other proxy knows."""
+
+    of = questions.PeerReply
+    seq: base.Count
+    answer: OperatorAnswerModel
--- a/packages/fescueshunt/src/fescueshunt/core/statements.py
+++ b/packages/fescueshunt/src/fescueshunt/core/statements.py
@@ -177,6 +177,8 @@
       operation: the change's operation.
       conflict: the other operator's change, for a RevisionConflictError.
       error: the typed failure, or None.
+      silent: proxies that were asked and didn't answer in time.
+      not_asked: the number of proxies that weren't asked, as there are many.
     """
 
     table: Table | None = None
@@ -184,3 +186,5 @@
     operation: bytes = b""
     conflict: document.Revision | None = None
     error: errors.FescueshuntError | None = None
+    silent: tuple[str, ...] = ()
+    not_asked: int = 0
--- a/packages/fescueshunt/src/fescueshunt/core/tables.py
+++ b/packages/fescueshunt/src/fescueshunt/core/tables.py
@@ -10,9 +10,7 @@
 from fescueshunt.core import statements
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
-
-    Row = tuple[statements.Value, ...]
+    from collections.abc import Callable
 
 _OPERATORS: dict[statements.Comparison, Callable] = {
     statements.Comparison.LESS: operator.lt,
@@ -41,17 +39,6 @@
     return statements.Table(table.columns, tuple(rows[: show.limit]))
 
 
-def answer(
-    show: statements.Show, columns: tuple[str, ...], rows: Iterable[Row]
-) -> statements.OperatorAnswer:
-    """Returns the answer to `show` from all rows that there are."""
-    try:
-        found = select(statements.Table(columns, tuple(rows)), show)
-    except errors.RequestInvalidError as exc:
-        return statements.OperatorAnswer(error=exc)
-    return statements.OperatorAnswer(found)
-
-
 def _place(table: statements.Table, column: str) -> int:
     if column not in table.columns:
         expected = ", ".join(table.columns)
--- a/packages/fescueshunt/src/fescueshunt/observe/record.py
+++ b/packages/fescueshunt/src/fescueshunt/observe/record.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import filters, peer, statements, views
+from fescueshunt.core import filters, peer, questions, statements, views
 from fescueshunt.core import items as core_items
 from fescueshunt.observe import steps
 
@@ -79,7 +79,7 @@
             note(item)
             return
         match item:
-            case core_items.OperatorAsked(
+            case questions.Question(
                 statement=statements.Explain(event=statements.Event.REQUEST)
             ):
                 yield self._explain(item)
@@ -217,13 +217,9 @@
                 steps.Lost(item.at, request_id, conn.upstream, item.error)
             )
 
-    def _explain(
-        self, asked: core_items.OperatorAsked
-    ) -> core_items.AnswerOperator:
+    def _explain(self, asked: questions.Question) -> questions.Reply:
         answer = self._steps_of(asked.statement.name)
-        return core_items.AnswerOperator(
-            asked.at, asked.conn, asked.seq, answer
-        )
+        return questions.Reply(asked.at, asked.number, answer)
 
     def _steps_of(self, name: str) -> statements.OperatorAnswer:
         try:
@@ -236,8 +232,8 @@
         found = [s for s in self._state.steps if s.request_id == request_id]
         if not found:
             unknown = errors.RequestInvalidError(
-                "this proxy has no record of the request; ask the proxy that "
-                "the caller used"
+                "no record of the request is kept; ask the proxy that the "
+                "caller used, soon after"
             )
             return statements.OperatorAnswer(error=unknown)
         rows = tuple(
--- a/packages/fescueshunt/src/fescueshunt/operators/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/pipe.py
@@ -4,8 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, items, views
-from fescueshunt.operators import authorize, change, promotions, show
+from fescueshunt.core import filters, items, questions, views
+from fescueshunt.operators import (
+    authorize,
+    change,
+    gather,
+    promotions,
+    show,
+)
 
 if TYPE_CHECKING:
     from fescueshunt.core import identity
@@ -22,6 +28,7 @@
     views.FleetView,
     views.GroupView,
     views.Promotion,
+    questions.Reply,
     filters.Tick,
 )
 
@@ -31,6 +38,7 @@
     stages = (
         authorize.Authorize(),
         change.Change(),
+        gather.Gather(me),
         promotions.Promotions(),
         show.Show(me),
     )
--- a/packages/fescueshunt/src/fescueshunt/operators/promotions.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/promotions.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import filters, statements, tables, views
-from fescueshunt.core import items as core_items
+from fescueshunt.core import filters, questions, statements, views
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -46,35 +45,36 @@
         match item:
             case views.Promotion():
                 self._kept.append(item)
-            case core_items.OperatorAsked(
+            case questions.Question(
                 statement=statements.Show(subject=statements.Subject.PROMOTIONS)
             ):
-                rows = (_row(kept, item.at) for kept in reversed(self._kept))
-                answer = tables.answer(item.statement, COLUMNS, rows)
-                yield _to(item, answer)
-            case core_items.OperatorAsked(
+                yield _to(item, self._list(item.at))
+            case questions.Question(
                 statement=statements.Explain(event=statements.Event.PROMOTION)
             ):
                 yield _to(item, self._explain(item.statement.name))
             case _:
                 yield item
 
+    def _list(self, now: float) -> statements.OperatorAnswer:
+        rows = tuple(_row(kept, now) for kept in reversed(self._kept))
+        return statements.OperatorAnswer(statements.Table(COLUMNS, rows))
+
     def _explain(self, database: str) -> statements.OperatorAnswer:
         for kept in reversed(self._kept):
             if kept.database == database:
                 table = statements.Table(STEP_COLUMNS, tuple(_steps(kept)))
                 return statements.OperatorAnswer(table)
         unknown = errors.RequestInvalidError(
-            f"this proxy carried out no promotion of {database}; "
-            "SHOW PROMOTIONS on its watchers lists theirs"
+            f"no promotion of {database} is known; SHOW PROMOTIONS lists them"
         )
         return statements.OperatorAnswer(error=unknown)
 
 
 def _to(
-    asked: core_items.OperatorAsked, answer: statements.OperatorAnswer
-) -> core_items.AnswerOperator:
-    return core_items.AnswerOperator(asked.at, asked.conn, asked.seq, answer)
+    asked: questions.Question, answer: statements.OperatorAnswer
+) -> questions.Reply:
+    return questions.Reply(asked.at, asked.number, answer)
 
 
 def _row(kept: views.Promotion, now: float) -> Row:
--- a/packages/fescueshunt/src/fescueshunt/operators/show.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/show.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, propagation, statements, tables, views
+from fescueshunt.core import filters, propagation, questions, statements, views
 from fescueshunt.core import items as core_items
 from fescueshunt.operators import known, listings
 
@@ -23,7 +23,7 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers."""
         match item:
-            case core_items.OperatorAsked(statement=statements.Show()):
+            case questions.Question(statement=statements.Show()):
                 yield from self._answer(item)
             case views.SettingsView():
                 self._known.document = item.document
@@ -46,15 +46,15 @@
             case _:
                 yield item
 
-    def _answer(
-        self, asked: core_items.OperatorAsked
-    ) -> Iterator[core_items.AnswerOperator]:
+    def _answer(self, asked: questions.Question) -> Iterator[filters.Item]:
         listing = listings.LISTINGS.get(asked.statement.subject)
         if listing is None:
+            yield asked
             return
-        rows = listing.rows(self._known, asked.at)
-        answer = tables.answer(asked.statement, listing.columns, rows)
-        yield core_items.AnswerOperator(asked.at, asked.conn, asked.seq, answer)
+        rows = tuple(listing.rows(self._known, asked.at))
+        table = statements.Table(listing.columns, rows)
+        answer = statements.OperatorAnswer(table)
+        yield questions.Reply(asked.at, asked.number, answer)
 
     def _hear(self, now: float, name: str, revision: int) -> None:
         self._known.heard[name] = known.Heard(revision, now)
