--- a/packages/fescueshunt/src/fescueshunt/request/write.py
+++ b/packages/fescueshunt/src/fescueshunt/request/write.py
@@ -311,7 +311,8 @@
         mark = ledger.fingerprint(req)
         claim = ledger.insert(req.request_id, mark, ledger.RowState.RUN)
         return (claim, *req.statements)
-    return (ledger.insert(_subject(req), b"", ledger.RowState.TOMBSTONE),)
+    subject = _subject(req)
+    return (ledger.insert(subject, b"", ledger.RowState.TOMBSTONE),)
 
 
 def _cancelled(req: request.Request) -> errors.FescueshuntError:
--- a/tests/functional/test_request_model.py
+++ b/tests/functional/test_request_model.py
@@ -13,6 +13,9 @@
 
 EXAMPLES = 8
 STEPS = 40
+PHASES = tuple(hypothesis.Phase)
+if "FESCUESHUNT_NO_SHRINK" in os.environ:
+    PHASES = (hypothesis.Phase.generate,)
 SOAK = int(os.environ.get("FESCUESHUNT_SOAK", "0"))
 
 
@@ -25,6 +28,7 @@
             derandomize=not SOAK,
             deadline=None,
             database=None,
+            phases=PHASES,
             print_blob=True,
             suppress_health_check=list(hypothesis.HealthCheck),
         ),
