--- a/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/acknowledge.py
@@ -63,13 +63,10 @@
                 yield item
 
     def _review(self, database: str, now: float) -> Iterator[filters.Item]:
-        waiting = self._held.pop(database, None)
-        if not waiting:
-            return
         view = self._groups.get(database)
         watched = database in self._watched
         kept: list[items.Committed] = []
-        for held in waiting:
+        for held in self._held.pop(database, []):
             decided = _decide(held, view, now)
             if decided is None and not watched:
                 decided = _settle(held, view, now)
