--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,11 @@
 
 bench: env
 	$(BIN)/python -m bench
+	$(BIN)/python -m bench.propagation
 
 capacity: env
-	$(BIN)/python -m capacity
+	$(BIN)/python -m capacity --json-file capacity/measured.json
+	$(BIN)/python -m capacity.page
 
 soak: env
 	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
--- a/tests/lib/removals.py
+++ b/tests/lib/removals.py
@@ -17,7 +17,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-SOURCES = ROOT / "packages" / "fescueshunt" / "src"
+PACKAGES = ROOT / "packages"
 PROOFS = (
     "tests/functional/test_replays.py",
     "tests/functional/test_request_promises.py",
@@ -146,12 +146,13 @@
 def try_without(removal: Removal) -> list[str]:
     """Returns the tests that fail without a mechanism."""
     with tempfile.TemporaryDirectory() as folder:
-        sources = pathlib.Path(folder) / "src"
-        shutil.copytree(SOURCES, sources)
-        _take_out(removal, sources)
+        copy = pathlib.Path(folder) / "packages"
+        shutil.copytree(PACKAGES, copy)
+        sources = [str(path) for path in sorted(copy.glob("*/src"))]
+        _take_out(removal, copy / "fescueshunt" / "src")
         env = {
             **os.environ,
-            "PYTHONPATH": str(sources),
+            "PYTHONPATH": os.pathsep.join(sources),
             "FESCUESHUNT_NO_SHRINK": "1",
         }
         print(f"without {removal.name}", flush=True)
