Let a change of members cost the same in any fleet; close idle links

Cause: each accepted change summed up the whole table again, so taking in a table was quadratic; and a link that a heartbeat had opened stayed open, so a proxy came to hold one to each other, with its websocket pings. Ruled out: no digest (two tables that differ would never be told apart). Change: the digest is the exclusive or of one digest for each member; a link that has sent nothing for 10 s is closed with a code that means no loss. The effect of closed links on an idle process is not measured yet.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/peers.py
@@ -19,19 +19,24 @@
 REDIAL_PAUSE_S = 0.1
 LOCATE_S = 3.0
 MAX_WAITING = 10_000
+LINK_IDLE_S = 10.0
+IDLE_CLOSE_CODE = 4000
 
 
 @dataclasses.dataclass(slots=True)
 class Sender:
     """The outgoing connection to one proxy; None before it is open.
 
-    `address` is "" until a fleet view names it.
+    Attributes:
+      address: "" until a fleet view names it.
+      used_at: when it last sent something; seconds, local clock.
     """
 
     address: str
     located: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     task: asyncio.Task[None] | None = None
     link: link.Link | None = None
+    used_at: float = 0.0
     waiting: list[peer.PeerMessage] = dataclasses.field(default_factory=list)
 
 
@@ -39,7 +44,8 @@
     """Source and sink of the connections between proxies.
 
     Each proxy sends on connections that it dialed and receives on those that
-    it accepted.
+    it accepted. One that has sent nothing for LINK_IDLE_S is closed, so that
+    the open ones are as many as the proxies it talks with, not all there are.
     """
 
     def __init__(
@@ -79,7 +85,7 @@
                 else:
                     raise errors.FrameOrderError(type(message).__name__)
         finally:
-            if sender:
+            if sender and conn.close_code != IDLE_CLOSE_CODE:
                 lost = items.PeerLost(self._joined.now(), sender)
                 self._joined.feed(lost)
 
@@ -98,6 +104,7 @@
             sender = Sender(item.address or known)
             self._senders[item.name] = sender
             sender.task = self._tasks.create_task(self._hold(item.name, sender))
+        sender.used_at = self._joined.now()
         if sender.link is None:
             if len(sender.waiting) < MAX_WAITING:
                 sender.waiting.append(message)
@@ -113,18 +120,38 @@
         return dataclasses.replace(message, span=span)
 
     async def _hold(self, name: str, sender: Sender) -> None:
-        """Keeps the connection to `name` open until it is lost."""
+        """Keeps the connection to `name` open until it is lost or idle."""
         with contextlib.suppress(errors.FescueshuntError):
             await self._locate(name, sender)
             async with link.dial(sender.address) as conn:
                 self._greet(sender, conn)
-                async for _ in conn.receive():
-                    raise errors.FrameOrderError("unexpected message")
+                async with self._closing_idle(name, sender):
+                    async for _ in conn.receive():
+                        raise errors.FrameOrderError("unexpected message")
+        if self._senders.get(name) is not sender:
+            return
         if sender.link is None:
             await asyncio.sleep(REDIAL_PAUSE_S)
         del self._senders[name]
         self._joined.feed(items.PeerLost(self._joined.now(), name))
 
+    @contextlib.asynccontextmanager
+    async def _closing_idle(
+        self, name: str, sender: Sender
+    ) -> AsyncIterator[None]:
+        """Closes the connection once it has been idle for long enough."""
+        closing = asyncio.create_task(self._close_idle(name, sender))
+        try:
+            yield
+        finally:
+            closing.cancel()
+
+    async def _close_idle(self, name: str, sender: Sender) -> None:
+        while (left_s := sender.used_at + LINK_IDLE_S - self._joined.now()) > 0:
+            await asyncio.sleep(left_s)
+        del self._senders[name]
+        await sender.link.close(IDLE_CLOSE_CODE)
+
     async def _locate(self, name: str, sender: Sender) -> None:
         """Waits for the address of a proxy that is heard of before it is known.
 
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/link.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/link.py
@@ -81,6 +81,11 @@
         self._wake = asyncio.Event()
         self.unsendable: Unsendable = _say_so
 
+    @property
+    def close_code(self) -> int | None:
+        """The code with which the other end closed, None while it is open."""
+        return self._websocket.close_code
+
     def post(self, envelope: codec.Envelope) -> None:
         """Queues a message; it leaves with all others of this loop turn.
 
--- a/packages/fescueshunt/src/fescueshunt/members/spread.py
+++ b/packages/fescueshunt/src/fescueshunt/members/spread.py
@@ -44,7 +44,7 @@
         self._me = me.name
         member = views.Member(me.name, me.zone, me.address, me.incarnation)
         self._state = SpreadState({me.name: member})
-        self._state.digest = self._sum_up()
+        self._state.digest = _digest(member)
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields claims for rumors heard, and messages with rumors added."""
@@ -75,25 +75,21 @@
                 yield item
 
     def _note(self, member: views.Member) -> None:
-        self._state.members[member.name] = member
+        self._replace(member.name, member)
         doublings = math.ceil(math.log2(len(self._state.members) + 1))
         self._state.left[member.name] = SENDS_PER_DOUBLING * doublings
-        self._state.digest = self._sum_up()
 
     def _forget(self, name: str) -> None:
-        self._state.members.pop(name, None)
+        self._replace(name, None)
         self._state.left.pop(name, None)
-        self._state.digest = self._sum_up()
-
-    def _sum_up(self) -> bytes:
-        """Returns a digest of the members that are not dead."""
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for name in sorted(self._state.members):
-            member = self._state.members[name]
-            if member.state is not views.MemberState.DEAD:
-                line = f"{name}\0{member.incarnation}\0{member.state}\0"
-                digest.update(line.encode())
-        return digest.digest()
+
+    def _replace(self, name: str, member: views.Member | None) -> None:
+        """Changes one member, and the digest by what it adds and takes."""
+        state = self._state
+        for changed in (state.members.pop(name, None), member):
+            state.digest = _combine(state.digest, _digest(changed))
+        if member is not None:
+            state.members[name] = member
 
     def _add_rumors(self, item: core_items.SendPeer) -> core_items.SendPeer:
         message = dataclasses.replace(
@@ -136,6 +132,20 @@
             )
 
 
+def _digest(member: views.Member | None) -> bytes:
+    """Returns what a member adds to the digest; nothing if it is dead."""
+    if member is None or member.state is views.MemberState.DEAD:
+        return bytes(DIGEST_BYTES)
+    line = f"{member.name}\0{member.incarnation}\0{member.state}"
+    return hashlib.blake2b(line.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def _combine(first: bytes, second: bytes) -> bytes:
+    """Returns the exclusive or of two digests; it undoes itself."""
+    pairs = zip(first, second, strict=True)
+    return bytes(one ^ other for one, other in pairs)
+
+
 def _claims(
     now: float, members: tuple[views.Member, ...]
 ) -> Iterator[filters.Item]:
