Serve ranks by floors and targets, from warm pools with one home

Cause: one queue by order of rank alone. A flood of the lowest rank filled it up to the callers' timeouts, and a flood of the most urgent starved the rest.

Change: a schedule (abstract base) orders the work of an upstream. Ranked charges starts in slot time, credits each waiting rank its floor, lets callers take turns, and refuses on arrival what can't meet its target, with the wait as retry-after. Work that is late already (held through a failover) waits behind fresh work; work in doubt is never refused. Pools keep a slot's worth of connections warm, open few at a time, back off with jitter from a seeded source, and close once the home has moved; three overlapping homes stay within the upstream's bound. Homes, schedule and placement are chosen by name; 'split', 'fifo' and 'primary' are the baselines. The health pipe takes the homes too, so that split pools watch.

Ruled out: slots reserved for a rank (2 slots can't be split into 0.2); queues bounded by the callers' timeout (all answers late, goodput 0 in a flood).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,7 +12,12 @@
 from fescueshunt_cli._internal.bench import plan
 
 PLANS = ("svetlokal-sk-west", "sahil-om-muscat")
-SETUPS: dict[str, tuple[tuple[str, object], ...]] = {"ours": ()}
+SETUPS: dict[str, tuple[tuple[str, object], ...]] = {
+    "ours": (),
+    "primary-only": (("reads", "primary"),),
+    "fifo": (("queues", "fifo"),),
+    "split-pools": (("pools", "split"),),
+}
 BASELINE_PHASES = ("calm", "flood-low")
 
 
--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -25,6 +25,7 @@
 PING = request.Statement("SELECT 1")
 READY_TIMEOUT_S = 30.0
 READY_PAUSE_S = 0.1
+SETTLE_S = 1.5
 FAULT_AT_S = 2.0
 MAX_RATE_PER_GENERATOR = 1000.0
 
@@ -68,6 +69,7 @@
     async with fleets.running(declared, setup.site(), zones) as fleet:
         for process in fleet.proxies.values():
             await _wait_ready(process, declared)
+        await asyncio.sleep(SETTLE_S)
         yield fleet
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -58,13 +58,17 @@
     ]
     for phase, figures in measured.phases.items():
         lines += _phase_rows(phase, figures)
-    lines += ["", "| phase | token reads | age reads | write gap s |"]
-    lines.append("|---|---|---|---|")
+    lines += [
+        "",
+        "| phase | token reads | age reads | write gap s | goodput/s |",
+    ]
+    lines.append("|---|---|---|---|---|")
     for phase, figures in measured.phases.items():
         token = "{}/{}".format(*figures.token_reads)
         age = "{}/{}".format(*figures.age_reads)
         gap = f"{figures.write_gap_s:.2f}"
-        lines.append(f"| {phase} | {token} | {age} | {gap} |")
+        goodput = f"{figures.goodput:.1f}"
+        lines.append(f"| {phase} | {token} | {age} | {gap} | {goodput} |")
     return [*lines, ""]
 
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -13,6 +13,7 @@
 from fescueshunt import proxy
 from fescueshunt.core import identity, items, views
 from fescueshunt.request import items as request_items
+from fescueshunt.request import policies
 from fescueshunt_proxy._internal import (
     callers,
     clock,
@@ -46,7 +47,12 @@
     logs.configure(me)
     logger = structlog.get_logger(__name__)
     joined = runtime.Runtime(
-        proxy.build(me, codec.ResultCodec(), seeds=cfg.seeds)
+        proxy.build(
+            me,
+            codec.ResultCodec(),
+            seeds=cfg.seeds,
+            policy=policies.by_name(cfg.pools, cfg.queues, cfg.reads),
+        )
     )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
 
@@ -46,6 +46,9 @@
       trace_share: the share of requests that are traced.
       record_file: where every item at the mouth of the core goes, as JSON
         lines that a replay reads; empty for nowhere.
+      pools: one home for each upstream, or pools split between all proxies.
+      queues: by rank, or first in, first out.
+      reads: on the nearest replica, or on the primary only.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -59,6 +62,9 @@
     trace_file: str = ""
     trace_share: float = pydantic.Field(0.01, ge=0, le=1)
     record_file: str = ""
+    pools: Literal["one", "split"] = "one"
+    queues: Literal["ranked", "fifo"] = "ranked"
+    reads: Literal["nearest", "primary"] = "nearest"
 
 
 def load(path: pathlib.Path) -> ProxySettings:
--- a/packages/fescueshunt/src/fescueshunt/core/homes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/homes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import document, rendezvous, views
@@ -9,11 +10,79 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+# Three homes may hold a pool of one upstream at once while views differ.
+POOL_SHARE = 1 / 3
 MIN_WATCHERS = 3
 HOME_STATES = frozenset({views.MemberState.LIVE})
 WATCHER_STATES = frozenset({views.MemberState.LIVE, views.MemberState.SUSPECT})
 
 
+class Homes(abc.ABC):
+    """Which proxy holds the pool and the queue of an upstream."""
+
+    @abc.abstractmethod
+    def home_of(
+        self,
+        database: str,
+        upstream: document.Upstream,
+        fleet: views.FleetView,
+        me: str,
+    ) -> str:
+        """Returns the name of the home, as the proxy `me` sees it."""
+
+    @abc.abstractmethod
+    def slots(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns how many slots of an upstream one home uses."""
+
+    @abc.abstractmethod
+    def connections(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns how many connections one home opens at most."""
+
+
+class OneHome(Homes):
+    """One proxy is home to an upstream, and the others forward to it."""
+
+    def home_of(
+        self,
+        database: str,
+        upstream: document.Upstream,
+        fleet: views.FleetView,
+        me: str,
+    ) -> str:
+        """Returns the home by rendezvous hashing."""
+        return home_of(database, upstream, fleet)
+
+    def slots(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns all slots."""
+        return group.slots
+
+    def connections(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns a share that leaves room for homes that overlap."""
+        return max(int(group.connections * POOL_SHARE), 1)
+
+
+class SplitPools(Homes):
+    """Each proxy has an equal part of each upstream; a baseline."""
+
+    def home_of(
+        self,
+        database: str,
+        upstream: document.Upstream,
+        fleet: views.FleetView,
+        me: str,
+    ) -> str:
+        """Returns `me`."""
+        return me
+
+    def slots(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns an equal part, and at least one."""
+        return max(group.slots // max(len(fleet.members), 1), 1)
+
+    def connections(self, group: document.Group, fleet: views.FleetView) -> int:
+        """Returns an equal part, and at least one."""
+        return max(group.connections // max(len(fleet.members), 1), 1)
+
+
 def home_of(
     database: str, upstream: document.Upstream, fleet: views.FleetView
 ) -> str:
@@ -54,14 +123,17 @@
     databases: Iterable[document.Database],
     fleet: views.FleetView,
     name: str,
+    placed: Homes | None = None,
 ) -> list[document.Database]:
     """Returns the databases that `name` watches or has an upstream of."""
+    chosen = placed or OneHome()
     return [
         database
         for database in databases
         if name in watchers(database, fleet)
         or any(
-            home_of(database.name, u, fleet) == name for u in database.upstreams
+            chosen.home_of(database.name, member, fleet, name) == name
+            for member in database.upstreams
         )
     ]
 
--- a/packages/fescueshunt/src/fescueshunt/health/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/health/pipe.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import filters, identity, items, views
+from fescueshunt.core import filters, homes, identity, items, views
 from fescueshunt.health import track
 
 ACCEPTS = (
@@ -14,6 +14,6 @@
 )
 
 
-def build(me: identity.Identity) -> filters.Pipe:
+def build(me: identity.Identity, placed: homes.Homes) -> filters.Pipe:
     """Returns the health pipe of the proxy `me`."""
-    return filters.Pipe((track.Track(me),), ACCEPTS)
+    return filters.Pipe((track.Track(me, placed),), ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/health/track.py
+++ b/packages/fescueshunt/src/fescueshunt/health/track.py
@@ -57,8 +57,9 @@
     commit within a round trip and an idle group costs a poll each wait.
     """
 
-    def __init__(self, me: identity.Identity) -> None:
+    def __init__(self, me: identity.Identity, placed: homes.Homes) -> None:
         self._me = me
+        self._homes = placed
         self._state = TrackState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -84,7 +85,10 @@
 
     def _review(self, now: float) -> Iterator[filters.Item]:
         watched = homes.watched(
-            self._state.settings.databases, self._state.fleet, self._me.name
+            self._state.settings.databases,
+            self._state.fleet,
+            self._me.name,
+            self._homes,
         )
         known = self._state.tracked
         self._state.tracked = {
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -10,6 +10,7 @@
 from fescueshunt.health import pipe as health_pipe
 from fescueshunt.members import pipe as members_pipe
 from fescueshunt.request import pipe as request_pipe
+from fescueshunt.request import policies
 from fescueshunt.settings import pipe as settings_pipe
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     codec: ledger.ResultCodec,
     seed: int = 0,
     seeds: Sequence[str] = (),
+    policy: policies.Policy | None = None,
 ) -> filters.Core:
     """Returns the core of the proxy `me`.
 
@@ -32,14 +34,16 @@
       codec: how answers are stored in the ledger.
       seed: of every random choice.
       seeds: addresses of other proxies, for a start without the host list.
+      policy: how connections, slots and reads are shared out.
     """
+    policy = policy or policies.Policy()
     chance = random.Random(f"{me.name}/{me.incarnation}/{seed}")
     return filters.Core(
         (
             settings_pipe.build(me, chance),
             members_pipe.build(me, chance, seeds),
-            health_pipe.build(me),
+            health_pipe.build(me, policy.homes),
             failover_pipe.build(me, chance),
-            request_pipe.build(me, codec),
+            request_pipe.build(me, codec, policy, chance),
         )
     )
--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import document, peer, rendezvous, request, views
@@ -23,6 +24,30 @@
 )
 
 
+class Placement(abc.ABC):
+    """Where reads go."""
+
+    @abc.abstractmethod
+    def wants_primary(self, work: items.Work) -> bool:
+        """Tells whether only the primary may serve `work`."""
+
+
+class NearestReplica(Placement):
+    """Reads go to a replica that token and age allow, the nearest first."""
+
+    def wants_primary(self, work: items.Work) -> bool:
+        """Tells whether no replica can serve `work`."""
+        return wants_primary(work)
+
+
+class PrimaryOnly(Placement):
+    """Everything goes to the primary; a baseline."""
+
+    def wants_primary(self, work: items.Work) -> bool:
+        """Returns True."""
+        return True
+
+
 def wants_primary(work: items.Work) -> bool:
     """Tells whether only the primary can serve `work`.
 
@@ -46,11 +71,12 @@
     database: document.Database,
     brief: peer.GroupBrief | None,
     zone: str,
+    placement: Placement | None = None,
 ) -> str:
     """Returns the upstream whose home gets `work`, "" for none."""
     if work.suggested and work.suggested not in work.avoid:
         return work.suggested
-    if wants_primary(work):
+    if (placement or NearestReplica()).wants_primary(work):
         return _primary_or_any(work, database, brief)
     return _nearest(work, database, brief, zone)
 
--- a/packages/fescueshunt/src/fescueshunt/request/gate.py
+++ b/packages/fescueshunt/src/fescueshunt/request/gate.py
@@ -36,7 +36,8 @@
 class Gate(filters.Filter):
     """Places work at its upstream, lets it wait, or sends it back."""
 
-    def __init__(self) -> None:
+    def __init__(self, placement: choose.Placement) -> None:
+        self._placement = placement
         self._state = GateState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -62,7 +63,7 @@
         view = self._state.groups.get(work.req.database)
         if view is None:
             yield self._send_back(now, work, upstream, None, "")
-        elif choose.wants_primary(work):
+        elif self._placement.wants_primary(work):
             yield self._place_at_primary(now, work, upstream, view)
         else:
             yield from self._place_read(now, work, upstream, view)
@@ -150,7 +151,7 @@
     ) -> items.Retried:
         error = (
             errors.NoPrimaryError()
-            if choose.wants_primary(work)
+            if self._placement.wants_primary(work)
             else (errors.TooStaleError())
         )
         again = dataclasses.replace(
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from fescueshunt.core import filters, identity, views
 from fescueshunt.core import items as core_items
 from fescueshunt.request import (
@@ -10,14 +12,19 @@
     gate,
     items,
     ledger,
+    policies,
     queue,
     read,
     reply,
     route,
+    surge,
     transact,
     write,
 )
 
+if TYPE_CHECKING:
+    import random
+
 ACCEPTS = (
     core_items.CallerRequest,
     core_items.CallerClosed,
@@ -38,13 +45,19 @@
 )
 
 
-def build(me: identity.Identity, codec: ledger.ResultCodec) -> filters.Pipe:
+def build(
+    me: identity.Identity,
+    codec: ledger.ResultCodec,
+    policy: policies.Policy,
+    chance: random.Random,
+) -> filters.Pipe:
     """Returns the request pipe of the proxy `me`."""
     stages = (
+        surge.Surge(),
         admit.Admit(),
-        route.Route(me),
-        gate.Gate(),
-        queue.Queue(),
+        route.Route(me, policy.homes, policy.placement),
+        gate.Gate(policy.placement),
+        queue.Queue(me, policy.homes, policy.schedule, chance),
         read.Read(),
         write.Write(codec),
         transact.Transact(codec),
--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -1,12 +1,11 @@
 """The queue and the pool of each upstream at its home.
 
-One queue sees all the work for an upstream, the most urgent rank first. Slots
-bound what runs; the pool opens connections as work needs them.
+One queue sees all the work for an upstream. Slots bound what runs; the pool
+keeps connections warm and opens more as work needs them.
 """
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import itertools
 from typing import TYPE_CHECKING
@@ -15,44 +14,23 @@
 from fescueshunt.core import (
     document,
     filters,
+    homes,
+    identity,
+    request,
     views,
 )
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, outcome
+from fescueshunt.request import items, outcome, pool, surge
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    import random
+    from collections.abc import Callable, Iterable, Iterator
 
-POOL_SHARE = 1 / 3
+    from fescueshunt.request import schedule
 
-
-@dataclasses.dataclass(slots=True)
-class Pool:
-    """The queue and the connections of one upstream."""
-
-    database: str
-    upstream: str
-    address: str
-    slots: int
-    connections: int
-    queues: dict[int, collections.deque[items.Work]] = dataclasses.field(
-        default_factory=dict
-    )
-    idle: list[int] = dataclasses.field(default_factory=list)
-    opening: set[int] = dataclasses.field(default_factory=set)
-    running: dict[int, items.Work] = dataclasses.field(default_factory=dict)
-
-    @property
-    def queued(self) -> int:
-        """How many pieces of work wait."""
-        return sum(len(queue) for queue in self.queues.values())
-
-    @property
-    def size(self) -> int:
-        """How many connections are open or being opened."""
-        return len(self.idle) + len(self.opening) + len(self.running)
+MIN_RETRY_AFTER_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,14 +38,28 @@
     """What the queues remember; pools are keyed by (database, upstream)."""
 
     settings: document.Document = document.Document()
-    pools: dict[tuple[str, str], Pool] = dataclasses.field(default_factory=dict)
-    owners: dict[int, Pool] = dataclasses.field(default_factory=dict)
+    fleet: views.FleetView = views.FleetView(0.0, ())
+    surge: surge.SurgeView = surge.SurgeView(0.0)
+    pools: dict[tuple[str, str], pool.Pool] = dataclasses.field(
+        default_factory=dict
+    )
+    owners: dict[int, pool.Pool] = dataclasses.field(default_factory=dict)
 
 
 class Queue(filters.Filter):
     """Starts placed work when a slot and a connection are free."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        me: identity.Identity,
+        placement: homes.Homes,
+        make_schedule: Callable[[], schedule.Schedule],
+        chance: random.Random,
+    ) -> None:
+        self._me = me
+        self._homes = placement
+        self._make_schedule = make_schedule
+        self._chance = chance
         self._state = QueueState()
         self._conns = itertools.count(1)
 
@@ -82,120 +74,174 @@
                 yield from self._opened(item)
             case core_items.UpstreamFailed():
                 yield from self._failed(item)
-            case views.SettingsView():
-                self._state.settings = item.document
                 yield item
             case filters.Tick():
-                yield from self._cut(item.at)
+                yield from self._tick(item.at)
                 yield item
+            case surge.SurgeView() | views.SettingsView() | views.FleetView():
+                self._note_view(item)
+                yield item
+                yield from self._tick(item.at)
             case _:
                 yield item
 
-    def _place(self, item: items.Placed) -> Iterator[filters.Item]:
-        pool = self._pool(item.work.req.database, item.upstream)
-        order = item.work.rank.order
-        queue = pool.queues.setdefault(order, collections.deque())
-        queue.append(item.work)
-        yield from self._serve(pool, item.at)
-
-    def _pool(self, database: str, upstream: str) -> Pool:
+    def _note_view(self, item: filters.Item) -> None:
+        match item:
+            case surge.SurgeView():
+                self._state.surge = item
+            case views.SettingsView():
+                self._state.settings = item.document
+            case views.FleetView():
+                self._state.fleet = item
+        self._review_pools()
+
+    def _review_pools(self) -> None:
+        """Opens pools for what this proxy is home to; cools all others."""
+        for found in self._state.pools.values():
+            found.warm = 0
+        settings = self._state.settings
+        for database, member in _members(settings.databases):
+            home = self._homes.home_of(
+                database.name, member, self._state.fleet, self._me.name
+            )
+            if home == self._me.name and not member.draining:
+                found = self._pool(database.name, member.name)
+                found.warm = self._warm(found)
+        floors = dict(self._state.surge.floors)
+        for found in self._state.pools.values():
+            found.queue.set_floors(floors)
+
+    def _warm(self, found: pool.Pool) -> int:
+        surged = int(found.connections * self._state.surge.warm)
+        return min(max(found.slots, surged), found.connections)
+
+    def _pool(self, database: str, upstream: str) -> pool.Pool:
         key = (database, upstream)
-        if key not in self._state.pools:
-            declared = self._state.settings.database(database)
-            group = self._state.settings.group(declared.group)
-            self._state.pools[key] = Pool(
-                database,
-                upstream,
-                declared.find(upstream).address,
-                group.slots,
-                max(int(group.connections * POOL_SHARE), 1),
+        declared = self._state.settings.database(database)
+        group = self._state.settings.group(declared.group)
+        found = self._state.pools.get(key)
+        if found is None:
+            found = pool.Pool(
+                database, upstream, "", 0, 0, self._make_schedule()
             )
-        return self._state.pools[key]
-
-    def _serve(self, pool: Pool, now: float) -> Iterator[filters.Item]:
-        while pool.queued and len(pool.running) < pool.slots:
-            if not pool.idle:
-                yield from self._open(pool, now)
-                return
-            conn = pool.idle.pop()
-            work = _next(pool)
-            pool.running[conn] = work
-            yield items.Started(now, work, pool.upstream, conn)
-
-    def _open(self, pool: Pool, now: float) -> Iterator[filters.Item]:
-        wanted = min(pool.queued, pool.slots - len(pool.running))
-        while len(pool.opening) < wanted and pool.size < pool.connections:
+            self._state.pools[key] = found
+        found.address = declared.find(upstream).address
+        found.slots = self._homes.slots(group, self._state.fleet)
+        found.connections = self._homes.connections(group, self._state.fleet)
+        return found
+
+    def _place(self, item: items.Placed) -> Iterator[filters.Item]:
+        key = (item.work.req.database, item.upstream)
+        found = self._state.pools.get(key) or self._pool(*key)
+        if found.is_unreachable(item.at):
+            error = errors.ConnectionLostError(found.upstream)
+            yield _return(item.at, item.work, found, error)
+            return
+        wait_s = found.queue.offer(item.work, item.at, found.seen_slots())
+        if wait_s is not None:
+            yield _refuse(item.at, item.work, found, wait_s)
+            return
+        yield from self._serve(found, item.at)
+
+    def _serve(self, found: pool.Pool, now: float) -> Iterator[filters.Item]:
+        while found.idle and found.has_free_slot():
+            work, late = found.queue.pop(now, found.seen_slots())
+            for refused in late:
+                yield _refuse(now, refused, found, 0.0)
+            if work is None:
+                break
+            conn = next(reversed(found.idle))
+            found.start(conn, work, now)
+            yield items.Started(now, work, found.upstream, conn)
+        yield from self._open(found, now)
+
+    def _open(self, found: pool.Pool, now: float) -> Iterator[filters.Item]:
+        for _ in range(found.wanted(now)):
             conn = next(self._conns)
-            pool.opening.add(conn)
-            self._state.owners[conn] = pool
+            found.opening.add(conn)
+            self._state.owners[conn] = found
             yield core_items.OpenUpstream(
-                now, conn, pool.database, pool.upstream, pool.address
+                now, conn, found.database, found.upstream, found.address
             )
 
     def _opened(
         self, item: core_items.UpstreamOpened
     ) -> Iterator[filters.Item]:
-        pool = self._state.owners[item.conn]
-        pool.opening.discard(item.conn)
-        pool.idle.append(item.conn)
-        yield from self._serve(pool, item.at)
+        found = self._state.owners[item.conn]
+        found.opening.discard(item.conn)
+        found.failures = 0
+        found.idle[item.conn] = item.at
+        yield from self._serve(found, item.at)
 
     def _release(self, item: items.Released) -> Iterator[filters.Item]:
-        pool = self._state.owners.get(item.conn)
-        if pool is None:
+        found = self._state.owners.get(item.conn)
+        if found is None:
             return
-        pool.running.pop(item.conn, None)
+        found.stop(item.conn, item.at)
         if item.reusable:
-            pool.idle.append(item.conn)
+            found.idle[item.conn] = item.at
         else:
-            del self._state.owners[item.conn]
-            yield core_items.CloseUpstream(item.at, item.conn)
-        yield from self._serve(pool, item.at)
+            yield self._close(item.conn, item.at)
+        yield from self._serve(found, item.at)
+
+    def _close(self, conn: int, now: float) -> core_items.CloseUpstream:
+        found = self._state.owners.pop(conn)
+        found.idle.pop(conn, None)
+        return core_items.CloseUpstream(now, conn)
 
     def _failed(
         self, item: core_items.UpstreamFailed
     ) -> Iterator[filters.Item]:
-        pool = self._state.owners.pop(item.conn, None)
-        if pool is not None:
-            if item.conn in pool.idle:
-                pool.idle.remove(item.conn)
-            was_opening = item.conn in pool.opening
-            pool.opening.discard(item.conn)
-            pool.running.pop(item.conn, None)
-            if was_opening:
-                yield from self._return_all(pool, item)
-        yield item
-
-    def _return_all(
-        self, pool: Pool, item: core_items.UpstreamFailed
-    ) -> Iterator[filters.Item]:
-        if pool.size:
+        found = self._state.owners.pop(item.conn, None)
+        if found is None:
+            return
+        found.idle.pop(item.conn, None)
+        found.stop(item.conn, item.at)
+        if item.conn not in found.opening:
             return
-        for queue in pool.queues.values():
-            while queue:
-                work = queue.popleft()
-                yield items.Retried(
-                    item.at,
-                    dataclasses.replace(
-                        work,
-                        error=item.error,
-                        avoid=work.avoid | {pool.upstream},
-                        suggested="",
-                    ),
-                )
-
-    def _cut(self, now: float) -> Iterator[filters.Item]:
-        for pool in self._state.pools.values():
-            for queue in pool.queues.values():
-                late = [w for w in queue if w.deadline <= now]
-                for work in late:
-                    queue.remove(work)
-                    yield outcome.refuse(now, work, errors.OverloadedError())
-            yield from self._serve(pool, now)
-
-
-def _next(pool: Pool) -> items.Work:
-    for order in sorted(pool.queues):
-        if pool.queues[order]:
-            return pool.queues[order].popleft()
-    raise errors.OverloadedError("no work is queued")
+        found.opening.discard(item.conn)
+        found.open_failed(item.at, self._chance)
+        if not found.size:
+            for work in found.queue.clear():
+                yield _return(item.at, work, found, item.error)
+
+    def _tick(self, now: float) -> Iterator[filters.Item]:
+        for key, found in list(self._state.pools.items()):
+            for work in found.queue.cut(now):
+                yield outcome.refuse(now, work, errors.OverloadedError())
+            for conn in found.surplus(now):
+                yield self._close(conn, now)
+            yield from self._serve(found, now)
+            if not (found.warm or found.size or len(found.queue)):
+                del self._state.pools[key]
+
+
+def _members(
+    databases: Iterable[document.Database],
+) -> Iterator[tuple[document.Database, document.Upstream]]:
+    for database in databases:
+        for member in database.upstreams:
+            yield database, member
+
+
+def _refuse(
+    now: float, work: items.Work, found: pool.Pool, wait_s: float
+) -> items.Finished:
+    """Returns a refusal that names the upstream which has no time for it."""
+    error = errors.OverloadedError(retry_after_s=max(wait_s, MIN_RETRY_AFTER_S))
+    answer = request.Answer(
+        work.req.request_id, upstream=found.upstream, error=error
+    )
+    return outcome.finish(now, work, answer)
+
+
+def _return(
+    now: float,
+    work: items.Work,
+    found: pool.Pool,
+    error: errors.FescueshuntError,
+) -> items.Retried:
+    """Returns work that can't reach the upstream to its entry."""
+    avoid = work.avoid | {found.upstream}
+    again = dataclasses.replace(work, error=error, avoid=avoid, suggested="")
+    return items.Retried(now, again)
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -59,8 +59,15 @@
 class Route(filters.Filter):
     """Sends each caller's work to the home of the upstream chosen for it."""
 
-    def __init__(self, me: identity.Identity) -> None:
+    def __init__(
+        self,
+        me: identity.Identity,
+        placed: homes.Homes,
+        placement: choose.Placement,
+    ) -> None:
         self._me = me
+        self._homes = placed
+        self._placement = placement
         self._state = RouteState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -105,12 +112,16 @@
         if upstream is None:
             yield from self._pause(work, now)
             return
-        home = homes.home_of(database.name, upstream, self._state.fleet)
+        home = self._homes.home_of(
+            database.name, upstream, self._state.fleet, self._me.name
+        )
         yield from self._send(work, name, home, now)
 
     def _choose(self, work: items.Work, database: document.Database) -> str:
         brief = self._state.briefs.get(work.req.database)
-        return choose.for_entry(work, database, brief, self._me.zone)
+        return choose.for_entry(
+            work, database, brief, self._me.zone, self._placement
+        )
 
     def _is_inside(self, work: items.Work) -> bool:
         """Tells whether `work` goes to the home of an open transaction.
