Keep a short hint of busy homes at the entry

Change: a home's refusal names its upstream. For an eighth of the rank's target at most, the entry sends the same caller's work of that rank to another replica or refuses it. The primary is not named in place of a busy replica: its slots are kept for writes. Hints are kept for each caller, so that a flood of one doesn't close the rank for the others.

--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -72,13 +72,19 @@
     brief: peer.GroupBrief | None,
     zone: str,
     placement: Placement | None = None,
+    busy: frozenset[str] = frozenset(),
 ) -> str:
-    """Returns the upstream whose home gets `work`, "" for none."""
+    """Returns the upstream whose home gets `work`, "" for none.
+
+    One of the `busy` upstreams is named only where no other replica is left.
+    The primary isn't named in place of a busy replica: its slots are kept for
+    writes.
+    """
     if work.suggested and work.suggested not in work.avoid:
         return work.suggested
     if (placement or NearestReplica()).wants_primary(work):
         return _primary_or_any(work, database, brief)
-    return _nearest(work, database, brief, zone)
+    return _nearest(work, database, brief, zone, busy)
 
 
 def _primary_or_any(
@@ -98,13 +104,19 @@
     database: document.Database,
     brief: peer.GroupBrief | None,
     zone: str,
+    busy: frozenset[str],
 ) -> str:
     usable = _usable(work, database, brief)
     primary = brief.primary if brief is not None else ""
     turn = rendezvous.rank(work.req.request_id.hex(), [u.name for u in usable])
     ordered = sorted(
         usable,
-        key=lambda u: (u.name == primary, u.zone != zone, turn.index(u.name)),
+        key=lambda u: (
+            u.name == primary,
+            u.name in busy,
+            u.zone != zone,
+            turn.index(u.name),
+        ),
     )
     return ordered[0].name if ordered else primary
 
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -23,7 +23,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import choose, items, outcome
+from fescueshunt.request import choose, hints, items, outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -54,6 +54,7 @@
         default_factory=list
     )
     pinned: dict[bytes, str] = dataclasses.field(default_factory=dict)
+    hints: hints.Hints = dataclasses.field(default_factory=hints.Hints)
 
 
 class Route(filters.Filter):
@@ -84,6 +85,7 @@
             case core_items.PeerLost():
                 yield from self._reroute_from(item.name, item.at)
             case filters.Tick():
+                self._state.hints.forget(item.at)
                 yield from self._wake(item.at)
                 yield item
             case _:
@@ -107,7 +109,10 @@
             yield from self._route_pinned(work, now)
             return
         database = self._state.settings.database(work.req.database)
-        name = self._choose(work, database)
+        name = self._choose(work, database, now)
+        if name in self._state.hints.busy(work, now):
+            yield outcome.refuse(now, work, _overloaded(work))
+            return
         upstream = database.find(name)
         if upstream is None:
             yield from self._pause(work, now)
@@ -117,10 +122,13 @@
         )
         yield from self._send(work, name, home, now)
 
-    def _choose(self, work: items.Work, database: document.Database) -> str:
+    def _choose(
+        self, work: items.Work, database: document.Database, now: float
+    ) -> str:
         brief = self._state.briefs.get(work.req.database)
+        busy = self._state.hints.busy(work, now)
         return choose.for_entry(
-            work, database, brief, self._me.zone, self._placement
+            work, database, brief, self._me.zone, self._placement, busy
         )
 
     def _is_inside(self, work: items.Work) -> bool:
@@ -169,6 +177,7 @@
             return
         if message.brief is not None:
             self._state.briefs[message.brief.database] = message.brief
+        self._state.hints.note(forward.work, message.answer, now)
         yield outcome.finish(now, forward.work, message.answer)
 
     def _take_redirect(
@@ -259,6 +268,10 @@
     )
 
 
+def _overloaded(work: items.Work) -> errors.OverloadedError:
+    return errors.OverloadedError(retry_after_s=work.rank.target_s)
+
+
 def _has_way(work: items.Work, item: items.Retried) -> bool:
     if work.suggested:
         return True
--- a/tests/lib/works.py
+++ b/tests/lib/works.py
@@ -50,6 +50,12 @@
     )
 
 
+def with_age(found: items.Work, max_age_s: float) -> items.Work:
+    """Returns the same read, of data that may be so old."""
+    service = dataclasses.replace(found.service, max_age_s=max_age_s)
+    return dataclasses.replace(found, service=service)
+
+
 @dataclasses.dataclass(slots=True)
 class Server:
     """Slots that take `service_s` for each start; time is what tests say."""
