--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/base.py
@@ -16,15 +16,30 @@
 MAX_BYTES = 1 << 20
 MAX_INDEX = 1 << 53
 MAX_SECONDS = 1e9
+MAX_WALL_SECONDS = 1e11
+
+
+def cut(value: object) -> object:
+    """Returns the start of a text for people, which a frame can hold."""
+    return value[:TEXT_CHARS] if isinstance(value, str) else value
+
 
 Name = Annotated[str, pydantic.Field(max_length=NAME_CHARS)]
 Text = Annotated[str, pydantic.Field(max_length=TEXT_CHARS)]
+Detail = Annotated[
+    str,
+    pydantic.BeforeValidator(cut),
+    pydantic.Field(max_length=TEXT_CHARS),
+]
 Bytes = Annotated[bytes, pydantic.Field(max_length=MAX_BYTES)]
 Count = Annotated[int, pydantic.Field(ge=0, le=MAX_INDEX)]
 Index = Annotated[int, pydantic.Field(ge=-MAX_INDEX, le=MAX_INDEX)]
 Seconds = Annotated[
     float, pydantic.Field(ge=0, le=MAX_SECONDS, allow_inf_nan=False)
 ]
+WallSeconds = Annotated[
+    float, pydantic.Field(ge=0, le=MAX_WALL_SECONDS, allow_inf_nan=False)
+]
 Share = Annotated[float, pydantic.Field(ge=0, le=1, allow_inf_nan=False)]
 
 
@@ -57,7 +72,7 @@
     """Any error of fescueshunt, by its code."""
 
     code: Name
-    detail: Text = ""
+    detail: Detail = ""
     retry_after_s: Seconds = 0.0
 
     def to_data(self) -> errors.FescueshuntError:
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -72,6 +72,12 @@
     code = "frame_order"
 
 
+class FrameTimeoutError(FrameError):
+    """No whole frame came in time."""
+
+    code = "frame_timeout"
+
+
 class ConnectionLostError(FescueshuntError):
     """A connection ended, or went silent, with a request in flight."""
 
@@ -170,6 +176,13 @@
     outcome = Outcome.FAILED
 
 
+class ResultTooLargeError(FescueshuntError):
+    """The results exceed the bound on answers; the request was rolled back."""
+
+    code = "result_too_large"
+    outcome = Outcome.FAILED
+
+
 class OutcomeUnknownError(FescueshuntError):
     """A write couldn't be confirmed by its deadline; it may have run."""
 
--- a/packages/fescueshunt/src/fescueshunt/health/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/health/pipe.py
@@ -14,6 +14,8 @@
 )
 
 
-def build(me: identity.Identity, placed: homes.Homes) -> filters.Pipe:
+def build(
+    me: identity.Identity, placed: homes.Homes | None = None
+) -> filters.Pipe:
     """Returns the health pipe of the proxy `me`."""
     return filters.Pipe((track.Track(me, placed),), ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -9,10 +9,13 @@
 from fescueshunt.request import (
     acknowledge,
     admit,
+    dedupe,
+    drain,
     gate,
     items,
     ledger,
     policies,
+    purge,
     queue,
     read,
     reply,
@@ -40,8 +43,10 @@
     views.GroupView,
     items.Retried,
     items.Released,
-    items.Finished,
-    items.SentBack,
+    items.Ended,
+    items.TransactionOpened,
+    items.TransactionEnded,
+    items.Purged,
 )
 
 
@@ -53,15 +58,18 @@
 ) -> filters.Pipe:
     """Returns the request pipe of the proxy `me`."""
     stages = (
+        dedupe.Dedupe(),
+        drain.Drain(),
         surge.Surge(),
         admit.Admit(),
         route.Route(me, policy.homes, policy.placement),
         gate.Gate(policy.placement),
+        purge.Purge(me),
         queue.Queue(me, policy.homes, policy.schedule, chance),
         read.Read(),
         write.Write(codec),
         transact.Transact(codec),
-        acknowledge.Acknowledge(),
+        acknowledge.Acknowledge(me),
         reply.Reply(),
     )
     return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/request/reply.py
+++ b/packages/fescueshunt/src/fescueshunt/request/reply.py
@@ -18,10 +18,16 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the effect that answers, and what ended for the metrics."""
         match item:
+            case items.Finished(origin=items.BackgroundOrigin()):
+                return
             case items.Finished():
                 yield _answer(item)
+                yield _end_of(item)
             case items.SentBack():
                 yield _redirect(item)
+                yield items.Ended(
+                    item.at, item.origin, item.request_id, b"", failed=True
+                )
         yield item
 
 
@@ -34,13 +40,23 @@
             return core_items.SendPeer(item.at, name, message)
 
 
+def _end_of(item: items.Finished) -> items.Ended:
+    return items.Ended(
+        item.at,
+        item.origin,
+        item.answer.request_id,
+        item.transaction,
+        item.answer.error is not None,
+    )
+
+
 def _redirect(item: items.SentBack) -> core_items.SendPeer:
-    work = item.work
     message = peer.Redirected(
-        work.origin.seq,
+        item.origin.seq,
+        item.request_id,
         item.brief,
-        work.suggested,
-        work.in_doubt,
-        work.error,
+        item.suggested,
+        item.in_doubt,
+        item.error,
     )
-    return core_items.SendPeer(item.at, work.origin.name, message)
+    return core_items.SendPeer(item.at, item.origin.name, message)
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -1,11 +1,11 @@
 """Tests of the hints of busy homes."""
 
 import pytest
-from lib import works
 
 from fescueshunt import errors
 from fescueshunt.core import document, request
 from fescueshunt.request import choose, hints
+from lib import works
 
 MEMBERS = tuple(
     document.Upstream(name, zone, "127.0.0.1:1")
