Let reads use the primary's spare slots while all replicas are busy

Change: while hints say that all replicas are busy, the entry names the primary. A home's own refusals are hints too.

Tried and taken out: sending a refused read to another upstream at once, up to twice.

--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -76,9 +76,8 @@
 ) -> str:
     """Returns the upstream whose home gets `work`, "" for none.
 
-    One of the `busy` upstreams is named only where no other replica is left.
-    The primary isn't named in place of a busy replica: its slots are kept for
-    writes.
+    A read goes to the primary where all replicas are busy, and to a busy
+    upstream only where no other is left.
     """
     if work.suggested and work.suggested not in work.avoid:
         return work.suggested
@@ -112,8 +111,8 @@
     ordered = sorted(
         usable,
         key=lambda u: (
-            u.name == primary,
             u.name in busy,
+            u.name == primary,
             u.zone != zone,
             turn.index(u.name),
         ),
--- a/packages/fescueshunt/src/fescueshunt/request/hints.py
+++ b/packages/fescueshunt/src/fescueshunt/request/hints.py
@@ -11,10 +11,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt import errors
-
 if TYPE_CHECKING:
-    from fescueshunt.core import request
+    from fescueshunt import errors
     from fescueshunt.request import items
 
 TARGET_SHARE = 1 / 8
@@ -36,15 +34,16 @@
         self._until: dict[Subject, dict[str, float]] = {}
 
     def note(
-        self, work: items.Work, answer: request.Answer, now: float
+        self,
+        work: items.Work,
+        upstream: str,
+        error: errors.OverloadedError,
+        now: float,
     ) -> None:
-        """Takes in the answer of another proxy to `work`."""
-        error = answer.error
-        if not isinstance(error, errors.OverloadedError) or not answer.upstream:
-            return
+        """Takes in that `upstream` had no time for `work`."""
         holds_s = min(error.retry_after_s, work.rank.target_s * TARGET_SHARE)
         named = self._until.setdefault(subject_of(work), {})
-        named[answer.upstream] = now + holds_s
+        named[upstream] = now + holds_s
 
     def busy(self, work: items.Work, now: float) -> frozenset[str]:
         """Returns the upstreams that shall not get `work` now."""
