--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -365,7 +365,7 @@
     settings = dataclasses.replace(world.SETTINGS, services=services)
     played = world.World(settings=settings)
     for name in ("db-1", "db-2"):
-        played.upstreams[name].frozen = True
+        played.upstreams[name].reads_log = False
     home = scenarios.home_of(played)[0]
     assert played.ask(home, scenarios.write(played, "weak")).error is None
     asked = outcome_of(played, played.new_id(), timeout_s=1.0)
@@ -479,13 +479,39 @@
     played.kill("proxy-0")
     played.run(2.0)
     for name in ("db-1", "db-2"):
-        played.upstreams[name].frozen = True
+        played.upstreams[name].reads_log = False
     seq = played.send("proxy-1", 1, scenarios.write(played, "once"))
     played.run(0.2)
     played.start("proxy-0")
     played.run(1.5)
     for name in ("db-1", "db-2"):
-        played.upstreams[name].frozen = False
+        played.upstreams[name].reads_log = True
     played.run(2.0)
     assert played.answers["proxy-1", 1, seq].error is None
     assert played.rows() == ["once"]
+
+
+# Leaving upstreams.
+
+
+@pytest.mark.parametrize("leaving", ["db-1", "db-2"])
+def test_leaving_replica_gets_no_new_work(played, leaving):
+    for number in range(20):
+        played.ask("proxy-0", scenarios.read(played, "old"), conn=number)
+    assert played.open_connections(leaving) > 0
+    (declared,) = played.settings.databases
+    upstreams = tuple(
+        dataclasses.replace(u, draining=u.name == leaving)
+        for u in declared.upstreams
+    )
+    played.settings = dataclasses.replace(
+        played.settings,
+        revision=2,
+        databases=(dataclasses.replace(declared, upstreams=upstreams),),
+    )
+    played.feed("proxy-0", items.SettingsRead(played.now, played.settings, 2))
+    played.run(2.0)
+    for number in range(20):
+        answer = played.ask("proxy-1", scenarios.read(played, "old"))
+        assert answer.error is None, number
+        assert answer.upstream != leaving
