--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import document, peer, rendezvous, request, views
@@ -23,6 +24,30 @@
 )
 
 
+class Placement(abc.ABC):
+    """Where reads go."""
+
+    @abc.abstractmethod
+    def wants_primary(self, work: items.Work) -> bool:
+        """Tells whether only the primary may serve `work`."""
+
+
+class NearestReplica(Placement):
+    """Reads go to a replica that token and age allow, the nearest first."""
+
+    def wants_primary(self, work: items.Work) -> bool:
+        """Tells whether no replica can serve `work`."""
+        return wants_primary(work)
+
+
+class PrimaryOnly(Placement):
+    """Everything goes to the primary; a baseline."""
+
+    def wants_primary(self, work: items.Work) -> bool:
+        """Returns True."""
+        return True
+
+
 def wants_primary(work: items.Work) -> bool:
     """Tells whether only the primary can serve `work`.
 
@@ -46,13 +71,19 @@
     database: document.Database,
     brief: peer.GroupBrief | None,
     zone: str,
+    placement: Placement | None = None,
+    busy: frozenset[str] = frozenset(),
 ) -> str:
-    """Returns the upstream whose home gets `work`, "" for none."""
+    """Returns the upstream whose home gets `work`, "" for none.
+
+    A read goes to the primary where all replicas are busy, and to a busy
+    upstream only where no other is left.
+    """
     if work.suggested and work.suggested not in work.avoid:
         return work.suggested
-    if wants_primary(work):
+    if (placement or NearestReplica()).wants_primary(work):
         return _primary_or_any(work, database, brief)
-    return _nearest(work, database, brief, zone)
+    return _nearest(work, database, brief, zone, busy)
 
 
 def _primary_or_any(
@@ -72,13 +103,19 @@
     database: document.Database,
     brief: peer.GroupBrief | None,
     zone: str,
+    busy: frozenset[str],
 ) -> str:
     usable = _usable(work, database, brief)
     primary = brief.primary if brief is not None else ""
     turn = rendezvous.rank(work.req.request_id.hex(), [u.name for u in usable])
     ordered = sorted(
         usable,
-        key=lambda u: (u.name == primary, u.zone != zone, turn.index(u.name)),
+        key=lambda u: (
+            u.name in busy,
+            u.name == primary,
+            u.zone != zone,
+            turn.index(u.name),
+        ),
     )
     return ordered[0].name if ordered else primary
 
--- a/packages/fescueshunt/src/fescueshunt/request/gate.py
+++ b/packages/fescueshunt/src/fescueshunt/request/gate.py
@@ -35,7 +35,8 @@
 class Gate(filters.Filter):
     """Places work at its upstream, lets it wait, or sends it back."""
 
-    def __init__(self) -> None:
+    def __init__(self, placement: choose.Placement) -> None:
+        self._placement = placement
         self._state = GateState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -61,7 +62,7 @@
         view = self._state.groups.get(work.req.database)
         if view is None:
             yield self._send_back(now, work, upstream, None, "")
-        elif choose.wants_primary(work):
+        elif self._placement.wants_primary(work):
             yield self._place_at_primary(now, work, upstream, view)
         else:
             yield from self._place_read(now, work, upstream, view)
@@ -89,7 +90,7 @@
         if state is None or upstream in view.leaving:
             yield self._send_back(now, work, upstream, view, view.primary)
         elif choose.is_new_enough(work, view, state, now):
-            yield items.Placed(now, work, upstream)
+            yield _placed(now, work, upstream, view)
         elif state.failed_at is None:
             until = min(now + CATCH_UP_WAIT_S, work.deadline)
             self._state.waiters.append(Waiter(work, upstream, until))
@@ -113,7 +114,7 @@
         if state is not None and choose.is_new_enough(
             waiter.work, view, state, now
         ):
-            return items.Placed(now, waiter.work, waiter.upstream)
+            return _placed(now, waiter.work, waiter.upstream, view)
         if now < waiter.until:
             return None
         return self._give_up(now, waiter.work, waiter.upstream, view)
@@ -148,7 +149,7 @@
     ) -> items.Retried:
         error = (
             errors.NoPrimaryError()
-            if choose.wants_primary(work)
+            if self._placement.wants_primary(work)
             else (errors.TooStaleError())
         )
         again = dataclasses.replace(
@@ -161,6 +162,15 @@
         return items.Retried(now, again, brief)
 
 
+def _placed(
+    now: float, work: items.Work, upstream: str, view: views.GroupView
+) -> items.Placed:
+    spare = upstream == view.primary and bool(
+        choose.satisfying(work, view, now, ())
+    )
+    return items.Placed(now, work, upstream, spare)
+
+
 def _lost(work: items.Work, view: views.GroupView) -> bool:
     """Tells whether the group's history has left out the session's write."""
     state = view.find(view.primary)
