Send patches of settings between proxies

Ruled out: sending the statements (every proxy would have to evaluate them in the same version), patches of values (a sender couldn't check them).

Watchers and new proxies still take the whole document.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/settings.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import propagation
+from fescueshunt.core import patch, propagation
 from fescueshunt_wire.models import base, documents
 
 
@@ -19,3 +19,27 @@
 
     of = propagation.SettingsOffer
     document: documents.DocumentModel
+
+
+class DroppedModel(base.Model):
+    """An entry that is gone."""
+
+    of = patch.Dropped
+    kind: base.Name
+    name: base.Name
+
+
+class PatchModel(base.Model):
+    """What changed."""
+
+    of = patch.Patch
+    base: base.Count
+    changed: documents.DocumentModel
+    dropped: tuple[DroppedModel, ...] = ()
+
+
+class SettingsPatchModel(base.Model):
+    """A patch."""
+
+    of = propagation.SettingsPatch
+    patch: PatchModel
--- a/packages/fescueshunt/src/fescueshunt/core/document.py
+++ b/packages/fescueshunt/src/fescueshunt/core/document.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+HISTORY_ENTRIES = 32
+
 
 class Durability(enum.StrEnum):
     """When a write is acknowledged.
--- a/packages/fescueshunt/src/fescueshunt/core/propagation.py
+++ b/packages/fescueshunt/src/fescueshunt/core/propagation.py
@@ -8,15 +8,15 @@
 from fescueshunt.core import peer
 
 if TYPE_CHECKING:
-    from fescueshunt.core import document
+    from fescueshunt.core import document, patch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsDigest(peer.PeerMessage):
     """The sender's revision; `asks` wants the receiver's answer.
 
-    The answer is an offer where the receiver's revision is higher, and the
-    receiver's own digest otherwise.
+    Where the receiver's revision is higher the answer is a patch, or an offer
+    where the sender's revision isn't kept; the receiver's digest otherwise.
     """
 
     revision: int
@@ -28,3 +28,10 @@
     """The document that the sender has in force."""
 
     document: document.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsPatch(peer.PeerMessage):
+    """What the sender's document has more than the receiver's."""
+
+    patch: patch.Patch
--- a/packages/fescueshunt/src/fescueshunt/operators/change.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/change.py
@@ -28,7 +28,6 @@
 
 SETTLE_S = 5.0
 SETTLE_PAUSE_S = 0.2
-HISTORY_ENTRIES = 32
 STATEMENT_CHARS = 500
 PROBLEM_COLUMNS = ("entry", "field", "found", "expected")
 
@@ -299,7 +298,7 @@
         operation=entry.operation,
         author=entry.author,
         reason=entry.reason,
-        history=(*before.history, entry)[-HISTORY_ENTRIES:],
+        history=(*before.history, entry)[-document.HISTORY_ENTRIES :],
     )
 
 
--- a/packages/fescueshunt/src/fescueshunt/operators/show.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/show.py
@@ -41,6 +41,11 @@
                 message=propagation.SettingsOffer() as offer
             ):
                 self._hear(item.at, item.sender, offer.document.revision)
+            case core_items.PeerReceived(
+                message=propagation.SettingsPatch() as message
+            ):
+                revision = message.patch.changed.revision
+                self._hear(item.at, item.sender, revision)
             case core_items.PeerReceived():
                 pass
             case _:
--- a/packages/fescueshunt/src/fescueshunt/settings/adopt.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/adopt.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, filters, propagation, views
+from fescueshunt.core import document, filters, patch, propagation, views
 from fescueshunt.core import items as core_items
 
 if TYPE_CHECKING:
@@ -62,6 +62,11 @@
             ):
                 self._state.answered.add(sender)
                 self._take(offered)
+            case core_items.PeerReceived(
+                message=propagation.SettingsPatch(patch=found)
+            ):
+                if found.base == self._state.document.revision:
+                    self._take(patch.apply(self._state.document, found))
             case core_items.PeerReceived(
                 sender=sender,
                 message=propagation.SettingsDigest(asks=False),
--- a/packages/fescueshunt/src/fescueshunt/settings/spread.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/spread.py
@@ -1,7 +1,8 @@
 """The spread of settings between proxies, at a constant cost for each.
 
 Digests go to a constant number of peers each period and at once after a
-change (a rumour with anti-entropy); a document goes only to who asks for it.
+change (a rumour with anti-entropy). Who asks gets a patch of the revision it
+has, and the whole document only where that isn't kept.
 Source: Demers et al., "Epidemic algorithms for replicated database
 maintenance", PODC 1987.
 """
@@ -11,7 +12,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, filters, propagation, views
+from fescueshunt.core import document, filters, patch, propagation, views
 from fescueshunt.core import items as core_items
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
 OFFER_BYTES_PER_S = 4_000
 OFFER_BURST_BYTES = 64_000
 ENTRY_BYTES = 120
+KEPT = 8
 REACHABLE = frozenset(views.MemberState) - {views.MemberState.DEAD}
 
 
@@ -36,6 +38,8 @@
 
     Attributes:
       document: what is in force here.
+      kept: the newest documents that were in force, by revision.
+      patches: from kept revisions to the document; None where there is none.
       peers: names of the other proxies that may be reached.
       send_at: when the next digests are due.
       asked_at: when a peer was last asked for its document.
@@ -44,6 +48,10 @@
     """
 
     document: document.Document = document.Document()
+    kept: dict[int, document.Document] = dataclasses.field(default_factory=dict)
+    patches: dict[int, patch.Patch | None] = dataclasses.field(
+        default_factory=dict
+    )
     peers: tuple[str, ...] = ()
     send_at: float = float("-inf")
     asked_at: float = float("-inf")
@@ -70,7 +78,7 @@
                     and member.state in REACHABLE
                 )
             case views.SettingsView():
-                self._state.document = item.document
+                self._keep(item.document)
                 yield item
                 yield from self._tell(item.at)
             case filters.Tick():
@@ -83,6 +91,14 @@
             case _:
                 yield item
 
+    def _keep(self, value: document.Document) -> None:
+        state = self._state
+        state.document = value
+        state.kept[value.revision] = value
+        state.patches.clear()
+        if len(state.kept) > KEPT:
+            del state.kept[next(iter(state.kept))]
+
     def _tick(self, now: float) -> Iterator[filters.Item]:
         if now < self._state.send_at:
             return
@@ -106,7 +122,7 @@
         if theirs.revision > mine:
             yield from self._ask(now, sender)
         elif theirs.asks and theirs.revision < mine:
-            yield from self._offer(now, sender)
+            yield from self._offer(now, sender, theirs.revision)
         elif theirs.asks or theirs.revision < mine:
             yield _send(now, sender, propagation.SettingsDigest(mine))
 
@@ -118,15 +134,32 @@
         digest = propagation.SettingsDigest(mine, asks=True)
         yield _send(now, sender, digest)
 
-    def _offer(self, now: float, sender: str) -> Iterator[filters.Item]:
+    def _offer(
+        self, now: float, sender: str, revision: int
+    ) -> Iterator[filters.Item]:
         state = self._state
         refill = (now - state.budget_at) * OFFER_BYTES_PER_S
         state.budget = min(state.budget + refill, OFFER_BURST_BYTES)
         state.budget_at = now
         if state.budget <= 0:
             return
-        state.budget -= estimated_bytes(state.document)
-        yield _send(now, sender, propagation.SettingsOffer(state.document))
+        found = self._patch_from(revision)
+        if found is not None:
+            state.budget -= estimated_bytes(found.changed)
+            yield _send(now, sender, propagation.SettingsPatch(found))
+        else:
+            state.budget -= estimated_bytes(state.document)
+            offer = propagation.SettingsOffer(state.document)
+            yield _send(now, sender, offer)
+
+    def _patch_from(self, revision: int) -> patch.Patch | None:
+        """Returns the patch from a kept revision; each is made once."""
+        state = self._state
+        if revision not in state.patches and revision in state.kept:
+            before = state.kept[revision]
+            found = patch.between(before, state.document)
+            state.patches[revision] = found
+        return state.patches.get(revision)
 
 
 def estimated_bytes(value: document.Document) -> int:
@@ -134,7 +167,7 @@
     upstreams = sum(len(entry.upstreams) for entry in value.databases)
     entries = len(value.ranks) + len(value.groups) + len(value.databases)
     entries += len(value.services) + len(value.calendar) + upstreams
-    entries += len(value.draining_hosts) + 1
+    entries += len(value.draining_hosts) + 2 * len(value.history) + 1
     return entries * ENTRY_BYTES
 
 
--- a/packages/fescueshunt/src/fescueshunt/settings/watch.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/watch.py
@@ -66,6 +66,7 @@
             case core_items.PeerReceived(
                 message=propagation.SettingsDigest()
                 | propagation.SettingsOffer()
+                | propagation.SettingsPatch()
             ):
                 state.heard_at = item.at
             case filters.Tick() if self._is_due(item.at):
--- a/tests/lib/settings_fleet.py
+++ b/tests/lib/settings_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -44,7 +45,7 @@
         self.now = 0.0
         self.store = FakeStore()
         self.in_force: dict[str, list[int]] = {}
-        self.sent = 0
+        self.sent = collections.Counter()
         self._size = size
         self._seed = seed
         self._cores: dict[str, filters.Core] = {}
@@ -90,7 +91,7 @@
                 case views.SettingsView():
                     self.in_force[name].append(effect.document.revision)
                 case items.SendPeer():
-                    self.sent += 1
+                    self.sent[type(effect.message).__name__] += 1
                     self._at(
                         self.now + HOP_S,
                         effect.name,
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -10,6 +10,7 @@
     filters,
     identity,
     items,
+    patch,
     propagation,
     views,
 )
@@ -150,3 +151,29 @@
         if isinstance(effect, items.SendPeer)
     ]
     assert 1 <= len(sent) <= 3
+
+
+def test_a_change_travels_as_a_patch_between_proxies():
+    fleet = settings_fleet.SettingsFleet(30)
+    fleet.store.accept()
+    fleet.start_all()
+    fleet.run(3.0)
+    fleet.sent.clear()
+    accepted = fleet.store.accept()
+    fleet.store.down = True
+    fleet.feed("p7", items.SettingsAccepted(fleet.now, accepted))
+    fleet.run(2.0)
+    assert fleet.revisions() == {2}
+    assert fleet.sent["SettingsOffer"] == 0
+    assert fleet.sent["SettingsPatch"] >= 29
+
+
+def test_a_patch_of_another_revision_changes_nothing():
+    core = build()
+    list(core.feed(views.FleetView(0.0, ())))
+    held = document.Document(revision=3)
+    assert in_force(core.feed(items.SettingsAccepted(2.0, held))) == [3]
+    older = document.Document(revision=2)
+    newer = document.Document(revision=5, draining_hosts=("h",))
+    message = propagation.SettingsPatch(patch.between(older, newer))
+    assert in_force(core.feed(items.PeerReceived(2.1, "p1", message))) == []
