--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 capacity: env
 	$(BIN)/python -m capacity --json-file capacity/measured.json
 	$(BIN)/python -m capacity.page
+
+soak: env
+	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
