--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import pathlib
 import sys
 
@@ -38,12 +39,10 @@
       out: the folder of the report.
       seed: of arrivals, sessions and proxies.
     """
-    found = [
-        asyncio.run(_measure(name, setup, phases, seed))
-        for name in plans
-        for setup in setups
-    ]
-    report.write(out, found, seed)
+    found: list[report.Measured] = []
+    for name, setup in itertools.product(plans, setups):
+        found.append(asyncio.run(_measure(name, setup, phases, seed)))
+        report.write(out, found, seed)
     print((out / "report.md").read_text())
     return 0
 
--- a/bench/deploy.py
+++ b/bench/deploy.py
@@ -68,7 +68,7 @@
     zones = sorted({u.zone for d in declared.databases for u in d.upstreams})
     async with fleets.running(declared, setup.site(), zones) as fleet:
         for process in fleet.proxies.values():
-            await _wait_ready(process, declared)
+            await wait_ready(process, declared)
         await asyncio.sleep(SETTLE_S)
         yield fleet
 
@@ -145,9 +145,10 @@
     return fleet.upstreams[database.upstreams[0].name]
 
 
-async def _wait_ready(
+async def wait_ready(
     process: fleets.Process, declared: document.Document
 ) -> None:
+    """Waits until the proxy `process` serves reads of each database."""
     service = next(s for s in declared.services if s.max_age_s is not None)
     async with (
         asyncio.timeout(READY_TIMEOUT_S),
