--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -426,7 +426,7 @@
         for replica in self.upstreams.values():
             primary = self.upstreams.get(replica.follows)
             replica.expire(self.now)
-            if primary is None or not replica.reads_log:
+            if primary is None or replica.frozen:
                 continue
             if not (replica.alive and primary.alive):
                 continue
