Learn service times only from work that ended; queue late work while it can start

Cause: a call that went silent until its deadline was taken for a statement of that length, and its retry, which came at its very deadline, was refused as overloaded with that length as retry-after.

Change: a failed or unusable connection teaches no service time; late work is refused only if the wait itself passes the deadline.

--- a/packages/fescueshunt/src/fescueshunt/request/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pool.py
@@ -90,13 +90,17 @@
         order = work.rank.order
         self.by_rank[order] = self.by_rank.get(order, 0) + 1
 
-    def stop(self, conn: int, now: float) -> None:
-        """Frees the slot of what ran on `conn`."""
+    def stop(self, conn: int, now: float, ran: bool = True) -> None:
+        """Frees the slot of what ran on `conn`.
+
+        What did not run to its end tells nothing of how long work takes.
+        """
         running = self.running.pop(conn, None)
         if running is None:
             return
         self.by_rank[running.work.rank.order] -= 1
-        self.queue.released(running.work, now - running.since)
+        if ran:
+            self.queue.released(running.work, now - running.since)
 
     def open_failed(self, now: float, chance: random.Random) -> None:
         """Puts off the next open, longer for each failure in a row."""
--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -180,7 +180,7 @@
         found = self._state.owners.get(item.conn)
         if found is None:
             return
-        found.stop(item.conn, item.at)
+        found.stop(item.conn, item.at, item.reusable)
         if item.reusable:
             found.idle[item.conn] = item.at
         else:
@@ -199,7 +199,7 @@
         if found is None:
             return
         found.idle.pop(item.conn, None)
-        found.stop(item.conn, item.at)
+        found.stop(item.conn, item.at, ran=False)
         if item.conn not in found.opening:
             return
         found.opening.discard(item.conn)
--- a/packages/fescueshunt/src/fescueshunt/request/ranked.py
+++ b/packages/fescueshunt/src/fescueshunt/request/ranked.py
@@ -54,17 +54,17 @@
         wait_s = self._wait_s(work, queue, slots)
         goal = goal_of(work)
         if work.in_doubt or now + service_s > goal:
-            return self._offer_late(work, queue, now, wait_s + service_s)
+            return self._offer_late(work, queue, now, wait_s)
         if wait_s > 0 and now + wait_s + service_s > goal:
             return wait_s
         queue.push(work)
         return None
 
     def _offer_late(
-        self, work: items.Work, queue: lane.Lane, now: float, needed_s: float
+        self, work: items.Work, queue: lane.Lane, now: float, wait_s: float
     ) -> float | None:
-        if not work.in_doubt and now + needed_s > work.deadline:
-            return needed_s
+        if not work.in_doubt and now + wait_s > work.deadline:
+            return wait_s
         queue.late.append(work)
         return None
 
--- a/tests/unit/test_pools.py
+++ b/tests/unit/test_pools.py
@@ -144,3 +144,16 @@
         returned += made.feed(core_items.UpstreamFailed(0.1, conn, error))
     retried = [e for e in returned if isinstance(e, items.Retried)]
     assert [e.work.key for e in retried] == [placed.key]
+
+
+def test_a_call_that_went_silent_is_not_taken_for_a_long_one():
+    made = home()
+    made.settle()
+    started = made.feed(items.Placed(0.1, works.work(0.1), "u1"))[0]
+    error = errors.ConnectionLostError("timeout")
+    made.feed(core_items.UpstreamFailed(5.0, started.conn, error))
+    fresh = works.work(5.0)
+    assert not any(
+        isinstance(effect, items.Finished | items.Retried)
+        for effect in made.feed(items.Placed(5.0, fresh, "u1"))
+    )
