Let who waits for the writer hold no slot of the stand-in

Cause: a rolling restart under load ended four writes with an unknown outcome on a busy machine. While a home moves, two homes send transactions to one primary; those that waited for the writer's lock held all of its four slots, and the one that they waited for could not commit until calls timed out. Change: the stand-in takes the lock before the slot.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/upstream.py
@@ -250,6 +250,8 @@
         if not session.open:
             raise errors.FrameOrderError("no hello")
         try:
+            if call.mode is upstream.Mode.BEGIN:
+                await self._begin(session, call.term)
             async with self._slots:
                 await asyncio.sleep(self._cfg.statement_ms / 1000)
                 return await self._run(session, call)
@@ -267,8 +269,6 @@
         if call.mode is upstream.Mode.ROLLBACK:
             self._abort(session)
             return self._executed(())
-        if call.mode is upstream.Mode.BEGIN:
-            await self._begin(session, call.term)
         if not session.in_transaction:
             raise engine.RejectionError(upstream.Reason.NO_TRANSACTION)
         current.check_primary(call.term)
@@ -282,6 +282,11 @@
         return self._executed(results)
 
     async def _begin(self, session: Session, term: position.Term) -> None:
+        """Waits for the writer's lock, without a slot.
+
+        With one, transactions that wait could hold every slot, and the one
+        that they wait for could never commit.
+        """
         if session.in_transaction:
             self._abort(session)
         self._engine.check_primary(term)
