--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,8 @@
 
 capacity: env
 	$(BIN)/python -m capacity
+
+SOAK_RUNS ?= 200
+
+soak: env
+	SOAK_RUNS=$(SOAK_RUNS) $(BIN)/python -m pytest -s tests/unit/test_failover_histories.py
