--- a/Makefile
+++ b/Makefile
@@ -26,11 +26,12 @@
 
 bench: env
 	$(BIN)/python -m bench
+	$(BIN)/python -m bench.propagation
 
 capacity: env
-	$(BIN)/python -m capacity
-
-SOAK_RUNS ?= 200
+	$(BIN)/python -m capacity --json-file capacity/measured.json
+	$(BIN)/python -m capacity.page
 
 soak: env
-	SOAK_RUNS=$(SOAK_RUNS) $(BIN)/python -m pytest -s tests/unit/test_failover_histories.py
+	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
+	SOAK_RUNS=200 $(BIN)/python -m pytest -s tests/unit/test_failover_histories.py
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/engine.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/engine.py
@@ -169,15 +169,35 @@
 MAX_ENTRIES = 256
 
 
+FORBIDDEN_ACTIONS = frozenset(
+    {
+        sqlite3.SQLITE_ATTACH,
+        sqlite3.SQLITE_DETACH,
+        sqlite3.SQLITE_PRAGMA,
+        sqlite3.SQLITE_SAVEPOINT,
+        sqlite3.SQLITE_TRANSACTION,
+    }
+)
+
+
 def _connect() -> sqlite3.Connection:
     return sqlite3.connect(":memory:", isolation_level=None)
 
 
+def _authorize(action: int, table: str | None, *_: str | None) -> int:
+    """Keeps callers' statements off transactions, files and the ledger."""
+    if action in FORBIDDEN_ACTIONS or table == ledger.TABLE:
+        return sqlite3.SQLITE_DENY
+    return sqlite3.SQLITE_OK
+
+
 def _run(
     database: sqlite3.Connection, statements: tuple[request.Statement, ...]
 ) -> tuple[request.ResultSet, ...]:
     results = []
     for number, statement in enumerate(statements):
+        is_ours = statement.sql in ledger.STATEMENTS
+        database.set_authorizer(None if is_ours else _authorize)
         try:
             cursor = database.execute(statement.sql, statement.params)
             results.append(_result(cursor))
@@ -189,6 +209,8 @@
             raise RejectionError(
                 upstream.Reason.STATEMENT, str(exc), number
             ) from exc
+        finally:
+            database.set_authorizer(None)
     return tuple(results)
 
 
