--- a/bench/failover.py
+++ b/bench/failover.py
@@ -14,7 +14,7 @@
 
 import defopt
 
-from fescueshunt.core import document
+from fescueshunt.core import document, request
 from fescueshunt_cli import caller
 from fescueshunt_cli._internal import deployment
 from fescueshunt_cli._internal.bench import writers
@@ -30,6 +30,7 @@
 AFTER_S = 5.0
 STEADY_S = 5.0
 MS_PER_S = 1000
+WARM = request.Statement("INSERT INTO written VALUES ('warm')")
 SITE = fleets.Site(schema_sql=writers.SCHEMA, list_lag_ms=0.0)
 
 
@@ -51,7 +52,7 @@
     """Waits until a write succeeds through each proxy."""
     for process in fleet.proxies.values():
         async with caller.session(process.address) as session:
-            while (await session.write(SERVICE, DATABASE)).error:
+            while (await session.write(SERVICE, DATABASE, WARM)).error:
                 await asyncio.sleep(writers.REDIAL_S)
 
 
