--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -23,7 +23,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import choose, items, outcome
+from fescueshunt.request import choose, hints, items, outcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -63,13 +63,21 @@
         default_factory=list
     )
     pinned: dict[bytes, Pin] = dataclasses.field(default_factory=dict)
+    hints: hints.Hints = dataclasses.field(default_factory=hints.Hints)
 
 
 class Route(filters.Filter):
     """Sends each caller's work to the home of the upstream chosen for it."""
 
-    def __init__(self, me: identity.Identity) -> None:
+    def __init__(
+        self,
+        me: identity.Identity,
+        placed: homes.Homes,
+        placement: choose.Placement,
+    ) -> None:
         self._me = me
+        self._homes = placed
+        self._placement = placement
         self._state = RouteState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -95,6 +103,7 @@
             case items.Ended():
                 yield from self._note_end(item)
             case filters.Tick():
+                self._state.hints.forget(item.at)
                 yield from self._wake(item.at)
                 yield item
             case _:
@@ -118,17 +127,27 @@
             yield from self._route_pinned(work, now)
             return
         database = self._state.settings.database(work.req.database)
-        name = self._choose(work, database)
+        name = self._choose(work, database, now)
+        if name in self._state.hints.busy(work, now):
+            yield outcome.refuse(now, work, _overloaded(work))
+            return
         upstream = database.find(name)
         if upstream is None:
             yield from self._pause(work, now)
             return
-        home = homes.home_of(database.name, upstream, self._state.fleet)
+        home = self._homes.home_of(
+            database.name, upstream, self._state.fleet, self._me.name
+        )
         yield from self._send(work, name, home, now)
 
-    def _choose(self, work: items.Work, database: document.Database) -> str:
+    def _choose(
+        self, work: items.Work, database: document.Database, now: float
+    ) -> str:
         brief = self._state.briefs.get(work.req.database)
-        return choose.for_entry(work, database, brief, self._me.zone)
+        busy = self._state.hints.busy(work, now)
+        return choose.for_entry(
+            work, database, brief, self._me.zone, self._placement, busy
+        )
 
     def _is_inside(self, work: items.Work) -> bool:
         """Tells whether `work` goes to the home of an open transaction.
@@ -231,8 +250,24 @@
             return
         if message.brief is not None:
             self._state.briefs[message.brief.database] = message.brief
+        error = message.answer.error
+        if isinstance(error, errors.OverloadedError):
+            upstream = message.answer.upstream
+            yield self._refuse_busy(forward.work, upstream, error, item.at)
+            return
         yield outcome.pass_on(item.at, forward.work, message.answer)
 
+    def _refuse_busy(
+        self,
+        work: items.Work,
+        upstream: str,
+        error: errors.OverloadedError,
+        now: float,
+    ) -> items.Finished:
+        """Refuses what `upstream` has no time for; later work goes round."""
+        self._state.hints.note(work, upstream, error, now)
+        return outcome.refuse(now, work, error)
+
     def _take_forward(
         self, sender: str, seq: int, request_id: bytes
     ) -> Forward | None:
@@ -278,6 +313,9 @@
             return
         if isinstance(work.origin, items.BackgroundOrigin):
             return
+        if isinstance(work.error, errors.OverloadedError):
+            yield self._refuse_busy(work, work.upstream, work.error, item.at)
+            return
         if item.brief is not None:
             self._state.briefs[item.brief.database] = item.brief
         if work.req.kind in OPEN_ONLY:
@@ -360,6 +398,10 @@
     )
 
 
+def _overloaded(work: items.Work) -> errors.OverloadedError:
+    return errors.OverloadedError(retry_after_s=work.rank.target_s)
+
+
 def _has_way(work: items.Work, item: items.Retried) -> bool:
     if work.suggested:
         return True
