--- a/tests/lib/machine.py
+++ b/tests/lib/machine.py
@@ -194,6 +194,12 @@
             self.totals["proxies killed"] += 1
             self.played.kill(name)
 
+    @stateful.rule(name=NAMES, seconds=st.sampled_from((0.5, 2.0, 4.0)))
+    def pause(self, name, seconds):
+        if name in self.played.proxies:
+            self.totals["proxies paused"] += 1
+            self.played.pause(name, seconds)
+
     @stateful.rule(name=st.sampled_from(UPSTREAMS))
     def break_or_mend(self, name):
         fake = self.played.upstreams[name]
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -73,6 +73,7 @@
     me: identity.Identity
     core: filters.Core
     stopped: bool = False
+    paused_until: float = 0.0
     record: list[filters.Item] = dataclasses.field(default_factory=list)
 
 
@@ -182,10 +183,21 @@
         running = self.proxies.get(name)
         if running is None or running.stopped:
             return
+        if self.now < running.paused_until:
+            wait_s = running.paused_until - self.now
+            self.at(wait_s, lambda: self._feed_late(running, item))
+            return
         running.record.append(item)
         for effect in list(running.core.feed(item)):
             self._act(running, effect)
 
+    def pause(self, name: str, seconds: float) -> None:
+        """Stops a proxy for a while; what comes in waits for it."""
+        self.proxies[name].paused_until = self.now + seconds
+
+    def _feed_late(self, source: Proxy, item: filters.Item) -> None:
+        self._feed_to(source, dataclasses.replace(item, at=self.now))
+
     def write_record(self, name: str, path) -> None:
         """Writes what a proxy was fed as a trace that a replay reads."""
         running = self.proxies[name]
@@ -426,7 +438,7 @@
         for replica in self.upstreams.values():
             primary = self.upstreams.get(replica.follows)
             replica.expire(self.now)
-            if primary is None or replica.frozen:
+            if primary is None or not replica.reads_log:
                 continue
             if not (replica.alive and primary.alive):
                 continue
