--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,4 @@
 
 soak: env
 	FESCUESHUNT_SOAK=200 $(BIN)/python -m pytest -s tests/functional/test_request_model.py
+	SOAK_RUNS=200 $(BIN)/python -m pytest -s tests/unit/test_failover_histories.py
