Give the proofs of reads and of BEGIN the power that removal asks for

Taking the token checks out failed nothing: the trace was recorded where no replica is served, and the model-based test had no replica that lags.

--- a/tests/lib/machine.py
+++ b/tests/lib/machine.py
@@ -210,6 +210,14 @@
         else:
             fake.alive = True
 
+    @stateful.rule(name=st.sampled_from(UPSTREAMS), reads=st.booleans())
+    def lag(self, name, reads):
+        """Lets one replica fall behind, or catch up."""
+        others = [u for u in UPSTREAMS if u != name]
+        if all(self.played.upstreams[u].reads_log for u in others):
+            self.totals["replicas held back"] += not reads
+            self.played.upstreams[name].reads_log = reads
+
     @stateful.rule()
     def cut(self):
         self.totals["connections cut"] += self.played.cut_upstreams()
@@ -239,6 +247,7 @@
         self.played.faults = world.Faults()
         for fake in self.played.upstreams.values():
             fake.alive = True
+            fake.reads_log = True
         for name in PROXIES:
             if name not in self.played.proxies:
                 self.played.start(name)
