--- a/packages/fescueshunt-cli/src/fescueshunt_cli/roaming.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/roaming.py
@@ -25,6 +25,7 @@
     errors.StoppingError,
     errors.NoRouteError,
     errors.NoPrimaryError,
+    errors.OverloadedError,
 )
 MAY_RUN = frozenset(
     {request.Kind.WRITE, request.Kind.COMMIT, request.Kind.OUTCOME}
@@ -94,8 +95,9 @@
             if not self._may_retry(answer, left_s):
                 return _make_safe(answer, in_doubt)
             self.retries += 1
-            wait_s = self._chance.uniform(0.0, min(pause_s, left_s))
-            await asyncio.sleep(wait_s)
+            wait_s = answer.error.retry_after_s
+            wait_s += self._chance.uniform(0.0, pause_s)
+            await asyncio.sleep(min(wait_s, left_s))
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
     def _may_retry(self, answer: request.Answer, left_s: float) -> bool:
@@ -113,7 +115,8 @@
             return request.Answer(req.request_id, error=error)
         left = dataclasses.replace(req, timeout_s=max(left_s, MIN_TIMEOUT_S))
         answer = await session.send(left)
-        if isinstance(answer.error, RETRYABLE):
+        is_busy = isinstance(answer.error, errors.OverloadedError)
+        if isinstance(answer.error, RETRYABLE) and not is_busy:
             self._move_on(session)
         return answer
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -13,6 +13,7 @@
 from fescueshunt import proxy
 from fescueshunt.core import identity, items, views
 from fescueshunt.request import items as request_items
+from fescueshunt.request import policies
 from fescueshunt_proxy._internal import (
     access,
     admin,
@@ -48,7 +49,12 @@
     logs.configure(me)
     logger = structlog.get_logger(__name__)
     joined = runtime.Runtime(
-        proxy.build(me, codec.ResultCodec(), seeds=cfg.seeds)
+        proxy.build(
+            me,
+            codec.ResultCodec(),
+            seeds=cfg.seeds,
+            policy=policies.by_name(cfg.pools, cfg.queues, cfg.reads),
+        )
     )
     stopped = asyncio.Event()
     joined.subscribe(items.Stopped, lambda _: stopped.set())
@@ -116,6 +122,7 @@
     measured = metrics.Metrics()
     changes = logs.ChangeLog()
     joined.subscribe(request_items.Finished, measured.finished)
+    joined.subscribe(items.ItemFailed, measured.item_failed)
     joined.subscribe(views.SettingsView, changes.settings)
     joined.subscribe(views.FleetView, changes.fleet)
     joined.subscribe(views.GroupView, changes.group)
@@ -126,7 +133,7 @@
 def _trace(joined: runtime.Runtime, tracer: tracing.Tracer | None) -> None:
     if tracer is None:
         return
-    joined.entering().subscribe(tracer.enter)
+    joined.observe(tracer.enter)
     joined.subscribe(items.AnswerCaller, tracer.answer_caller)
     joined.subscribe(items.SendPeer, tracer.send_peer)
     joined.subscribe(items.RunUpstream, tracer.run_upstream)
--- a/packages/fescueshunt/src/fescueshunt/health/track.py
+++ b/packages/fescueshunt/src/fescueshunt/health/track.py
@@ -64,8 +64,11 @@
     hears of them many at a time.
     """
 
-    def __init__(self, me: identity.Identity) -> None:
+    def __init__(
+        self, me: identity.Identity, placed: homes.Homes | None = None
+    ) -> None:
         self._me = me
+        self._homes = placed or homes.OneHome()
         self._state = TrackState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -91,7 +94,10 @@
 
     def _review(self, now: float) -> Iterator[filters.Item]:
         watched = homes.watched(
-            self._state.settings.databases, self._state.fleet, self._me.name
+            self._state.settings.databases,
+            self._state.fleet,
+            self._me.name,
+            self._homes,
         )
         known = self._state.tracked
         self._state.tracked = {
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from fescueshunt.core import filters, identity, views
 from fescueshunt.core import items as core_items
 from fescueshunt.request import (
@@ -12,15 +14,20 @@
     gate,
     items,
     ledger,
+    policies,
     purge,
     queue,
     read,
     reply,
     route,
+    surge,
     transact,
     write,
 )
 
+if TYPE_CHECKING:
+    import random
+
 ACCEPTS = (
     core_items.CallerRequest,
     core_items.CallerClosed,
@@ -43,16 +50,22 @@
 )
 
 
-def build(me: identity.Identity, codec: ledger.ResultCodec) -> filters.Pipe:
+def build(
+    me: identity.Identity,
+    codec: ledger.ResultCodec,
+    policy: policies.Policy,
+    chance: random.Random,
+) -> filters.Pipe:
     """Returns the request pipe of the proxy `me`."""
     stages = (
         dedupe.Dedupe(),
         drain.Drain(),
+        surge.Surge(),
         admit.Admit(),
-        route.Route(me),
-        gate.Gate(),
+        route.Route(me, policy.homes, policy.placement),
+        gate.Gate(policy.placement),
         purge.Purge(me),
-        queue.Queue(),
+        queue.Queue(me, policy.homes, policy.schedule, chance),
         read.Read(),
         write.Write(codec),
         transact.Transact(codec),
--- a/tests/lib/removals.py
+++ b/tests/lib/removals.py
@@ -127,9 +127,13 @@
     Removal(
         "leaving upstreams are no choice",
         "choose",
-        "        u for u in database.upstreams if u.name not in closed "
-        "and not u.draining",
-        "        u for u in database.upstreams",
+        "if u.name not in closed and not u.draining",
+        "if True",
+        also=(
+            "gate",
+            "if state is None or upstream in view.leaving:",
+            "if state is None:",
+        ),
     ),
 )
 
