--- a/tests/lib/engines.py
+++ b/tests/lib/engines.py
@@ -29,7 +29,7 @@
         self.engine = engine.Engine(primary, schema)
         self.follows = ""
         self.alive = True
-        self.frozen = False
+        self.reads_log = True
         self._owner: int | None = None
         self._queue: collections.deque[tuple[int, upstream.Execute, Reply]] = (
             collections.deque()
