Give test processes ports that no outgoing connection takes; keep slopes one by one

Cause: a run of make capacity ended when a proxy could not bind: its port had been picked from 127.0.0.1 and was taken by an outgoing connection before the process started. Change: free ports are looked for on an IP number of the starting process's own, from which nothing dials out. The slopes are stored after each measurement, so that a failed run keeps those before it.

--- a/capacity/__main__.py
+++ b/capacity/__main__.py
@@ -28,22 +28,27 @@
 
     Args:
       names: which measurements; all of them where none is named.
-      json_file: where the slopes go as JSON; empty for nowhere.
+      json_file: where the slopes go as JSON, beside those of other
+        measurements that it has; empty for nowhere.
     """
     unknown = [name for name in names if name not in MEASURES]
     if unknown:
         print(f"unknown: {unknown}; known: {[*MEASURES]}", file=sys.stderr)
         return 2
-    found = {name: list(_show(name)) for name in names or MEASURES}
-    if json_file:
-        plain = {
-            name: [dataclasses.asdict(slope) for slope in entries]
-            for name, entries in found.items()
-        }
-        pathlib.Path(json_file).write_text(json.dumps(plain, indent=1) + "\n")
+    for name in names or MEASURES:
+        found = list(_show(name))
+        if json_file:
+            _store(pathlib.Path(json_file), name, found)
     return 0
 
 
+def _store(path: pathlib.Path, name: str, found: list[slopes.Slope]) -> None:
+    """Puts the slopes of one measurement into the JSON file at `path`."""
+    plain = json.loads(path.read_text()) if path.exists() else {}
+    plain[name] = [dataclasses.asdict(slope) for slope in found]
+    path.write_text(json.dumps(plain, indent=1) + "\n")
+
+
 def _show(name: str) -> Iterator[slopes.Slope]:
     measure = MEASURES[name]()
     found = list(slopes.run(measure))
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import dataclasses
+import os
 import pathlib
 import signal
 import socket
@@ -92,10 +93,16 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free now."""
+    """Returns a loopback address whose port is free now.
+
+    The IP number is this process's own: outgoing connections come from
+    127.0.0.1, so none of them takes the port before it is bound.
+    """
+    pid = os.getpid()
+    host = f"127.{64 + (pid >> 16) % 64}.{pid >> 8 & 255}.{pid & 255}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 @contextlib.contextmanager
