--- a/capacity/budget.py
+++ b/capacity/budget.py
@@ -10,6 +10,7 @@
 from fescueshunt.health import track
 from fescueshunt.members import listed, probe
 from fescueshunt.settings import spread, watch
+from fescueshunt_proxy._internal import peers
 
 if TYPE_CHECKING:
     import pathlib
@@ -22,6 +23,10 @@
 KB = 1e3
 MB = 1e6
 PERCENT = 100
+MESSAGES_PER_S = (
+    PING_MESSAGES_PER_PERIOD / 2 / probe.PERIOD_S
+    + spread.FANOUT / spread.PERIOD_S
+)
 _SHARES = (("read", 1 - target.WRITE_SHARE), ("write", target.WRITE_SHARE))
 
 
@@ -219,11 +224,11 @@
 
 
 def _links(m: Measured) -> Iterator[Line]:
-    others = target.NODES - 1
+    others = min(target.NODES - 1, int(MESSAGES_PER_S * peers.LINK_IDLE_S))
     each_kb = m.slope("proxies", "one process, memory")
     yield Line(
         "member",
-        "links to and from all other proxies, memory",
+        "links that heartbeats and digests keep open, memory",
         f"{others} x {each_kb:.1f} KB",
         others * each_kb / KB,
         "MB",
@@ -234,7 +239,7 @@
     each_ms = m.slope("proxies", quantity)
     yield _core_share(
         "member",
-        "links to and from all other proxies, websocket pings",
+        "links that heartbeats and digests keep open, pings",
         f"{others} x {each_ms:.3f} ms/s",
         others * each_ms / MS,
         "`fescueshunt_proxy._internal.peers`",
