--- a/packages/fescueshunt/src/fescueshunt/core/views.py
+++ b/packages/fescueshunt/src/fescueshunt/core/views.py
@@ -184,11 +184,13 @@
     """Why a primary is replaced.
 
     FAILING: a majority of the watchers found it failing. HALTED: an upstream
-    promised a higher term that nobody serves, and it stayed so.
+    promised a higher term that nobody serves, and it stayed so. LEAVING: it is
+    leaving, and a majority of the group stays and follows it.
     """
 
     FAILING = "failing"
     HALTED = "halted"
+    LEAVING = "leaving"
 
 
 class ChoiceReason(enum.StrEnum):
--- a/packages/fescueshunt/src/fescueshunt/failover/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/failover/choose.py
@@ -24,9 +24,15 @@
     """Returns whom to promote.
 
     The newest log goes first, by term and then by index, for it has every
-    write that a majority holds. Among equal ones: an upstream that stays, the
+    write that a majority holds. Any majority has it, so where those that stay
+    are one, only they count. Among equal ones: an upstream that stays, the
     current primary, the proposer's zone, the name.
     """
+    staying_votes = tuple(
+        vote for vote in votes if vote.upstream not in view.leaving
+    )
+    if len(staying_votes) >= database.majority:
+        votes = staying_votes
     newest = max(vote.last for vote in votes)
     names = {vote.upstream for vote in votes if vote.last == newest}
     equal = [u for u in database.upstreams if u.name in names]
--- a/packages/fescueshunt/src/fescueshunt/failover/suspect.py
+++ b/packages/fescueshunt/src/fescueshunt/failover/suspect.py
@@ -65,6 +65,7 @@
                 yield item
             case filters.Tick():
                 yield from self._review(item.at)
+                yield from self._review_leaving(item.at)
                 yield item
             case _:
                 yield item
@@ -99,6 +100,20 @@
                 yield items.Suspected(now, view, cause, agreeing, turn)
                 return
 
+    def _review_leaving(self, now: float) -> Iterator[filters.Item]:
+        """Yields a suspicion for each leaving primary that has successors."""
+        for name, view in self._state.groups.items():
+            if view.primary not in view.leaving:
+                continue
+            database = self._state.settings.database(name)
+            if database is None or not _has_successors(view, database, now):
+                continue
+            watchers = homes.watchers(database, self._state.fleet)
+            if self._me.name in watchers:
+                turn = self._turn(view, watchers, watchers)
+                cause = views.Cause.LEAVING
+                yield items.Suspected(now, view, cause, watchers, turn)
+
     def _turn(
         self,
         view: views.GroupView,
@@ -131,6 +146,22 @@
     yield views.Cause.HALTED, halted
 
 
+def _has_successors(
+    view: views.GroupView, database: document.Database, now: float
+) -> bool:
+    """Tells whether a majority of the group stays and follows the primary."""
+    following = [
+        state.name
+        for state in view.states
+        if state.name not in view.leaving
+        and state.failed_at is None
+        and state.status is not None
+        and state.status.term == view.term
+        and state.status.promised == view.term
+    ]
+    return view.is_supported(now) and len(following) >= database.majority
+
+
 def _finds_failing(
     report: items.Reported, view: views.GroupView, now: float
 ) -> bool:
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -527,3 +527,29 @@
         answer = played.ask("proxy-1", scenarios.read(played, "old"))
         assert answer.error is None, number
         assert answer.upstream != leaving
+
+
+def test_leaving_primary_hands_over_and_gets_no_new_work(played, home, other):
+    (declared,) = world.SETTINGS.databases
+    members = tuple(
+        dataclasses.replace(u, draining=u.name == "db-0")
+        for u in declared.upstreams
+    )
+    drained = dataclasses.replace(
+        world.SETTINGS,
+        revision=2,
+        databases=(dataclasses.replace(declared, upstreams=members),),
+    )
+    assert played.ask(home, scenarios.write(played, "before")).error is None
+    played.settings = drained
+    for name in (home, other):
+        played.feed(name, items.SettingsRead(played.now, drained, 2))
+    played.run(2.0)
+    for tag in ("one", "two"):
+        answer = played.ask(other, scenarios.write(played, tag))
+        assert answer.error is None
+        assert answer.upstream != "db-0"
+    played.run(5.0)
+    terms = {u.engine.term.number for u in played.upstreams.values()}
+    assert terms == {2}
+    assert played.rows() == ["before", "one", "two"]
