--- a/packages/fescueshunt/src/fescueshunt/request/purge.py
+++ b/packages/fescueshunt/src/fescueshunt/request/purge.py
@@ -24,7 +24,6 @@
 PURGE_EVERY_S = 10.0
 PURGE_AGAIN_S = 0.2
 PURGE_TIMEOUT_S = 5.0
-SUPPORT_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,7 +79,7 @@
         self, database: document.Database, view: views.GroupView, now: float
     ) -> bool:
         primary = database.find(view.primary)
-        if primary is None or now - view.confirmed_at > SUPPORT_S:
+        if primary is None or not view.is_supported(now):
             return False
         home = homes.home_of(database.name, primary, self._state.fleet)
         return home == self._me.name
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -104,6 +104,7 @@
         self.meddle: Callable[[object], list[float] | None] = lambda _: None
         self.settings = settings
         self.answers: dict[tuple[str, int, int], request.Answer] = {}
+        self.cut_zones: set[str] = set()
         self.extra_answers = 0
         self.disturbed = 0
         self.counts: dict[str, int] = {}
@@ -243,6 +244,18 @@
         )
         return max(serving, key=lambda fake: fake.engine.term)
 
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tells whether nothing gets from one zone to the other."""
+        return one != other and not self.cut_zones.isdisjoint((one, other))
+
+    def _zone_of(self, name: str) -> str:
+        (declared,) = self.settings.databases
+        return declared.find(name).zone
+
+    def _reaches(self, source: Proxy, name: str) -> bool:
+        """Tells whether a proxy reaches the upstream `name`."""
+        return not self.is_cut(source.me.zone, self._zone_of(name))
+
     # What the cores want done.
 
     def _act(self, source: Proxy, effect: filters.Item) -> None:
@@ -263,6 +276,12 @@
                     self._hang_up(session)
             case items.CallControl():
                 self._control(source, effect)
+            case items.ReadHosts() if source.me.zone in self.cut_zones:
+                pass
+            case items.ReadSettings() if source.me.zone in self.cut_zones:
+                lost = errors.StoreUnavailableError()
+                item = items.SettingsReadFailed(self.now, lost)
+                self._reply(source, lambda: item)
             case items.ReadHosts():
                 self._reply(source, self._hosts)
             case items.ReadSettings(above=above, wait_s=wait_s):
@@ -295,6 +314,8 @@
         if target not in self.proxies:
             self._lose_peer(sender, target)
             return
+        if self.is_cut(source.me.zone, self.proxies[target].me.zone):
+            return
 
         def deliver() -> None:
             item = items.PeerReceived(self.now, sender, effect.message)
@@ -318,7 +339,7 @@
 
     def _open(self, source: Proxy, effect: items.OpenUpstream) -> None:
         fake = self.upstreams[effect.upstream]
-        if not fake.alive:
+        if not (fake.alive and self._reaches(source, fake.name)):
             lost = errors.ConnectionLostError(fake.name)
             item = items.UpstreamFailed(self.now, effect.conn, lost)
             self._reply(source, lambda: item)
@@ -339,11 +360,14 @@
         session.call = number
 
         def replied(reply: upstream.Reply) -> None:
+            if not self._reaches(session.source, session.fake.name):
+                return
             for delay_s in self._deliveries(reply):
                 self.at(delay_s, lambda: self._end(session, number, reply))
 
         def execute() -> None:
-            if session.fake.alive:
+            reached = self._reaches(session.source, session.fake.name)
+            if session.fake.alive and reached:
                 session.fake.execute(session.key, effect.call, replied)
 
         for delay_s in self._deliveries(effect.call)[:1]:
@@ -391,6 +415,8 @@
                 self._feed_to(source, item)
 
         def replied(reply: upstream.Reply) -> None:
+            if not self._reaches(source, fake.name):
+                return
             for delay_s in self._deliveries():
                 self.at(
                     delay_s,
@@ -407,7 +433,7 @@
                 )
 
         def execute() -> None:
-            if fake.alive:
+            if fake.alive and self._reaches(source, fake.name):
                 fake.control(effect.call, self.now, replied)
 
         for delay_s in self._deliveries()[:1]:
@@ -442,6 +468,9 @@
                 continue
             if not (replica.alive and primary.alive):
                 continue
+            zones = (self._zone_of(replica.name), self._zone_of(primary.name))
+            if self.is_cut(*zones):
+                continue
             term = replica.engine.term
             read = primary.engine.entries_after(term, replica.engine.history)
             replica.engine.replicate(term, read)
