--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -249,8 +249,8 @@
         return one != other and not self.cut_zones.isdisjoint((one, other))
 
     def _zone_of(self, name: str) -> str:
-        (declared,) = self.settings.databases
-        return declared.find(name).zone
+        found = (d.find(name) for d in self.settings.databases)
+        return next(member.zone for member in found if member)
 
     def _reaches(self, source: Proxy, name: str) -> bool:
         """Tells whether a proxy reaches the upstream `name`."""
