Put the settings into an empty store in one place; log only what changed

Cause: the key and the first swap of the settings stood in three places; a line of the log named every member at each change, which grows with the fleet; a service could be declared idempotent, which no decision read. Change: fescueshunt_wire.first_settings has both; fleet_changed names the members that are new, gone or in another state, and how many there are; the setting is gone until something reads it.

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/bootstrap.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/bootstrap.py
@@ -7,15 +7,12 @@
 import pathlib
 import time
 
-from fescueshunt import errors
 from fescueshunt.core import document as documents
 from fescueshunt.core import statements
 from fescueshunt_cli._internal import deployment
 from fescueshunt_cli._internal.commands import base
-from fescueshunt_wire import channel, codec, platform
+from fescueshunt_wire import first_settings
 
-SETTINGS_KEY = "fescueshunt/settings"
-TIMEOUT_S = 5.0
 AUTHOR = "bootstrap"
 
 
@@ -41,13 +38,8 @@
       SettingsError: if the file is invalid.
       RevisionConflictError: if the store has settings already.
     """
-    document = first_revision(deployment.load(file))
-    data = codec.encode_document(document)
-    call = platform.CompareAndSwap(SETTINGS_KEY, 0, data)
-    async with channel.connect(store) as calls:
-        swapped = await calls.call(call, TIMEOUT_S)
-    if not swapped.done:
-        raise errors.RevisionConflictError("the store has settings already")
+    first = first_revision(deployment.load(file))
+    await first_settings.put(store, first)
     return base.SUCCESS
 
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/logs.py
@@ -32,18 +32,22 @@
     def __init__(self) -> None:
         self._logger = structlog.get_logger(__name__)
         self._primaries: dict[str, str] = {}
-        self._members: tuple[tuple[str, str], ...] = ()
+        self._members: dict[str, str] = {}
 
     def settings(self, view: views.SettingsView) -> None:
         """Logs a new revision."""
         self._logger.info("settings_in_force", revision=view.document.revision)
 
     def fleet(self, view: views.FleetView) -> None:
-        """Logs a change of members."""
-        members = tuple((m.name, m.state.value) for m in view.members)
-        if members != self._members:
-            self._members = members
-            self._logger.info("fleet_changed", members=dict(members))
+        """Logs which members are new, gone or in another state."""
+        members = {m.name: m.state.value for m in view.members}
+        changed = dict(members.items() - self._members.items())
+        gone = sorted(self._members.keys() - members.keys())
+        self._members = members
+        if changed or gone:
+            self._logger.info(
+                "fleet_changed", changed=changed, gone=gone, size=len(members)
+            )
 
     def group(self, view: views.GroupView) -> None:
         """Logs a change of primary."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/wired.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/wired.py
@@ -10,7 +10,7 @@
 from fescueshunt import errors
 from fescueshunt.core import document, identity, items, upstream
 from fescueshunt_proxy._internal import platform
-from fescueshunt_wire import channel, codec
+from fescueshunt_wire import channel, codec, first_settings
 from fescueshunt_wire import platform as messages
 
 if TYPE_CHECKING:
@@ -18,7 +18,6 @@
 
 OPEN_TIMEOUT_S = 2.0
 STORE_TIMEOUT_S = 1.0
-SETTINGS_KEY = "fescueshunt/settings"
 ARCHIVE_PLACES = 64
 
 
@@ -130,7 +129,7 @@
         self, above: int, wait_s: float
     ) -> tuple[document.Document, int]:
         """Returns the document and its version."""
-        call = messages.Get(SETTINGS_KEY, above, wait_s)
+        call = messages.Get(first_settings.SETTINGS_KEY, above, wait_s)
         found = await self._call(call, wait_s + STORE_TIMEOUT_S)
         return codec.decode_document(found.value), found.version
 
@@ -139,7 +138,9 @@
     ) -> tuple[bool, int]:
         """Sets the document if its version is `expected`."""
         data = codec.encode_document(value)
-        call = messages.CompareAndSwap(SETTINGS_KEY, expected, data)
+        call = messages.CompareAndSwap(
+            first_settings.SETTINGS_KEY, expected, data
+        )
         swapped = await self._call(call, STORE_TIMEOUT_S)
         return swapped.done, swapped.version
 
@@ -189,7 +190,7 @@
 
 
 def _archive_key(revision: int) -> str:
-    return f"{SETTINGS_KEY}/{(revision - 1) % ARCHIVE_PLACES}"
+    return f"{first_settings.SETTINGS_KEY}/{(revision - 1) % ARCHIVE_PLACES}"
 
 
 async def _call_platform(
--- a/packages/fescueshunt/src/fescueshunt/core/document.py
+++ b/packages/fescueshunt/src/fescueshunt/core/document.py
@@ -59,7 +59,6 @@
       durability: when its writes are acknowledged.
       max_age_s: the age its reads accept; None asks for the session's token
         only, or for the primary where there is none.
-      idempotent: whether its writes may run more than once.
     """
 
     name: str
@@ -68,7 +67,6 @@
     writes: bool = False
     durability: Durability = Durability.MAJORITY
     max_age_s: float | None = None
-    idempotent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/operators/listings.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/listings.py
@@ -71,7 +71,6 @@
         "writes",
         "durability",
         "max_age_s",
-        "idempotent",
     )
 
     def rows(self, seen: known.Known, now: float) -> Iterator[Row]:
