--- a/packages/fescueshunt/src/fescueshunt/request/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/request/choose.py
@@ -76,8 +76,9 @@
 ) -> str:
     """Returns the upstream whose home gets `work`, "" for none.
 
-    A read goes to the primary where all replicas are busy, and to a busy
-    upstream only where no other is left.
+    One of the `busy` upstreams is named only where no other replica is left.
+    The primary isn't named in place of a busy replica: its slots are kept for
+    writes.
     """
     if work.suggested and work.suggested not in work.avoid:
         return work.suggested
@@ -111,8 +112,8 @@
     ordered = sorted(
         usable,
         key=lambda u: (
-            u.name in busy,
             u.name == primary,
+            u.name in busy,
             u.zone != zone,
             turn.index(u.name),
         ),
--- a/packages/fescueshunt/src/fescueshunt/request/gate.py
+++ b/packages/fescueshunt/src/fescueshunt/request/gate.py
@@ -90,7 +90,7 @@
         if state is None or upstream in view.leaving:
             yield self._send_back(now, work, upstream, view, view.primary)
         elif choose.is_new_enough(work, view, state, now):
-            yield _placed(now, work, upstream, view)
+            yield items.Placed(now, work, upstream)
         elif state.failed_at is None:
             until = min(now + CATCH_UP_WAIT_S, work.deadline)
             self._state.waiters.append(Waiter(work, upstream, until))
@@ -114,7 +114,7 @@
         if state is not None and choose.is_new_enough(
             waiter.work, view, state, now
         ):
-            return _placed(now, waiter.work, waiter.upstream, view)
+            return items.Placed(now, waiter.work, waiter.upstream)
         if now < waiter.until:
             return None
         return self._give_up(now, waiter.work, waiter.upstream, view)
@@ -162,15 +162,6 @@
         return items.Retried(now, again, brief)
 
 
-def _placed(
-    now: float, work: items.Work, upstream: str, view: views.GroupView
-) -> items.Placed:
-    spare = upstream == view.primary and bool(
-        choose.satisfying(work, view, now, ())
-    )
-    return items.Placed(now, work, upstream, spare)
-
-
 def _lost(work: items.Work, view: views.GroupView) -> bool:
     """Tells whether the group's history has left out the session's write."""
     state = view.find(view.primary)
--- a/packages/fescueshunt/src/fescueshunt/request/hints.py
+++ b/packages/fescueshunt/src/fescueshunt/request/hints.py
@@ -11,8 +11,10 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from fescueshunt import errors
+
 if TYPE_CHECKING:
-    from fescueshunt import errors
+    from fescueshunt.core import request
     from fescueshunt.request import items
 
 TARGET_SHARE = 1 / 8
@@ -34,16 +36,15 @@
         self._until: dict[Subject, dict[str, float]] = {}
 
     def note(
-        self,
-        work: items.Work,
-        upstream: str,
-        error: errors.OverloadedError,
-        now: float,
+        self, work: items.Work, answer: request.Answer, now: float
     ) -> None:
-        """Takes in that `upstream` had no time for `work`."""
+        """Takes in the answer of another proxy to `work`."""
+        error = answer.error
+        if not isinstance(error, errors.OverloadedError) or not answer.upstream:
+            return
         holds_s = min(error.retry_after_s, work.rank.target_s * TARGET_SHARE)
         named = self._until.setdefault(subject_of(work), {})
-        named[upstream] = now + holds_s
+        named[answer.upstream] = now + holds_s
 
     def busy(self, work: items.Work, now: float) -> frozenset[str]:
         """Returns the upstreams that shall not get `work` now."""
--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -78,15 +78,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed(filters.Item):
-    """Work that waits for a slot of `upstream` at this home.
-
-    `spare` marks a read at the primary that a replica could serve: it takes
-    only slots that writes leave.
-    """
+    """Work that waits for a slot of `upstream` at this home."""
 
     work: Work
     upstream: str
-    spare: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -22,7 +22,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, outcome, pool, ranked, surge
+from fescueshunt.request import items, outcome, pool, surge
 
 if TYPE_CHECKING:
     import random
@@ -137,10 +137,7 @@
             error = errors.ConnectionLostError(found.upstream)
             yield _return(item.at, item.work, found, error)
             return
-        work = item.work
-        if item.spare:
-            work = ranked.as_spare(work, found.slots)
-        wait_s = found.queue.offer(work, item.at, found.seen_slots())
+        wait_s = found.queue.offer(item.work, item.at, found.seen_slots())
         if wait_s is not None:
             yield _refuse(item.at, item.work, found, wait_s)
             return
@@ -229,16 +226,9 @@
 
 def _refuse(
     now: float, work: items.Work, found: pool.Pool, wait_s: float
-) -> filters.Item:
-    """Returns a refusal that names the upstream which has no time for it.
-
-    A read of this entry's own goes through routing, which notes the hint.
-    """
+) -> items.Finished:
+    """Returns a refusal that names the upstream which has no time for it."""
     error = errors.OverloadedError(retry_after_s=max(wait_s, MIN_RETRY_AFTER_S))
-    is_own = isinstance(work.origin, items.CallerOrigin)
-    if is_own and work.req.kind is request.Kind.READ:
-        again = dataclasses.replace(work, error=error, upstream=found.upstream)
-        return items.Retried(now, again)
     answer = request.Answer(
         work.req.request_id, upstream=found.upstream, error=error
     )
--- a/packages/fescueshunt/src/fescueshunt/request/ranked.py
+++ b/packages/fescueshunt/src/fescueshunt/request/ranked.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from fescueshunt.request import lane, schedule
@@ -26,7 +25,6 @@
     from fescueshunt.request import items
 
 MIN_CEILING_SLOTS = 1
-SPARE_ORDER = 1000
 
 
 class Ranked(schedule.Schedule):
@@ -165,8 +163,6 @@
         self._floors = floors
 
     def _floor(self, order: int) -> float:
-        if order == SPARE_ORDER:
-            return 0.0
         rank = self._ranks[order]
         return self._floors.get(rank.name, rank.floor)
 
@@ -174,17 +170,6 @@
         return self._mean_s.get(order, schedule.FIRST_SERVICE_S)
 
 
-def as_spare(work: items.Work, slots: int) -> items.Work:
-    """Returns `work` below all ranks, for what they leave of the slots.
-
-    One slot stays free of such work, so that a write never waits for all.
-    """
-    rank = dataclasses.replace(
-        work.rank, order=SPARE_ORDER, ceiling=(slots - 0.5) / slots
-    )
-    return dataclasses.replace(work, rank=rank)
-
-
 def goal_of(work: items.Work) -> float:
     """Returns when `work` must be answered to be worth its full value."""
     came_at = work.deadline - work.req.timeout_s
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -250,24 +250,9 @@
             return
         if message.brief is not None:
             self._state.briefs[message.brief.database] = message.brief
-        error = message.answer.error
-        if isinstance(error, errors.OverloadedError):
-            upstream = message.answer.upstream
-            yield self._refuse_busy(forward.work, upstream, error, item.at)
-            return
+        self._state.hints.note(forward.work, message.answer, item.at)
         yield outcome.pass_on(item.at, forward.work, message.answer)
 
-    def _refuse_busy(
-        self,
-        work: items.Work,
-        upstream: str,
-        error: errors.OverloadedError,
-        now: float,
-    ) -> items.Finished:
-        """Refuses what `upstream` has no time for; later work goes round."""
-        self._state.hints.note(work, upstream, error, now)
-        return outcome.refuse(now, work, error)
-
     def _take_forward(
         self, sender: str, seq: int, request_id: bytes
     ) -> Forward | None:
@@ -313,9 +298,6 @@
             return
         if isinstance(work.origin, items.BackgroundOrigin):
             return
-        if isinstance(work.error, errors.OverloadedError):
-            yield self._refuse_busy(work, work.upstream, work.error, item.at)
-            return
         if item.brief is not None:
             self._state.briefs[item.brief.database] = item.brief
         if work.req.kind in OPEN_ONLY:
--- a/tests/unit/test_hints.py
+++ b/tests/unit/test_hints.py
@@ -1,7 +1,9 @@
 """Tests of the hints of busy homes."""
 
+import pytest
+
 from fescueshunt import errors
-from fescueshunt.core import document
+from fescueshunt.core import document, request
 from fescueshunt.request import choose, hints
 from lib import works
 
@@ -12,12 +14,15 @@
 DATABASE = document.Database("db", "g", MEMBERS)
 
 
-BUSY = errors.OverloadedError(retry_after_s=9.0)
+def refusal(work, upstream, retry_after_s=9.0):
+    error = errors.OverloadedError(retry_after_s=retry_after_s)
+    return request.Answer(work.req.request_id, upstream=upstream, error=error)
 
 
 def test_a_hint_holds_for_one_caller_and_rank_and_not_for_long():
     found = hints.Hints()
-    found.note(works.work(), "u1", BUSY, 1.0)
+    work = works.work()
+    found.note(work, refusal(work, "u1"), 1.0)
     end = 1.0 + works.URGENT.target_s * hints.TARGET_SHARE
     assert found.busy(works.work(), end - 0.001) == {"u1"}
     assert found.busy(works.work(caller="other"), 1.0) == frozenset()
@@ -27,6 +32,17 @@
     assert found._until == {}
 
 
+@pytest.mark.parametrize(
+    "error", [None, errors.NoPrimaryError(), errors.TooStaleError()]
+)
+def test_only_refusals_for_load_are_hints(error):
+    found = hints.Hints()
+    work = works.work()
+    answer = request.Answer(work.req.request_id, upstream="u1", error=error)
+    found.note(work, answer, 1.0)
+    assert found.busy(work, 1.0) == frozenset()
+
+
 def test_a_read_goes_round_a_busy_replica():
     work = works.work(rank=works.HISTORY)
     placement = choose.NearestReplica()
--- a/tests/unit/test_ranked.py
+++ b/tests/unit/test_ranked.py
@@ -98,15 +98,6 @@
     assert server.queue.offer(doubtful, server.now, server.slots) is None
 
 
-def test_spare_reads_take_only_the_slots_that_writes_leave():
-    server = works.Server(ranked.Ranked(), 2, SERVICE_S)
-    spare = [ranked.as_spare(works.work(0.0), 2) for _ in range(5)]
-    server.run(spare, 0.0)
-    assert len(server.ends) == 1
-    server.run([works.work(0.0, works.HISTORY)], 0.0)
-    assert len(server.ends) == 2
-
-
 def test_late_arrivals_run_once_nothing_fresh_waits():
     late = [works.work(-1.0 + n / 1000) for n in range(20)]
     server = works.Server(ranked.Ranked(), 2, SERVICE_S)
