--- a/packages/fescueshunt/src/fescueshunt/health/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/health/pipe.py
@@ -18,4 +18,5 @@
     me: identity.Identity, placed: homes.Homes | None = None
 ) -> filters.Pipe:
     """Returns the health pipe of the proxy `me`."""
-    return filters.Pipe((track.Track(me, placed),), ACCEPTS)
+    stages = (track.Track(me, placed),)
+    return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/observe/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/observe/pipe.py
@@ -28,4 +28,5 @@
 
 def build(me: identity.Identity) -> filters.Pipe:
     """Returns the observe pipe of the proxy `me`."""
-    return filters.Pipe((tally.Tally(), record.Record(me.name)), ACCEPTS)
+    stages = (tally.Tally(), record.Record(me.name))
+    return filters.Pipe(stages, ACCEPTS)
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -1,5 +1,6 @@
 """Pages name only what exists: links, commands, codes, names of the code."""
 
+import ast
 import importlib
 import inspect
 import pathlib
@@ -15,6 +16,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DOCS = ROOT / "docs"
+DECISIONS = ROOT / "packages/fescueshunt/src/fescueshunt"
 PAGES = sorted(
     [ROOT / "README.md", ROOT / "CONTRIBUTING.md", *DOCS.rglob("*.md")]
 )
@@ -143,3 +145,22 @@
     assert set(measured.found) == set(capacity_main.MEASURES)
     for table in page.tables(measured).values():
         assert table in text
+
+
+def filters_of(pipe: str) -> list[str]:
+    """Returns the modules of a pipe's filters, in the order of its code."""
+    path = DECISIONS / pipe / "pipe.py"
+    chain = next(
+        node.value
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Assign) and node.targets[0].id == "stages"
+    )
+    return [call.func.value.id for call in chain.elts]
+
+
+def test_the_shape_page_names_every_pipe_and_its_filters():
+    page = (ROOT / "docs/design/shape.md").read_text()
+    rows = re.findall(r"^\| `([a-z]+)` \| ([a-z_, ]+) \|$", page, re.MULTILINE)
+    told = {pipe: filters.split(", ") for pipe, filters in rows}
+    pipes = [path.parent.name for path in DECISIONS.glob("*/pipe.py")]
+    assert told == {pipe: filters_of(pipe) for pipe in pipes}
