Bound the calls of writes and transactions in one place

Cause: the call that runs statements up to the deadline of its work stood twice, in write.py and transact.py, with its limit. Change: request/calls.py has both. Behaviour is the same; no test was touched.

--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/request/calls.py
@@ -0,0 +1,32 @@
+"""Calls of write transactions, bounded by the deadline of their work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import items as core_items
+from fescueshunt.core import position, request, upstream
+
+if TYPE_CHECKING:
+    from fescueshunt.request import items
+
+MAX_CALL_S = 2.0
+
+
+def execute(
+    now: float,
+    conn: int,
+    work: items.Work,
+    mode: upstream.Mode,
+    term: position.Term,
+    statements: tuple[request.Statement, ...],
+) -> core_items.RunUpstream:
+    """Returns the effect that runs `statements` for `work` on `conn`."""
+    left_s = max(work.deadline - now, 0.0)
+    return core_items.RunUpstream(
+        now,
+        conn,
+        upstream.Execute(mode, term, statements),
+        min(left_s, MAX_CALL_S),
+        work.req.request_id,
+    )
--- a/packages/fescueshunt/src/fescueshunt/request/transact.py
+++ b/packages/fescueshunt/src/fescueshunt/request/transact.py
@@ -17,14 +17,13 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, ledger, limits, outcome, route
+from fescueshunt.request import calls, items, ledger, limits, outcome, route
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 IDLE_LIMIT_S = 5.0
 OPEN_LIMIT_S = 30.0
-MAX_CALL_S = 2.0
 
 
 class Phase(enum.Enum):
@@ -160,13 +159,8 @@
         mode: upstream.Mode,
         statements: tuple[request.Statement, ...],
     ) -> core_items.RunUpstream:
-        left_s = max(pinned.work.deadline - now, 0.0)
-        return core_items.RunUpstream(
-            now,
-            pinned.conn,
-            upstream.Execute(mode, pinned.term, statements),
-            min(left_s, MAX_CALL_S),
-            pinned.work.req.request_id,
+        return calls.execute(
+            now, pinned.conn, pinned.work, mode, pinned.term, statements
         )
 
     def _replied(
--- a/packages/fescueshunt/src/fescueshunt/request/write.py
+++ b/packages/fescueshunt/src/fescueshunt/request/write.py
@@ -22,13 +22,11 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import items, ledger, limits, outcome, route
+from fescueshunt.request import calls, items, ledger, limits, outcome, route
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_CALL_S = 2.0
-
 
 class Phase(enum.Enum):
     """What the call in flight does."""
@@ -112,13 +110,13 @@
         mode: upstream.Mode,
         statements: tuple[request.Statement, ...],
     ) -> core_items.RunUpstream:
-        left_s = max(running.work.deadline - now, 0.0)
-        return core_items.RunUpstream(
+        return calls.execute(
             now,
             running.started.conn,
-            upstream.Execute(mode, running.term, statements),
-            min(left_s, MAX_CALL_S),
-            running.work.req.request_id,
+            running.work,
+            mode,
+            running.term,
+            statements,
         )
 
     def _lost(
