Serve sessions end to end on the new machines

Cause: the new machines hold sessions on connections, which today's front doesn't. Ruled out: translating sessions into requests in the adapter, as that would decide there. Change: pipes routing, presence, replicas, sessions, takeover; the border in _internal/hosted; the adapter in platform/; deploy/.

--- /dev/null
+++ b/deploy/fescueshuntd.py
@@ -0,0 +1,17 @@
+"""Starts `fescueshuntd` from the sources of this tree."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+PACKAGES = ("fescueshunt", "fescueshunt-wire", "fescueshunt-proxy")
+
+if __name__ == "__main__":
+    sys.path[:1] = [
+        str(ROOT / "packages" / package / "src") for package in PACKAGES
+    ]
+    from fescueshunt_proxy import __main__ as binary
+
+    binary.main()
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""The border of a host whose front end holds sessions."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
@@ -27,9 +27,16 @@
     observable ends with the first exception that leaves a subscriber, and the
     proxy would go on without it. So an exception that an item causes is
     reported as an effect, and the next item is served.
+
+    Args:
+      core: the decisions.
+      clock: gives the time of items in seconds and never goes back.
     """
 
-    def __init__(self, core: filters.Core) -> None:
+    def __init__(
+        self, core: filters.Core, clock: Callable[[], float] | None = None
+    ) -> None:
+        self._clock = clock
         self._logger = structlog.get_logger(__name__)
         self._entered: reactivex.Subject[filters.Item] = reactivex.Subject()
         self._mouth: reactivex.Subject[filters.Item] = reactivex.Subject()
@@ -38,7 +45,9 @@
         self._mouth.pipe(operators.map(core.feed)).subscribe(deliver)
 
     def now(self) -> float:
-        """Returns the time of the loop's clock; seconds, monotonic."""
+        """Returns the time of the clock, by default the loop's; seconds."""
+        if self._clock is not None:
+            return self._clock()
         return asyncio.get_running_loop().time()
 
     def feed(self, item: filters.Item) -> None:
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
@@ -0,0 +1,221 @@
+"""What the platform's store holds, decoded once into types of the product."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Annotated, Literal
+
+import pydantic
+
+from fescueshunt.core import replica_sets, routes, session_items, sessions
+from fescueshunt_proxy._internal.hosted import ports
+
+ROUTES_KEY = "op/config"
+ENTRIES_PREFIX = "servers/"
+MS_PER_S = 1000
+
+Name = Annotated[str, pydantic.Field(min_length=1, max_length=200)]
+Count = Annotated[int, pydantic.Field(ge=0, strict=True)]
+Milliseconds = Annotated[float, pydantic.Field(ge=0)]
+
+_CONSISTENCIES = {
+    "primary": routes.Consistency.PRIMARY,
+    "bounded_staleness": routes.Consistency.BOUNDED,
+    "read_your_writes": routes.Consistency.OWN_WRITES,
+}
+_ROLES = {
+    "primary": sessions.ReplicaRole.PRIMARY,
+    "replica": sessions.ReplicaRole.REPLICA,
+}
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+class _Route(_Model):
+    # `db_name` is what clients start a session with; `service` is the replica
+    # set that serves it.
+    db_name: Name
+    service: Name
+    route_type: Literal["primary", "bounded_staleness", "read_your_writes"]
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds
+    priority: int = 0
+    max_staleness_ms: Milliseconds = 0
+
+
+class _Service(_Model):
+    name: Name
+    max_conns: Annotated[int, pydantic.Field(ge=1)]
+    sync_replicas: Count = 0
+
+
+class _Limits(_Model):
+    tx_idle_ms: Milliseconds = 3000
+
+
+class _Document(_Model):
+    version: Count
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Beat(_Model):
+    service: Name
+    address: Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    zone: Name
+    slots: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    state: Literal["ready", "draining"]
+    db_role: Literal["primary", "replica"]
+    born: Annotated[int, pydantic.Field(strict=True)] = 0
+
+
+def decode_routes(data: bytes, now: float) -> routes.RoutesView:
+    """Returns the operator's document.
+
+    Raises:
+      ValueError: if it can't be read.
+    """
+    document = _Document.model_validate_json(data)
+    return routes.RoutesView(
+        now,
+        document.version,
+        {route.db_name: _route(route) for route in document.routes},
+        {
+            service.name: routes.ReplicaSetPolicy(
+                service.name, service.max_conns, service.sync_replicas
+            )
+            for service in document.services
+        },
+        document.limits.tx_idle_ms / MS_PER_S,
+    )
+
+
+def _route(route: _Route) -> routes.Route:
+    return routes.Route(
+        name=route.db_name,
+        database=route.service,
+        consistency=_CONSISTENCIES[route.route_type],
+        timeout_s=route.timeout_ms / MS_PER_S,
+        target_s=route.target_latency_ms / MS_PER_S,
+        priority=route.priority,
+        max_age_s=route.max_staleness_ms / MS_PER_S,
+    )
+
+
+def decode_entry(upstream: str, data: bytes) -> replica_sets.Entry:
+    """Returns an upstream's entry.
+
+    Raises:
+      ValueError: if another writer left something that names no upstream.
+    """
+    beat = _Beat.model_validate_json(data)
+    return replica_sets.Entry(
+        upstream=upstream,
+        database=beat.service,
+        address=beat.address,
+        zone=beat.zone,
+        slots=beat.slots,
+        draining=beat.state == "draining",
+        role=_ROLES[beat.db_role],
+        born_ms=beat.born,
+    )
+
+
+class Item(_Model):
+    """An item of the store, or the news that it was removed.
+
+    Attributes:
+      value: the bytes, in base64.
+      deleted: whether it was removed.
+    """
+
+    key: str
+    value: str = ""
+    revision: int
+    lease_id: int = 0
+    deleted: bool = False
+
+    def data(self) -> bytes:
+        """Returns the bytes; empty if they are no base64."""
+        try:
+            return base64.b64decode(self.value)
+        except (binascii.Error, ValueError):
+            return b""
+
+
+class Range(_Model):
+    """A page of items."""
+
+    items: list[Item]
+    more_pages: bool = False
+    as_of: int
+
+
+class Events(_Model):
+    """Changes since a revision."""
+
+    events: list[Item]
+    as_of: int
+
+
+class OneItem(Item):
+    """The answer to a read of one key."""
+
+    as_of: int
+
+
+class Lease(_Model):
+    """A lease, as granted or renewed."""
+
+    lease_id: int = 0
+    ttl_ms: float
+
+
+class Written(_Model):
+    """The answer to a change that was made."""
+
+    revision: int
+
+
+def encode_value(value: str) -> str:
+    """Returns a value as the store takes it."""
+    return base64.b64encode(value.encode()).decode()
+
+
+def decode_key(item: Item) -> session_items.StoredKey:
+    """Returns a key of this system."""
+    value = item.data().decode(errors="replace")
+    return session_items.StoredKey(value, item.revision, item.lease_id)
+
+
+def decode_change(item: Item, now: float) -> ports.Change | None:
+    """Returns what an item says, None if it does not concern this system."""
+    if item.key == ROUTES_KEY:
+        return _routes_change(item, now)
+    if item.key.startswith(ENTRIES_PREFIX):
+        return _entry_change(item)
+    if item.key.startswith(session_items.KEY_PREFIX):
+        stored = None if item.deleted else decode_key(item)
+        return ports.KeyChange(item.key, stored, item.revision)
+    return None
+
+
+def _routes_change(item: Item, now: float) -> ports.Change:
+    try:
+        return ports.RoutesChange(decode_routes(item.data(), now))
+    except ValueError as exc:
+        return ports.RoutesChange(None, str(exc))
+
+
+def _entry_change(item: Item) -> ports.Change:
+    upstream = item.key.removeprefix(ENTRIES_PREFIX)
+    if item.deleted:
+        return ports.EntryChange(upstream, None)
+    try:
+        return ports.EntryChange(upstream, decode_entry(upstream, item.data()))
+    except ValueError:
+        return ports.EntryChange(upstream, None, readable=False)
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
@@ -0,0 +1,29 @@
+"""The platform's call that promotes an upstream."""
+
+from __future__ import annotations
+
+import json
+
+from fescueshunt_proxy._internal.hosted import ports
+from fescueshunt_proxy.platform import http
+
+CALL_TIMEOUT_S = 1.5
+OK = 200
+
+
+class HttpPromotions(ports.Promotions):
+    """Promotions over HTTP, with the holder and its token in headers."""
+
+    def __init__(self, address: str) -> None:
+        self._client = http.Client(address)
+
+    async def promote(
+        self, database: str, upstream: str, holder: str, token: int
+    ) -> str:
+        """Promotes; returns "" if it was done, else why not."""
+        body = json.dumps({"service": database, "id": upstream}).encode()
+        headers = {"Duty-Holder": holder, "Fencing-Token": str(token)}
+        response = await self._client.call(
+            "POST", "/promotion", CALL_TIMEOUT_S, body, headers
+        )
+        return "" if response.status == OK else f"status {response.status}"
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/readiness.py
@@ -0,0 +1,32 @@
+"""The address at which the balancer asks whether this host is ready."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from fescueshunt_proxy._internal.hosted import ports
+from fescueshunt_proxy.platform import http
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+TARGET = "/readiness"
+
+
+class HttpReadiness(ports.Readiness):
+    """200 if this host is ready, 503 if not."""
+
+    @contextlib.asynccontextmanager
+    async def serving(
+        self, address: str, is_ready: Callable[[], bool]
+    ) -> AsyncIterator[None]:
+        """Serves while the block runs."""
+
+        def respond(method: str, target: str) -> http.Response:
+            if method != "GET" or target.partition("?")[0] != TARGET:
+                return http.Response(404, b"")
+            return http.Response(200 if is_ready() else 503, b"")
+
+        async with http.serving(address, respond):
+            yield
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -0,0 +1,176 @@
+"""The platform's key-value store, over HTTP."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import pydantic
+
+from fescueshunt import errors
+from fescueshunt_proxy._internal.hosted import ports
+from fescueshunt_proxy.platform import documents, http
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fescueshunt.core import session_items
+
+CALL_TIMEOUT_S = 1.0
+# An answer may be under way this long after the wait of a watch is over.
+WATCH_MARGIN_S = 0.75
+MS_PER_S = 1000
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONDITION_FAILED = 412
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
+
+class HttpStore(ports.Store):
+    """One client for all calls; a waiting watch has a connection of its own."""
+
+    def __init__(self, address: str, now: Callable[[], float]) -> None:
+        self._client = http.Client(address)
+        self._watching = http.Client(address)
+        self._now = now
+
+    async def read_all(self) -> ports.Snapshot:
+        """Returns everything; the pages are read one after the other."""
+        items: list[documents.Item] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            page = await self._page(after)
+            items += page.items
+            revision = page.as_of if revision is None else revision
+            if not page.more_pages or not page.items:
+                break
+            after = page.items[-1].key
+        return self._snapshot(items, revision)
+
+    async def watch(self, after: int, wait_s: float) -> ports.Changes:
+        """Returns the changes after revision `after`."""
+        query = {
+            "prefix": "",
+            "after": after,
+            "wait_ms": int(wait_s * MS_PER_S),
+        }
+        response = await self._send(
+            self._watching,
+            "GET",
+            f"/kv-watch?{urllib.parse.urlencode(query)}",
+            timeout_s=wait_s + WATCH_MARGIN_S,
+        )
+        if response.status == GONE:
+            raise ports.HistoryGoneError
+        events = _decode(documents.Events, response)
+        now = self._now()
+        decoded = (documents.decode_change(e, now) for e in events.events)
+        changes = [change for change in decoded if change is not None]
+        return ports.Changes(changes, events.as_of)
+
+    async def read_key(self, key: str) -> session_items.StoredKey | None:
+        """Returns a key as it is now."""
+        query = urllib.parse.urlencode({"key": key})
+        response = await self._send(self._client, "GET", f"/kv-key?{query}")
+        if response.status == NOT_FOUND:
+            return None
+        return documents.decode_key(_decode(documents.OneItem, response))
+
+    async def write_key(
+        self, key: str, value: str | None, lease: int, expected: int | None
+    ) -> int | None:
+        """Writes or removes a key."""
+        body: dict[str, Any] = {"expected": [], "writes": [], "remove": []}
+        if expected is not None:
+            body["expected"] = [{"key": key, "revision": expected}]
+        if value is None:
+            body["remove"] = [key]
+        else:
+            written = {
+                "key": key,
+                "value": documents.encode_value(value),
+                "lease_id": lease,
+            }
+            body["writes"] = [written]
+        response = await self._send(self._client, "POST", "/kv-txn", body)
+        if response.status == CONDITION_FAILED:
+            return None
+        if response.status == NOT_FOUND:
+            raise ports.LeaseEndedError
+        return _decode(documents.Written, response).revision
+
+    async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
+        """Returns a new lease and how long it holds."""
+        body = {"ttl_ms": int(ttl_s * MS_PER_S)}
+        response = await self._send(self._client, "POST", "/kv-lease", body)
+        lease = _decode(documents.Lease, response)
+        return lease.lease_id, lease.ttl_ms / MS_PER_S
+
+    async def renew_lease(self, lease: int) -> float:
+        """Renews a lease."""
+        response = await self._send(self._client, "POST", f"/kv-keep/{lease}")
+        if response.status == NOT_FOUND:
+            raise ports.LeaseEndedError
+        return _decode(documents.Lease, response).ttl_ms / MS_PER_S
+
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease."""
+        await self._send(self._client, "DELETE", f"/kv-lease-end/{lease}")
+
+    async def _page(self, after: str) -> documents.Range:
+        query = {"prefix": "", "after": after} if after else {"prefix": ""}
+        response = await self._send(
+            self._client, "GET", f"/kv-range?{urllib.parse.urlencode(query)}"
+        )
+        return _decode(documents.Range, response)
+
+    async def _send(
+        self,
+        client: http.Client,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> http.Response:
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            return await client.call(method, target, timeout_s, data)
+        except errors.ConnectionLostError as exc:
+            raise errors.StoreUnavailableError(exc.detail) from exc
+
+    def _snapshot(
+        self, items: list[documents.Item], revision: int
+    ) -> ports.Snapshot:
+        now = self._now()
+        routes, problem, entries, keys, unreadable = None, "", [], {}, 0
+        for item in items:
+            match documents.decode_change(item, now):
+                case ports.RoutesChange() as change:
+                    routes, problem = change.routes, change.problem
+                case ports.EntryChange() as change if change.entry:
+                    entries.append(change.entry)
+                case ports.EntryChange():
+                    unreadable += 1
+                case ports.KeyChange() as change:
+                    keys[change.key] = change.stored
+        return ports.Snapshot(
+            routes, problem, tuple(entries), keys, unreadable, revision
+        )
+
+
+def _decode(model: type[ModelT], response: http.Response) -> ModelT:
+    """Returns the body of a success.
+
+    Raises:
+      StoreUnavailableError: if it is none, or can't be read.
+    """
+    if response.status != OK:
+        raise errors.StoreUnavailableError(f"status {response.status}")
+    try:
+        return model.model_validate_json(response.body)
+    except ValueError as exc:
+        raise errors.StoreUnavailableError("unreadable answer") from exc
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/replicas/entries.py
@@ -0,0 +1,130 @@
+"""Which upstreams exist, from what they write into the platform's store.
+
+An entry that is gone may belong to an upstream that only lost the store. It
+could still acknowledge commits, so it stays a member until it is known to be
+away, or has said nothing for FORGET_AFTER_S.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, replica_sets, session_items
+from fescueshunt.replicas import items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+FORGET_AFTER_S = 10.0
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """An upstream that is or was listed.
+
+    Attributes:
+      unlisted_at: when its entry went, or None.
+      heard_at: when it last answered.
+      leaving_at: when it was first seen to be leaving, or None.
+    """
+
+    entry: replica_sets.Entry
+    unlisted_at: float | None = None
+    heard_at: float = replica_sets.NEVER
+    leaving_at: float | None = None
+
+
+class Entries(filters.Filter):
+    """Keeps the members of every database."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, Known] = {}
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields the members of a database when they change."""
+        match item:
+            case session_items.EntriesListed():
+                yield from self._list(item)
+            case session_items.EntryChanged():
+                yield from self._change(item.entry, item.at)
+            case session_items.EntryRemoved():
+                yield from self._remove(item.upstream, item.at)
+            case session_items.UpstreamAnswered():
+                yield from self._hear(item)
+                yield item
+            case filters.Tick():
+                yield from self._forget(item.at)
+                yield item
+            case _:
+                yield item
+
+    def _list(
+        self, item: session_items.EntriesListed
+    ) -> Iterator[filters.Item]:
+        listed = {entry.upstream for entry in item.entries}
+        for upstream in self._known.keys() - listed:
+            yield from self._remove(upstream, item.at)
+        for entry in item.entries:
+            yield from self._change(entry, item.at)
+
+    def _change(
+        self, entry: replica_sets.Entry, now: float
+    ) -> Iterator[filters.Item]:
+        known = self._known.get(entry.upstream)
+        if known is not None and known.entry == entry:
+            if known.unlisted_at is not None:
+                known.unlisted_at = None
+                yield self._members_of(entry.database, now)
+            return
+        leaving_at = known.leaving_at if known is not None else None
+        if not entry.draining:
+            leaving_at = None
+        elif leaving_at is None:
+            leaving_at = now
+        self._known[entry.upstream] = Known(entry, leaving_at=leaving_at)
+        yield self._members_of(entry.database, now)
+
+    def _remove(self, upstream: str, now: float) -> Iterator[filters.Item]:
+        known = self._known.get(upstream)
+        if known is None or known.unlisted_at is not None:
+            return
+        known.unlisted_at = now
+        yield self._members_of(known.entry.database, now)
+
+    def _hear(
+        self, item: session_items.UpstreamAnswered
+    ) -> Iterator[filters.Item]:
+        known = self._known.get(item.upstream)
+        if known is None:
+            return
+        if item.reply is not None:
+            known.heard_at = item.at
+        if item.refused and known.unlisted_at is not None:
+            yield from self._drop(item.upstream, item.at)
+
+    def _forget(self, now: float) -> Iterator[filters.Item]:
+        silent = [
+            upstream
+            for upstream, known in self._known.items()
+            if known.unlisted_at is not None
+            and now - max(known.unlisted_at, known.heard_at) > FORGET_AFTER_S
+        ]
+        for upstream in silent:
+            yield from self._drop(upstream, now)
+
+    def _drop(self, upstream: str, now: float) -> Iterator[filters.Item]:
+        gone = self._known.pop(upstream)
+        yield self._members_of(gone.entry.database, now)
+
+    def _members_of(self, database: str, now: float) -> items.MembersChanged:
+        members = tuple(
+            dataclasses.replace(
+                known.entry,
+                listed=known.unlisted_at is None,
+                leaving_at=known.leaving_at,
+            )
+            for known in self._known.values()
+            if known.entry.database == database
+        )
+        return items.MembersChanged(now, database, members)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -0,0 +1,25 @@
+"""The replicas pipe, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, session_items
+from fescueshunt.replicas import entries, poll, track
+
+if TYPE_CHECKING:
+    import random
+
+ACCEPTS = (
+    filters.Tick,
+    session_items.EntriesListed,
+    session_items.EntryChanged,
+    session_items.EntryRemoved,
+    session_items.UpstreamAnswered,
+)
+
+
+def build(chance: random.Random) -> filters.Pipe:
+    """Returns the replicas pipe."""
+    stages = (entries.Entries(), poll.Poll(chance), track.Track())
+    return filters.Pipe(stages, ACCEPTS)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/routing/adopt.py
@@ -0,0 +1,41 @@
+"""Adopts newer routes and never goes back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, session_items
+from fescueshunt.routing import items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Adopt(filters.Filter):
+    """Puts a document in force if its version is higher than any before."""
+
+    def __init__(self) -> None:
+        self._version = 0
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields the routes that come into force."""
+        match item:
+            case items.RoutesRead():
+                yield from self._offer(item)
+            case items.RoutesUnreadable():
+                yield session_items.Decided(
+                    item.at,
+                    "routes_unreadable",
+                    "",
+                    {"problem": item.problem, "kept_version": self._version},
+                )
+            case _:
+                yield item
+
+    def _offer(self, item: items.RoutesRead) -> Iterator[filters.Item]:
+        if item.offered.version <= self._version:
+            return
+        details = {"version": item.offered.version, "replaced": self._version}
+        self._version = item.offered.version
+        yield session_items.Decided(item.at, "routes_in_force", "", details)
+        yield item.offered
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/routing/pipe.py
@@ -0,0 +1,13 @@
+"""The routing pipe, put together."""
+
+from __future__ import annotations
+
+from fescueshunt.core import filters
+from fescueshunt.routing import adopt, items
+
+ACCEPTS = (items.RoutesRead, items.RoutesUnreadable)
+
+
+def build() -> filters.Pipe:
+    """Returns the routing pipe."""
+    return filters.Pipe((adopt.Adopt(),), ACCEPTS)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/departure.py
@@ -0,0 +1,46 @@
+"""When sessions close while this host stops."""
+
+from __future__ import annotations
+
+# The balancer asks once a second and needs two misses.
+OUT_OF_ROTATION_S = 2.2
+TRANSACTION_SHARE = 0.45
+END_MARGIN_S = 0.7
+
+
+class Departure:
+    """A graceful stop: who may still finish what, until when."""
+
+    def __init__(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._begun_at: float | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Whether this host is stopping."""
+        return self._begun_at is not None
+
+    def begin(self, now: float) -> None:
+        """Starts the stop, once."""
+        if self._begun_at is None:
+            self._begun_at = now
+
+    def should_close(
+        self, now: float, idle: bool, in_transaction: bool
+    ) -> bool:
+        """Tells whether a session is to be closed now."""
+        if self._begun_at is None:
+            return False
+        passed_s = now - self._begun_at
+        if not idle:
+            return passed_s > self._grace_s - END_MARGIN_S
+        if in_transaction:
+            return passed_s > self._grace_s * TRANSACTION_SHARE
+        return passed_s > OUT_OF_ROTATION_S
+
+    def is_over(self, now: float, sessions: int) -> bool:
+        """Tells whether nothing is left to wait for."""
+        if self._begun_at is None:
+            return False
+        passed_s = now - self._begun_at
+        return passed_s > OUT_OF_ROTATION_S and not sessions
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -0,0 +1,118 @@
+"""Items of the sessions pipe, and the work that they carry."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, position, routes, sessions
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Work:
+    """One statement of a client on its way to an upstream and back.
+
+    Attributes:
+      since_at: commits acknowledged by then concern it: when its first byte
+        came, or that of its transaction.
+      wait_s: how long it may wait to be sent, at each try.
+      refuse_at: it is refused if it has not been sent by then.
+      expire_at: its answer must be there by then.
+      opens: whether it is the first of a transaction.
+      in_transaction: whether it belongs to a transaction.
+      read_only: whether its transaction promised not to write.
+      needs_primary: whether only the primary may run it.
+      own_commit: the position of the session's last commit, or None.
+      avoid: upstreams that turned it away.
+      sent: whether the statement itself was sent to an upstream.
+    """
+
+    client: int
+    statement: sessions.Statement
+    route: routes.Route
+    settings: sessions.SessionSettings
+    prepared: sessions.Prepared | None
+    arrived_at: float
+    since_at: float
+    wait_s: float
+    refuse_at: float
+    expire_at: float
+    opens: bool
+    in_transaction: bool
+    read_only: bool
+    needs_primary: bool
+    writes: bool
+    own_commit: position.Position | None
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    not_before: float = 0.0
+    tries: int = 0
+    sent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkOffered(filters.Item):
+    """A statement that an upstream has to run."""
+
+    work: Work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkDone(filters.Item):
+    """What became of a statement.
+
+    Attributes:
+      reply: the upstream's reply, or None.
+      failure: why there is no success; None where the reply is one.
+      upstream: which one ran it, "" for none.
+    """
+
+    work: Work
+    reply: sessions.UpstreamReply | None
+    failure: sessions.Failure | None
+    detail: str
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionDropped(filters.Item):
+    """A client's transaction lost its connection while no statement ran."""
+
+    client: int
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndTransaction(filters.Item):
+    """Rolls back what the client's transaction did, if anything."""
+
+    client: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished(filters.Item):
+    """A statement was answered; for metrics."""
+
+    route: str
+    priority: int
+    consistency: routes.Consistency
+    outcome: str
+    latency_s: float
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessView(filters.Item):
+    """Whether this host takes new sessions."""
+
+    ready: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolsView(filters.Item):
+    """Connections by upstream, for metrics."""
+
+    sizes: Mapping[str, int]
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -0,0 +1,55 @@
+"""The sessions pipe, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import (
+    filters,
+    identity,
+    replica_sets,
+    routes,
+    session_items,
+)
+from fescueshunt.core import (
+    items as core_items,
+)
+from fescueshunt.sessions import choose, converse, dispatch, items, readiness
+
+if TYPE_CHECKING:
+    import random
+
+ACCEPTS = (
+    session_items.SessionOpened,
+    session_items.StatementReceived,
+    session_items.SessionClosed,
+    session_items.LinkOpened,
+    session_items.LinkReplied,
+    session_items.LinkFailed,
+    session_items.AskUpstream,
+    session_items.LiveHostsView,
+    items.WorkDone,
+    items.TransactionDropped,
+    core_items.StopAsked,
+    filters.Tick,
+    replica_sets.ReplicaSetView,
+    routes.RoutesView,
+)
+
+
+def build(
+    me: identity.Identity, grace_s: float, chance: random.Random
+) -> filters.Pipe:
+    """Returns the sessions pipe of the host `me`.
+
+    Args:
+      me: this host.
+      grace_s: how long a graceful stop may take; seconds.
+      chance: the source of random choices.
+    """
+    stages = (
+        readiness.Readiness(),
+        converse.Converse(grace_s),
+        dispatch.Dispatch(choose.LeastLoaded(me.zone), chance),
+    )
+    return filters.Pipe(stages, ACCEPTS)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -0,0 +1,139 @@
+"""The connections of this host to one upstream."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from fescueshunt.core import replica_sets, session_items, sessions
+    from fescueshunt.sessions import items
+
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.8
+MAX_OPENING = 2
+# An upstream that reports fewer free connections than this gets no more than
+# our share: other hosts may open some at the same moment.
+SPARE_CONNECTIONS = 2
+LINGER_S = 3.0
+
+
+class LinkState(enum.Enum):
+    """What a connection to an upstream is doing."""
+
+    OPENING = "opening"
+    IDLE = "idle"
+    WORKING = "working"
+    HELD = "held"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Link:
+    """A connection to an upstream.
+
+    Attributes:
+      values: the session values that it has now.
+      prepared: the names of the prepared statements that it has now.
+      client: whose transaction is open on it, or None.
+      work: the statement in flight, or None.
+      ask: the call of our own in flight, or None.
+      steps: what is still to be sent; the first one is in flight.
+      since: when it came into its state.
+    """
+
+    number: int
+    upstream: str
+    since: float
+    state: LinkState = LinkState.OPENING
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: set[str] = dataclasses.field(default_factory=set)
+    client: int | None = None
+    work: items.Work | None = None
+    ask: session_items.AskUpstream | None = None
+    sent_at: float = 0.0
+    steps: collections.deque[sessions.UpstreamCall] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def enter(self, state: LinkState, now: float) -> None:
+        """Notes a new state."""
+        self.state = state
+        self.since = now
+
+
+@dataclasses.dataclass(slots=True)
+class Pool:
+    """The connections to one upstream.
+
+    Attributes:
+      share: how many this host may always open.
+      most: how many the upstream takes, of all hosts.
+      asks: calls of our own that wait for a connection.
+      failures: how many opens failed in a row.
+      open_after: no connection is opened before.
+      heard_at: when the upstream last said anything.
+      refused: whether it last turned a connection away as not itself.
+    """
+
+    entry: replica_sets.Entry
+    share: int = 1
+    most: int = 1
+    reported: int = 0
+    links: dict[int, Link] = dataclasses.field(default_factory=dict)
+    asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    failures: int = 0
+    open_after: float = 0.0
+    heard_at: float = 0.0
+    refused: bool = False
+
+    def idle_links(self) -> list[Link]:
+        """Returns the idle connections, the one idle for longest first."""
+        idle = [
+            link for link in self.links.values() if link.state is LinkState.IDLE
+        ]
+        return sorted(idle, key=lambda link: link.since)
+
+    def count(self, state: LinkState) -> int:
+        """Returns how many connections are in `state`."""
+        return sum(link.state is state for link in self.links.values())
+
+    @property
+    def running(self) -> int:
+        """How many statements are in flight."""
+        return self.count(LinkState.WORKING)
+
+    def may_open(self, now: float) -> bool:
+        """Tells whether one more connection may be opened now."""
+        if now < self.open_after:
+            return False
+        opening = self.count(LinkState.OPENING)
+        if opening >= MAX_OPENING or (self.failures and opening):
+            return False
+        if len(self.links) < self.share:
+            return True
+        return self.reported + opening + SPARE_CONNECTIONS < self.most
+
+    def opened(self) -> None:
+        """Notes that a connection was opened."""
+        self.failures = 0
+        self.refused = False
+        self.reported += 1
+
+    def open_failed(self, now: float, chance: random.Random) -> None:
+        """Puts off the next open, longer for each failure in a row."""
+        limit_s = min(FIRST_BACKOFF_S * 2**self.failures, MAX_BACKOFF_S)
+        self.failures += 1
+        self.open_after = now + limit_s * chance.uniform(0.5, 1.0)
+
+    def surplus(self, now: float) -> list[Link]:
+        """Returns idle connections above the share that nothing needed."""
+        unused = [
+            link for link in self.idle_links() if now - link.since > LINGER_S
+        ]
+        return unused[: max(len(self.links) - self.share, 0)]
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
@@ -0,0 +1,70 @@
+"""Whether this host takes new sessions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, replica_sets, routes, session_items
+from fescueshunt.core import items as core_items
+from fescueshunt.sessions import items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# A host that knows routes and upstreams but reaches too few of them says that
+# it is ready after this long, as no other host may reach more.
+PATIENCE_S = 2.0
+
+
+class Readiness(filters.Filter):
+    """Ready once routes are in force and every replica set has a primary.
+
+    A host that can serve says so, also while the platform's store is away.
+    """
+
+    def __init__(self) -> None:
+        self._has_routes = False
+        self._is_stopping = False
+        self._views: dict[str, replica_sets.ReplicaSetView] = {}
+        self._known_at: float | None = None
+        self._last: bool | None = None
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields whether this host is ready when that changes."""
+        match item:
+            case routes.RoutesView():
+                self._has_routes = True
+            case replica_sets.ReplicaSetView():
+                self._views[item.database] = item
+                self._known_at = self._known_at or item.at
+            case core_items.StopAsked():
+                self._is_stopping = True
+            case session_items.LinkReplied() | filters.Tick():
+                pass
+            case _:
+                yield item
+                return
+        yield item
+        yield from self._publish(item.at)
+
+    def _publish(self, now: float) -> Iterator[filters.Item]:
+        reason = self._missing(now)
+        ready = not reason
+        if ready != self._last:
+            self._last = ready
+            yield items.ReadinessView(now, ready, reason)
+            details = {"ready": ready, "reason": reason}
+            yield session_items.Decided(now, "readiness", "", details)
+
+    def _missing(self, now: float) -> str:
+        if self._is_stopping:
+            return "stopping"
+        if not self._has_routes:
+            return "no routes"
+        if self._known_at is None:
+            return "no upstreams"
+        if self._last or now - self._known_at > PATIENCE_S:
+            return ""
+        if all(view.is_confirmed(now) for view in self._views.values()):
+            return ""
+        return "no primary"
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
@@ -0,0 +1,83 @@
+"""What follows when a statement got no success: try again, or say which way.
+
+A statement is tried again only if it is known not to have run, or if it only
+reads and nothing of its transaction was answered yet. A connection that closes
+rolls its transaction back, so everything but a commit and a single write that
+were sent can be promised not to be kept.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt import errors
+from fescueshunt.core import sessions
+
+if TYPE_CHECKING:
+    from fescueshunt.sessions import items
+
+MAX_TRIES = 8
+SILENT = errors.ConnectionLostError("silent")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ruling:
+    """What follows.
+
+    Attributes:
+      failure: what the client is told; None to try again.
+      avoid: whether the next try goes to another upstream.
+    """
+
+    failure: sessions.Failure | None
+    detail: str = ""
+    avoid: bool = True
+
+
+def on_reply(
+    work: items.Work,
+    call: sessions.UpstreamCall,
+    reply: sessions.UpstreamReply,
+    is_final: bool,
+    now: float,
+) -> Ruling:
+    """Rules on a reply that is no success, to `call` on behalf of `work`."""
+    not_run = not is_final or reply.failure in sessions.NOT_RUN
+    if not_run and _may_move(work) and _has_time(work, now):
+        is_busy = reply.failure is sessions.Failure.BUSY
+        return Ruling(None, avoid=not is_busy)
+    failure = reply.failure
+    if not is_final:
+        failure = sessions.Failure.BUSY
+    if work.in_transaction and failure is sessions.Failure.NO_STATEMENT:
+        failure = sessions.Failure.ABORTED
+    return Ruling(failure, reply.detail)
+
+
+def on_loss(work: items.Work, detail: str, now: float) -> Ruling:
+    """Rules on a connection that was lost with `work` on it."""
+    is_commit = work.statement.verb is sessions.Verb.COMMIT
+    single_write = work.writes and not work.in_transaction
+    if work.sent and (is_commit or single_write):
+        return Ruling(sessions.Failure.IN_DOUBT, detail)
+    if _may_move(work) and _has_time(work, now):
+        return Ruling(None)
+    if work.in_transaction:
+        return Ruling(sessions.Failure.ABORTED, detail)
+    if now > work.expire_at:
+        return Ruling(sessions.Failure.TIMEOUT, detail)
+    return Ruling(sessions.Failure.BUSY, detail)
+
+
+def on_refusal(work: items.Work) -> Ruling:
+    """Rules on work that could not be sent in time."""
+    return Ruling(sessions.Failure.BUSY, "no upstream in time")
+
+
+def _may_move(work: items.Work) -> bool:
+    return not work.in_transaction or work.opens
+
+
+def _has_time(work: items.Work, now: float) -> bool:
+    return now < work.expire_at and work.tries < MAX_TRIES
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -0,0 +1,33 @@
+"""The takeover pipe, put together."""
+
+from __future__ import annotations
+
+from fescueshunt.core import (
+    filters,
+    identity,
+    replica_sets,
+    session_items,
+)
+from fescueshunt.core import (
+    items as core_items,
+)
+from fescueshunt.takeover import hold, replace, vote
+
+ACCEPTS = (
+    filters.Tick,
+    core_items.StopAsked,
+    session_items.LeaseView,
+    session_items.KeysListed,
+    session_items.KeyChanged,
+    session_items.KeyRead,
+    session_items.LiveHostsView,
+    session_items.PromotionAnswered,
+    session_items.UpstreamAnswered,
+    replica_sets.ReplicaSetView,
+)
+
+
+def build(me: identity.Identity) -> filters.Pipe:
+    """Returns the takeover pipe of the host `me`."""
+    stages = (hold.Hold(me.name), vote.Vote(me.name), replace.Replace(me.name))
+    return filters.Pipe(stages, ACCEPTS)
