Confirm primaries by a record and leases in place of status calls

Ruled out: slower polling, as a bound on reads at a replaced primary needs it often; a store read for each period, dearer than a lease's renewal. Change: a holder writes a move into the store, hosts acknowledge it or lose their lease; positions come from ordinary replies; a status call goes only to a member in doubt. A client's own BEGIN and ROLLBACK are passed on.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
@@ -18,6 +18,8 @@
     from fescueshunt_proxy._internal import runtime
 
 WATCH_WAIT_S = 2.0
+# News often comes in groups; a short wait takes several with one call.
+GATHER_S = 0.03
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
 
@@ -63,6 +65,8 @@
                 revision = changes.revision
                 for change in changes.changes:
                     self._feed(change)
+                if changes.changes:
+                    await asyncio.sleep(GATHER_S)
 
     async def _wait(self, exc: errors.FescueshuntError) -> None:
         if not self._lost:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -179,15 +179,17 @@
                 words.append(call.statement.argument)
             text = _after(call.since, " ".join(words))
             return encode("QUERY", call.statement.statement_id, text)
+        case sessions.Begin():
+            text = _after(call.since, call.statement.text)
+            return encode("QUERY", call.statement.statement_id, text)
+        case sessions.Rollback(statement=sessions.Statement() as asked):
+            return encode("QUERY", asked.statement_id, asked.text)
         case _:
             return encode("QUERY", NOTHING, _own_text(call))
 
 
 def _own_text(call: sessions.UpstreamCall) -> str:
     match call:
-        case sessions.Begin():
-            text = "BEGIN READ" if call.read_only else "BEGIN"
-            return _after(call.since, text)
         case sessions.Rollback():
             return "ROLLBACK"
         case sessions.SetValue():
--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -6,9 +6,9 @@
 
 from fescueshunt.core import filters, position, sessions
 
-# A host serves reads at a primary for this long after all members but one told
-# it of no higher term; a promoter waits as long between fence and promotion.
-CONFIRM_S = 0.9
+# Without a lease a host serves reads at a primary for this long after two
+# members told it of no higher term; a promoter waits as long after its fence.
+CONFIRM_S = 0.3
 NEVER = float("-inf")
 
 
@@ -47,12 +47,14 @@
       standing: its last word, or None.
       asked_at: when that was asked for; seconds, this host's clock.
       failing_since: the first of the calls in a row that failed, or None.
+      stalled_since: since when a write is unanswered, or None.
     """
 
     entry: Entry
     standing: sessions.Standing | None
     asked_at: float
     failing_since: float | None
+    stalled_since: float | None = None
 
     @property
     def upstream(self) -> str:
@@ -74,9 +76,10 @@
 
     Attributes:
       members: those that serve or may serve.
-      primary: the id of the primary, "" if unknown.
-      term: of the primary, or the highest that is known.
-      confirmed_at: up to this moment no other primary had been promoted.
+      primary: the id of the primary, "" if unknown or being replaced.
+      term: the highest that is known.
+      confirmed_until: until then `primary` is certain to be the only one.
+      is_moving: whether the primary is being replaced.
       samples: oldest first.
     """
 
@@ -84,7 +87,8 @@
     members: tuple[MemberView, ...]
     primary: str
     term: int
-    confirmed_at: float
+    confirmed_until: float
+    is_moving: bool
     samples: tuple[Sample, ...]
 
     def member(self, upstream: str) -> MemberView | None:
@@ -96,7 +100,7 @@
 
     def is_confirmed(self, now: float) -> bool:
         """Tells whether the primary is certain to be the only one now."""
-        return bool(self.primary) and now - self.confirmed_at < CONFIRM_S
+        return bool(self.primary) and now < self.confirmed_until
 
     def position_as_of(self, moment: float) -> position.Position | None:
         """Returns a position that covers every commit acked by `moment`.
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, sessions
+from fescueshunt.core import filters, position, replica_sets, sessions
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -16,6 +16,7 @@
 HOSTS_PREFIX = KEY_PREFIX + "hosts/"
 VOTES_PREFIX = KEY_PREFIX + "votes/"
 DUTY_KEY = KEY_PREFIX + "failover"
+LEASE_TTL_S = 1.5
 
 # Sources: clients.
 
@@ -348,9 +349,49 @@
     sent: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamHeard(filters.Item):
+    """An upstream answered a statement.
+
+    Attributes:
+      sent_at: when the statement was sent.
+      applied: the log position that the upstream had applied, or None.
+      wrote: whether it was a write or a commit.
+    """
+
+    upstream: str
+    sent_at: float
+    applied: position.Position | None
+    wrote: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSuspected(filters.Item):
+    """An upstream is slow to answer, or a connection to it was lost.
+
+    `write_since` is when a write was sent that is still unanswered, or None.
+    """
+
+    upstream: str
+    reason: str
+    write_since: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmationWanted(filters.Item):
+    """A statement needs a database's primary, and none is confirmed."""
+
+    database: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseView(filters.Item):
-    """The lease of this host; 0 for none. It holds until `valid_until`."""
+    """The lease of this host; 0 for none.
+
+    Attributes:
+      valid_until: until then it certainly holds, and this host is known to all
+        others as one whose acknowledgement counts; 0.0 otherwise.
+    """
 
     lease: int
     valid_until: float
--- a/packages/fescueshunt/src/fescueshunt/core/sessions.py
+++ b/packages/fescueshunt/src/fescueshunt/core/sessions.py
@@ -127,15 +127,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begin(UpstreamCall):
-    """Begins a transaction."""
+    """Sends on a client's beginning of a transaction."""
 
-    read_only: bool
+    statement: Statement
     since: position.Position | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rollback(UpstreamCall):
-    """Rolls the open transaction back."""
+    """Rolls the open transaction back; None: of our own accord."""
+
+    statement: Statement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -12,9 +12,8 @@
 
     from fescueshunt.core import identity
 
-TTL_S = 2.0
-RENEW_EVERY_S = 0.6
-RETRY_AFTER_S = 0.3
+RENEW_EVERY_S = 0.4
+RETRY_AFTER_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,12 +25,15 @@
       valid_until: it certainly holds until then; local clock.
       due_at: when the next call for it is due.
       key_revision: of this host's key under the lease, 0 if not written yet.
+      is_known: whether this host has read its key back, and so knows whatever
+        was written before.
     """
 
     lease: int = 0
     valid_until: float = 0.0
     due_at: float = 0.0
     key_revision: int = 0
+    is_known: bool = False
     leaving: bool = False
 
 
@@ -62,12 +64,11 @@
             case session_items.KeyWritten() if item.key == self._key:
                 yield from self._written(item)
             case session_items.KeyChanged() if item.key == self._key:
-                gone = item.stored is None
-                yield from self._check_key(gone, item.revision, item.at)
+                yield from self._check_key(item.stored, item.revision, item.at)
                 yield item
             case session_items.KeysListed():
-                gone = self._key not in item.keys
-                yield from self._check_key(gone, item.revision, item.at)
+                stored = item.keys.get(self._key)
+                yield from self._check_key(stored, item.revision, item.at)
                 yield item
             case items.StopAsked():
                 yield from self._leave(item.at)
@@ -82,7 +83,7 @@
         if state.lease:
             yield session_items.RenewLease(now, state.lease)
         else:
-            yield session_items.AskLease(now, TTL_S)
+            yield session_items.AskLease(now, session_items.LEASE_TTL_S)
 
     def _granted(
         self, item: session_items.LeaseGranted
@@ -101,7 +102,7 @@
             yield session_items.WriteKey(
                 item.at, self._key, self._me.zone, item.lease, None
             )
-        yield session_items.LeaseView(item.at, state.lease, state.valid_until)
+        yield self._view(item.at)
 
     def _lost(self, item: session_items.LeaseLost) -> Iterator[filters.Item]:
         if item.lease != self._state.lease:
@@ -109,6 +110,7 @@
         self._state.lease = 0
         self._state.valid_until = 0.0
         self._state.key_revision = 0
+        self._state.is_known = False
         self._state.due_at = item.at
         yield session_items.LeaseView(item.at, 0, 0.0)
 
@@ -122,14 +124,21 @@
             self._state.due_at = item.at + RETRY_AFTER_S
 
     def _check_key(
-        self, gone: bool, revision: int, now: float
+        self,
+        stored: session_items.StoredKey | None,
+        revision: int,
+        now: float,
     ) -> Iterator[filters.Item]:
         """Takes a new lease when the key went though the lease seems to hold.
 
         News from before the key was written tells of an earlier lease.
         """
-        written = self._state.key_revision
-        if gone and written and revision > written:
+        state = self._state
+        if stored is not None and state.lease and stored.lease == state.lease:
+            state.is_known = True
+            yield self._view(now)
+        written = state.key_revision
+        if stored is None and written and revision > written:
             yield from self._renounce(now)
 
     def _renounce(self, now: float) -> Iterator[filters.Item]:
@@ -143,3 +152,8 @@
             yield session_items.EndLease(now, self._state.lease)
         self._state.lease = 0
         yield session_items.LeaseView(now, 0, 0.0)
+
+    def _view(self, now: float) -> session_items.LeaseView:
+        state = self._state
+        until = state.valid_until if state.is_known else 0.0
+        return session_items.LeaseView(now, state.lease, until)
--- a/packages/fescueshunt/src/fescueshunt/replicas/entries.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/entries.py
@@ -53,6 +53,10 @@
             case session_items.UpstreamAnswered():
                 yield from self._hear(item)
                 yield item
+            case session_items.UpstreamHeard():
+                if item.upstream in self._known:
+                    self._known[item.upstream].heard_at = item.at
+                yield item
             case filters.Tick():
                 yield from self._forget(item.at)
                 yield item
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/replicas/lead.py
@@ -0,0 +1,90 @@
+"""Who leads a replica set, and for how long that is certain.
+
+With a lease that holds, the record in the store says so: nobody promotes before
+this host has acknowledged the move or its lease is over. Without one, the
+members' own words do. Two members that know of no higher term can't both be
+missing from a fence of all members but one, and after a fence a promoter waits
+CONFIRM_S.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import leadership, replica_sets, sessions
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+CONFIRMING_MEMBERS = 2
+
+
+@dataclasses.dataclass(slots=True)
+class Tracked:
+    """A member: its entry and its last word."""
+
+    entry: replica_sets.Entry
+    standing: sessions.Standing | None = None
+    asked_at: float = replica_sets.NEVER
+    failing_since: float | None = None
+    stalled_since: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lead:
+    """The primary, and until when it is certain to be the only one."""
+
+    primary: str
+    term: int
+    until: float
+
+
+NOBODY = Lead("", 0, replica_sets.NEVER)
+
+
+def by_record(
+    record: leadership.Record | None,
+    members: Iterable[Tracked],
+    lease_until: float,
+) -> Lead:
+    """Returns who leads by the store; `lease_until` ends the certainty.
+
+    Before the first record nobody was ever promoted, and the upstreams' own
+    entries say who leads.
+    """
+    if record is not None:
+        if record.is_moving:
+            return dataclasses.replace(NOBODY, term=record.term)
+        return Lead(record.upstream, record.term, lease_until)
+    leading = [
+        member.entry.upstream
+        for member in members
+        if member.entry.role is sessions.ReplicaRole.PRIMARY
+        and member.entry.listed
+    ]
+    if len(leading) != 1:
+        return NOBODY
+    return Lead(leading[0], 0, lease_until)
+
+
+def by_words(members: Iterable[Tracked]) -> Lead:
+    """Returns who leads by what the members say themselves."""
+    heard = [member for member in members if member.standing is not None]
+    leading = [
+        (member.standing.term, member.entry.upstream)
+        for member in heard
+        if member.standing.role is sessions.ReplicaRole.PRIMARY
+    ]
+    if not leading:
+        return NOBODY
+    term, primary = max(leading)
+    times = sorted(
+        member.asked_at
+        for member in heard
+        if member.standing.term <= term and member.standing.held_term <= term
+    )
+    if len(times) < CONFIRMING_MEMBERS:
+        return Lead(primary, term, replica_sets.NEVER)
+    confirmed_at = times[-CONFIRMING_MEMBERS]
+    return Lead(primary, term, confirmed_at + replica_sets.CONFIRM_S)
--- a/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -16,6 +16,12 @@
     session_items.EntryChanged,
     session_items.EntryRemoved,
     session_items.UpstreamAnswered,
+    session_items.UpstreamHeard,
+    session_items.UpstreamSuspected,
+    session_items.ConfirmationWanted,
+    session_items.LeaseView,
+    session_items.KeysListed,
+    session_items.KeyChanged,
 )
 
 
--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -1,31 +1,52 @@
-"""Asks every member for its standing, again and again."""
+"""Asks members for their standing, where there is doubt.
+
+Ordinary replies tell most. A status call goes to a member that is suspected,
+and to two members of a set whose primary must be confirmed without the store.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, session_items, sessions
+from fescueshunt.core import (
+    filters,
+    replica_sets,
+    session_items,
+    sessions,
+)
 from fescueshunt.replicas import items
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
 
-EVERY_S = 0.3
-TIMEOUT_S = 0.6
+EVERY_S = 0.25
+TIMEOUT_S = 0.5
+# A member under suspicion is asked until it has answered, or for this long.
+SUSPECT_FOR_S = 20.0
+WANTED_FOR_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class Asked:
-    """When a member is asked next, and whether an answer is awaited."""
+    """The calls to one member.
+
+    Attributes:
+      due_at: when it may be asked next.
+      waiting: whether an answer is awaited.
+      until: it is asked until then.
+      until_answered: whether an answer ends that.
+    """
 
-    due_at: float
+    due_at: float = 0.0
     waiting: bool = False
+    until: float = replica_sets.NEVER
+    until_answered: bool = False
 
 
 class Poll(filters.Filter):
-    """Keeps one status call in flight, or due, for each member."""
+    """Keeps a status call in flight, or due, for each member in doubt."""
 
     def __init__(self, chance: random.Random) -> None:
         self._chance = chance
@@ -37,9 +58,16 @@
         match item:
             case filters.Tick():
                 yield from self._ask_due(item.at)
+                yield item
             case items.MembersChanged():
                 self._change(item)
                 yield item
+            case session_items.UpstreamSuspected():
+                self._suspect(item)
+                yield item
+            case session_items.ConfirmationWanted():
+                for name in self._members.get(item.database, ()):
+                    self._want(name, item.at)
             case session_items.UpstreamAnswered():
                 self._answered(item)
                 yield item
@@ -51,20 +79,30 @@
         for gone in self._members.get(item.database, frozenset()) - names:
             self._asked.pop(gone, None)
         self._members[item.database] = names
-        for name in names:
-            asked = self._asked.setdefault(name, Asked(item.at))
-            asked.due_at = item.at
+
+    def _suspect(self, item: session_items.UpstreamSuspected) -> None:
+        asked = self._asked.setdefault(item.upstream, Asked())
+        asked.until = item.at + SUSPECT_FOR_S
+        asked.until_answered = True
+
+    def _want(self, upstream: str, now: float) -> None:
+        asked = self._asked.setdefault(upstream, Asked())
+        if asked.until < now + WANTED_FOR_S:
+            asked.until = now + WANTED_FOR_S
+            asked.until_answered = False
 
     def _answered(self, item: session_items.UpstreamAnswered) -> None:
         asked = self._asked.get(item.upstream)
         if asked is None or not isinstance(item.call, sessions.AskStatus):
             return
         asked.waiting = False
-        asked.due_at = item.at + EVERY_S * self._chance.uniform(0.8, 1.1)
+        asked.due_at = item.at + EVERY_S * self._chance.uniform(0.8, 1.0)
+        if item.reply is not None and asked.until_answered:
+            asked.until = replica_sets.NEVER
 
     def _ask_due(self, now: float) -> Iterator[filters.Item]:
         for upstream, asked in self._asked.items():
-            if asked.waiting or now < asked.due_at:
+            if asked.waiting or now < asked.due_at or now > asked.until:
                 continue
             asked.waiting = True
             yield session_items.AskUpstream(
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -1,4 +1,4 @@
-"""Tracks who is primary, and which positions cover which commits.
+"""Tracks replica sets: who leads, who fails, which positions cover what.
 
 A commit is acknowledged once the primary and one replica have it, so it stands
 on two members at least, and all members but one have it among them.
@@ -12,58 +12,61 @@
 
 from fescueshunt.core import (
     filters,
+    leadership,
+    position,
     replica_sets,
     session_items,
-    sessions,
 )
-from fescueshunt.replicas import items
+from fescueshunt.replicas import items, lead
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 MAX_SAMPLES = 64
-# Two members' word that they know of no higher term can't both be missing from
-# a fence of all members but one.
-CONFIRMING_MEMBERS = 2
-
-
-@dataclasses.dataclass(slots=True)
-class Tracked:
-    """A member: its entry and its last word."""
-
-    entry: replica_sets.Entry
-    standing: sessions.Standing | None = None
-    asked_at: float = replica_sets.NEVER
-    failing_since: float | None = None
+SAMPLE_EVERY_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
 class ReplicaSet:
     """What is known of a replica set."""
 
-    members: dict[str, Tracked] = dataclasses.field(default_factory=dict)
-    primary: str = ""
+    members: dict[str, lead.Tracked] = dataclasses.field(default_factory=dict)
+    record: leadership.Record | None = None
+    last: lead.Lead = lead.NOBODY
     term: int = 0
-    confirmed_at: float = replica_sets.NEVER
     samples: collections.deque[replica_sets.Sample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
 
 
 class Track(filters.Filter):
-    """Turns members and their words into the view of each replica set."""
+    """Turns members, their words and the store's record into views."""
 
     def __init__(self) -> None:
         self._sets: dict[str, ReplicaSet] = {}
         self._database_of: dict[str, str] = {}
+        self._lease_until = 0.0
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the view of a replica set when something of it is news."""
         match item:
+            case session_items.UpstreamHeard():
+                yield from self._hear(item)
+            case session_items.LeaseView():
+                self._lease_until = item.valid_until
+                yield from self._renew(item.at)
+            case session_items.UpstreamAnswered():
+                yield from self._answered(item)
+            case session_items.UpstreamSuspected():
+                self._suspect(item)
             case items.MembersChanged():
                 yield from self._change(item)
-            case session_items.UpstreamAnswered():
-                yield from self._hear(item)
+            case session_items.KeysListed():
+                yield from self._list(item)
+            case session_items.KeyChanged():
+                yield from self._record(item)
+            case filters.Tick():
+                yield from self._expire(item.at)
             case _:
                 yield item
 
@@ -74,14 +77,84 @@
         for entry in item.entries:
             self._database_of[entry.upstream] = item.database
             known = before.get(entry.upstream)
-            found.members[entry.upstream] = _renew(known, entry)
+            found.members[entry.upstream] = _keep(known, entry)
         for gone in before.keys() - found.members.keys():
             self._database_of.pop(gone, None)
-        if found.primary not in found.members:
-            found.primary = ""
-        yield _view(item.database, found, item.at)
+        yield from self._publish(item.database, found, item.at)
+
+    def _list(self, item: session_items.KeysListed) -> Iterator[filters.Item]:
+        for key, stored in item.keys.items():
+            database = leadership.database_of(key)
+            if database:
+                yield from self._take_record(database, stored, item.at)
+
+    def _record(self, item: session_items.KeyChanged) -> Iterator[filters.Item]:
+        database = leadership.database_of(item.key)
+        if database and item.stored is not None:
+            yield from self._take_record(database, item.stored, item.at)
+
+    def _take_record(
+        self, database: str, stored: session_items.StoredKey, now: float
+    ) -> Iterator[filters.Item]:
+        found = self._sets.setdefault(database, ReplicaSet())
+        record = leadership.parse_record(stored)
+        known = found.record.revision if found.record else 0
+        if record is None or record.revision <= known:
+            return
+        found.record = record
+        yield from self._publish(database, found, now)
+
+    def _renew(self, now: float) -> Iterator[filters.Item]:
+        for database, found in self._sets.items():
+            yield from self._publish(database, found, now)
+
+    def _expire(self, now: float) -> Iterator[filters.Item]:
+        """Turns to the members' words once the lease is over."""
+        if self._lease_until and now >= self._lease_until:
+            self._lease_until = 0.0
+            yield from self._renew(now)
+
+    def _suspect(self, item: session_items.UpstreamSuspected) -> None:
+        database = self._database_of.get(item.upstream)
+        if database is None or item.write_since is None:
+            return
+        member = self._sets[database].members[item.upstream]
+        member.stalled_since = member.stalled_since or item.write_since
 
     def _hear(
+        self, item: session_items.UpstreamHeard
+    ) -> Iterator[filters.Item]:
+        database = self._database_of.get(item.upstream)
+        if database is None:
+            return
+        found = self._sets[database]
+        member = found.members[item.upstream]
+        was_bad = (member.failing_since, member.stalled_since)
+        member.failing_since = None
+        if item.wrote:
+            member.stalled_since = None
+        sampled = self._sample_primary(found, item)
+        if sampled or was_bad != (member.failing_since, member.stalled_since):
+            yield from self._publish(database, found, item.at)
+
+    def _sample_primary(
+        self, found: ReplicaSet, item: session_items.UpstreamHeard
+    ) -> bool:
+        """Takes the position of a primary that was certain to be one."""
+        if item.applied is None:
+            return False
+        found.term = max(found.term, item.applied.term.number)
+        newest = found.samples[-1].at if found.samples else replica_sets.NEVER
+        if (
+            item.upstream != found.last.primary
+            or item.sent_at >= found.last.until
+            or item.sent_at < newest + SAMPLE_EVERY_S
+        ):
+            return False
+        _add_sample(found, item.sent_at, item.applied)
+        return True
+
+    def _answered(
         self, item: session_items.UpstreamAnswered
     ) -> Iterator[filters.Item]:
         database = self._database_of.get(item.upstream)
@@ -97,85 +170,49 @@
         if standing is not None and item.asked_at > member.asked_at:
             member.standing = standing
             member.asked_at = item.asked_at
-            yield from _follow(database, found, item.at)
-            _confirm(found)
-            _sample(found)
-        yield _view(database, found, item.at)
+            found.term = max(found.term, standing.term)
+            _sample_quorum(found)
+        yield from self._publish(database, found, item.at)
 
-
-def _renew(known: Tracked | None, entry: replica_sets.Entry) -> Tracked:
+    def _publish(
+        self, database: str, found: ReplicaSet, now: float
+    ) -> Iterator[filters.Item]:
+        before = found.last
+        found.last = self._lead(found, now)
+        found.term = max(found.term, found.last.term)
+        if found.last.primary != before.primary:
+            details = {
+                "database": database,
+                "primary": found.last.primary,
+                "previous": before.primary,
+                "term": found.term,
+                "by": "record" if now < self._lease_until else "words",
+            }
+            yield session_items.Decided(now, "primary_changed", "", details)
+        yield _view(database, found, now)
+
+    def _lead(self, found: ReplicaSet, now: float) -> lead.Lead:
+        members = found.members.values()
+        if now < self._lease_until:
+            return lead.by_record(found.record, members, self._lease_until)
+        spoken = lead.by_words(members)
+        if spoken.primary and spoken.term >= found.term:
+            return spoken
+        return dataclasses.replace(found.last, until=replica_sets.NEVER)
+
+
+def _keep(
+    known: lead.Tracked | None, entry: replica_sets.Entry
+) -> lead.Tracked:
     """Keeps what a member said, unless its process has started anew."""
     if known is None or known.entry.born_ms != entry.born_ms:
-        return Tracked(entry)
+        return lead.Tracked(entry)
     known.entry = entry
     return known
 
 
-def _follow(
-    database: str, found: ReplicaSet, now: float
-) -> Iterator[filters.Item]:
-    """Finds the primary of the highest term."""
-    leading = [
-        (member.standing.term, name)
-        for name, member in found.members.items()
-        if member.standing is not None
-        and member.standing.role is sessions.ReplicaRole.PRIMARY
-    ]
-    term, name = max(leading, default=(found.term, ""))
-    if term < found.term:
-        name = ""
-    if (name, term) == (found.primary, found.term):
-        return
-    details = {
-        "database": database,
-        "primary": name,
-        "term": term,
-        "previous": found.primary,
-        "previous_term": found.term,
-    }
-    found.primary = name
-    found.term = max(term, found.term)
-    found.confirmed_at = replica_sets.NEVER
-    yield session_items.Decided(now, "primary_changed", "", details)
-
-
-def _confirm(found: ReplicaSet) -> None:
-    """Notes up to when no other primary can have been promoted."""
-    if not found.primary:
-        return
-    times = sorted(
-        (
-            member.asked_at
-            for member in found.members.values()
-            if _knows_no_higher_term(member.standing, found.term)
-        ),
-        reverse=True,
-    )
-    needed = min(CONFIRMING_MEMBERS, len(found.members))
-    if len(times) >= needed:
-        found.confirmed_at = max(found.confirmed_at, times[needed - 1])
-
-
-def _knows_no_higher_term(
-    standing: sessions.Standing | None, term: int
-) -> bool:
-    return (
-        standing is not None
-        and standing.term <= term
-        and standing.held_term <= term
-    )
-
-
-def _sample(found: ReplicaSet) -> None:
-    """Notes a position that covers every commit acked up to a moment."""
-    primary = found.members.get(found.primary)
-    if (
-        primary is not None
-        and primary.standing is not None
-        and primary.standing.role is sessions.ReplicaRole.PRIMARY
-        and primary.asked_at < found.confirmed_at + replica_sets.CONFIRM_S
-    ):
-        _add_sample(found, primary.asked_at, primary.standing.received)
+def _sample_quorum(found: ReplicaSet) -> None:
+    """Takes the highest position of all members but one."""
     heard = sorted(
         (
             member
@@ -192,7 +229,7 @@
         _add_sample(found, newest[-1].asked_at, end)
 
 
-def _add_sample(found: ReplicaSet, at: float, end: object) -> None:
+def _add_sample(found: ReplicaSet, at: float, end: position.Position) -> None:
     if found.samples and at <= found.samples[-1].at:
         return
     if found.samples:
@@ -209,6 +246,7 @@
             member.standing,
             member.asked_at,
             member.failing_since,
+            member.stalled_since,
         )
         for member in found.members.values()
     )
@@ -216,8 +254,9 @@
         now,
         database,
         members,
-        found.primary,
+        found.last.primary,
         found.term,
-        found.confirmed_at,
+        found.last.until,
+        found.record is not None and found.record.is_moving,
         tuple(found.samples),
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/choose.py
@@ -59,7 +59,7 @@
             return _at_primary(work, view, now)
         since = needed_position(work, view)
         if since is None:
-            return []
+            return _at_primary(work, view, now)
         able = [
             member
             for member in view.members
--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -30,7 +30,8 @@
 
     Attributes:
       values: what it has set; names once set stay.
-      began_at: when its transaction began; began_route: under which route.
+      begin: the beginning of its transaction, and when it came.
+      began_route: the route of its transaction.
       is_upstream: whether its transaction has begun upstream.
       last_commit: the position of its last commit, or None.
       work: the statement in flight, or None.
@@ -45,6 +46,7 @@
         default_factory=dict
     )
     state: sessions.TransactionState = IDLE
+    begin: sessions.Statement | None = None
     began_at: float = 0.0
     began_route: routes.Route | None = None
     read_only: bool = False
@@ -164,6 +166,7 @@
         if session.state is OPEN:
             return _failed(session, statement, sessions.Failure.INVALID, now)
         session.state = OPEN
+        session.begin = statement
         session.began_at = now
         session.began_route = self._route_of(session)
         session.read_only = statement.read_only
@@ -174,7 +177,7 @@
         self, session: Session, statement: sessions.Statement, now: float
     ) -> Iterator[filters.Item]:
         if session.is_upstream:
-            yield items.EndTransaction(now, session.client)
+            yield items.EndTransaction(now, session.client, statement)
         session.state = IDLE
         session.is_upstream = False
         yield _done(session, statement, now)
@@ -225,6 +228,7 @@
         may_read_replica = not writes and (
             session.read_only if in_transaction else True
         )
+        opens = in_transaction and not session.is_upstream
         strict = route.consistency is routes.Consistency.PRIMARY
         own = route.consistency is routes.Consistency.OWN_WRITES
         return items.Work(
@@ -238,7 +242,7 @@
             wait_s=route.target_s * WAIT_SHARE,
             refuse_at=now + route.target_s * WAIT_SHARE,
             expire_at=now + route.timeout_s,
-            opens=in_transaction and not session.is_upstream,
+            begin=session.begin if opens else None,
             in_transaction=in_transaction,
             read_only=in_transaction and session.read_only,
             needs_primary=strict or not may_read_replica,
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -24,6 +24,9 @@
     from fescueshunt.sessions import choose
 
 BUSY_PAUSE_S = 0.01
+TELL_EVERY_S = 0.05
+WANT_EVERY_S = 0.1
+SLOW_S = 0.35
 CROWDED = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
 
 
@@ -38,6 +41,7 @@
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
         self._waiting: list[items.Work] = []
         self._held: dict[int, pool.Link] = {}
+        self._wanted_at: dict[str, float] = {}
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields calls on connections, and what became of each statement."""
@@ -47,7 +51,7 @@
             case items.WorkOffered():
                 yield from self._offer(item.work, item.at)
             case items.EndTransaction():
-                yield from self._end(item.client, item.at)
+                yield from self._end(item)
             case session_items.LinkOpened():
                 yield from self._opened(item)
             case session_items.LinkFailed():
@@ -91,6 +95,7 @@
         self._waiting = still
         if still:
             yield from self._open_for(still, now)
+            yield from self._want_confirmation(still, now)
 
     def _place(
         self, work: items.Work, now: float
@@ -127,6 +132,23 @@
             if opening < count and kept.may_open(now):
                 yield self._pools.open(kept, now)
 
+    def _want_confirmation(
+        self, waiting: list[items.Work], now: float
+    ) -> Iterator[filters.Item]:
+        """Asks for a primary to be confirmed where work waits for that."""
+        for database in {work.route.database for work in waiting}:
+            view = self._views.get(database)
+            asked_at = self._wanted_at.get(database, 0.0)
+            if (
+                view is None
+                or view.is_moving
+                or view.is_confirmed(now)
+                or now - asked_at < WANT_EVERY_S
+            ):
+                continue
+            self._wanted_at[database] = now
+            yield session_items.ConfirmationWanted(now, database)
+
     def _start(
         self,
         link: pool.Link,
@@ -144,6 +166,7 @@
     def _send(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
         call = link.steps[0]
         link.sent_at = now
+        link.suspected = False
         if link.work is not None and steps.is_final(call):
             link.work.sent = True
         yield session_items.CallLink(now, link.number, call)
@@ -153,8 +176,8 @@
         if link is None:
             return
         kept = self._pools.by_upstream[link.upstream]
-        kept.heard_at = item.at
         call = link.steps.popleft()
+        yield from self._hear(kept, link, call, item)
         if item.reply.failure is None:
             steps.applied(link, call)
         if link.ask is not None:
@@ -164,6 +187,21 @@
         else:
             yield from self._rolled_back(link, item)
 
+    def _hear(
+        self,
+        kept: pool.Pool,
+        link: pool.Link,
+        call: sessions.UpstreamCall,
+        item: session_items.LinkReplied,
+    ) -> Iterator[filters.Item]:
+        kept.heard_at = item.at
+        wrote = steps.is_final(call) and _commits(link.work)
+        if wrote or item.at - kept.told_at >= TELL_EVERY_S:
+            kept.told_at = item.at
+            yield session_items.UpstreamHeard(
+                item.at, link.upstream, link.sent_at, item.reply.applied, wrote
+            )
+
     def _advance(
         self,
         link: pool.Link,
@@ -260,9 +298,14 @@
         else:
             yield from self._pump(now)
 
-    def _roll_back(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
+    def _roll_back(
+        self,
+        link: pool.Link,
+        now: float,
+        statement: sessions.Statement | None = None,
+    ) -> Iterator[filters.Item]:
         link.steps.clear()
-        link.steps.append(sessions.Rollback())
+        link.steps.append(sessions.Rollback(statement))
         link.enter(pool.LinkState.WORKING, now)
         yield from self._send(link, now)
 
@@ -274,16 +317,16 @@
         else:
             yield from self._close(link, item.at)
 
-    def _end(self, client: int, now: float) -> Iterator[filters.Item]:
-        link = self._held.get(client)
+    def _end(self, item: items.EndTransaction) -> Iterator[filters.Item]:
+        link = self._held.get(item.client)
         if link is None:
             return
         if link.state is pool.LinkState.HELD:
-            del self._held[client]
+            del self._held[item.client]
             link.client = None
-            yield from self._roll_back(link, now)
+            yield from self._roll_back(link, item.at, item.statement)
         else:
-            yield from self._drop(link, "client left", now)
+            yield from self._drop(link, "client left", item.at)
 
     def _close(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
         self._pools.remove(link)
@@ -310,9 +353,13 @@
         if link.state is pool.LinkState.OPENING:
             self._pools.failed(link, item.at)
         if item.refusal in CROWDED:
-            kept.heard_at = item.at
+            kept.crowded(item.at)
         elif link.state is pool.LinkState.OPENING:
             yield from self._fail_asks(kept, item)
+        if item.refusal not in CROWDED:
+            yield session_items.UpstreamSuspected(
+                item.at, link.upstream, item.error.code
+            )
         yield from self._lose(link, item.error.code, item.at)
 
     def _drop(
@@ -393,6 +440,7 @@
         yield from self._pump(view.at)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
+        yield from self._suspect_slow(now)
         yield from self._expire_links(now)
         yield from self._expire_waiting(now)
         yield from self._expire_asks(now)
@@ -403,6 +451,22 @@
                 yield session_items.CloseLink(now, link.number)
         yield from self._pump(now)
 
+    def _suspect_slow(self, now: float) -> Iterator[filters.Item]:
+        """Reports statements that take long at an upstream that is silent."""
+        for link in self._pools.links.values():
+            slow_s = now - link.sent_at
+            if link.work is None or link.suspected or slow_s < SLOW_S:
+                continue
+            commits = steps.is_final(link.steps[0]) and _commits(link.work)
+            heard_at = self._pools.by_upstream[link.upstream].heard_at
+            if not commits and heard_at >= link.sent_at:
+                continue
+            link.suspected = True
+            since = link.sent_at if commits else None
+            yield session_items.UpstreamSuspected(
+                now, link.upstream, "slow", since
+            )
+
     def _expire_links(self, now: float) -> Iterator[filters.Item]:
         for link in self._pools.overdue(now):
             self._pools.failed(link, now)
@@ -437,6 +501,14 @@
                     yield _unanswered(ask, ask.at, now, sent=False)
 
 
+def _commits(work: items.Work | None) -> bool:
+    """Tells whether `work` makes a change that a replica must receive."""
+    if work is None:
+        return False
+    is_commit = work.statement.verb is sessions.Verb.COMMIT
+    return is_commit or (work.writes and not work.in_transaction)
+
+
 def _unanswered(
     ask: session_items.AskUpstream,
     sent_at: float,
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -21,7 +21,7 @@
       wait_s: how long it may wait to be sent, at each try.
       refuse_at: it is refused if it has not been sent by then.
       expire_at: its answer must be there by then.
-      opens: whether it is the first of a transaction.
+      begin: the beginning of the transaction that this is the first of.
       in_transaction: whether it belongs to a transaction.
       read_only: whether its transaction promised not to write.
       needs_primary: whether only the primary may run it.
@@ -40,7 +40,7 @@
     wait_s: float
     refuse_at: float
     expire_at: float
-    opens: bool
+    begin: sessions.Statement | None
     in_transaction: bool
     read_only: bool
     needs_primary: bool
@@ -51,6 +51,11 @@
     tries: int = 0
     sent: bool = False
 
+    @property
+    def opens(self) -> bool:
+        """Whether it is the first of a transaction."""
+        return self.begin is not None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkOffered(filters.Item):
@@ -86,9 +91,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndTransaction(filters.Item):
-    """Rolls back what the client's transaction did, if anything."""
+    """Rolls back the client's transaction, as it asked to or as it left."""
 
     client: int
+    statement: sessions.Statement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -16,10 +16,11 @@
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
 MAX_OPENING = 2
-# An upstream that reports fewer free connections than this gets no more than
-# our share: other hosts may open some at the same moment.
-SPARE_CONNECTIONS = 2
-LINGER_S = 3.0
+# The part of the connections beyond all shares that one host may take.
+BORROWED_SHARE = 1 / 3
+# After the upstream had no connection left, nothing is borrowed for this long.
+CROWDED_S = 0.5
+LINGER_S = 1.5
 
 
 class LinkState(enum.Enum):
@@ -42,6 +43,7 @@
       work: the statement in flight, or None.
       ask: the call of our own in flight, or None.
       steps: what is still to be sent; the first one is in flight.
+      suspected: whether the call in flight was reported as slow.
       since: when it came into its state.
     """
 
@@ -55,6 +57,7 @@
     work: items.Work | None = None
     ask: session_items.AskUpstream | None = None
     sent_at: float = 0.0
+    suspected: bool = False
     steps: collections.deque[sessions.UpstreamCall] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -71,18 +74,19 @@
 
     Attributes:
       share: how many this host may always open.
-      most: how many the upstream takes, of all hosts.
+      most: how many this host may open while others leave room.
       asks: calls of our own that wait for a connection.
       failures: how many opens failed in a row.
       open_after: no connection is opened before.
       heard_at: when the upstream last said anything.
+      told_at: when the core was last told of that.
       refused: whether it last turned a connection away as not itself.
     """
 
     entry: replica_sets.Entry
     share: int = 1
     most: int = 1
-    reported: int = 0
+    crowded_until: float = 0.0
     links: dict[int, Link] = dataclasses.field(default_factory=dict)
     asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
         default_factory=collections.deque
@@ -90,6 +94,7 @@
     failures: int = 0
     open_after: float = 0.0
     heard_at: float = 0.0
+    told_at: float = 0.0
     refused: bool = False
 
     def idle_links(self) -> list[Link]:
@@ -117,13 +122,17 @@
             return False
         if len(self.links) < self.share:
             return True
-        return self.reported + opening + SPARE_CONNECTIONS < self.most
+        return len(self.links) < self.most and now >= self.crowded_until
 
     def opened(self) -> None:
         """Notes that a connection was opened."""
         self.failures = 0
         self.refused = False
-        self.reported += 1
+
+    def crowded(self, now: float) -> None:
+        """Notes that the upstream had no connection left."""
+        self.crowded_until = now + CROWDED_S
+        self.heard_at = now
 
     def open_failed(self, now: float, chance: random.Random) -> None:
         """Puts off the next open, longer for each failure in a row."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -53,10 +53,6 @@
             elif kept.entry.address != member.entry.address:
                 yield from list(kept.links.values())
             kept.entry = member.entry
-            if member.standing is not None:
-                kept.reported = max(
-                    member.standing.connections, len(kept.links)
-                )
         for upstream, kept in list(self.by_upstream.items()):
             if kept.entry.database == view.database and upstream not in names:
                 yield from list(kept.links.values())
@@ -102,5 +98,7 @@
         for kept in self.by_upstream.values():
             policy = self._policies.get(kept.entry.database)
             if policy is not None:
-                kept.most = policy.max_connections
-                kept.share = max(policy.max_connections // self._hosts, 1)
+                most = policy.max_connections
+                kept.share = max(most // self._hosts, 1)
+                spare = max(most - kept.share * self._hosts, 0)
+                kept.most = kept.share + int(spare * pool.BORROWED_SHARE)
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -31,8 +31,8 @@
         name = sessions.upstream_name(work.prepared)
         if name not in has_prepared:
             steps.append(sessions.Prepare(name, work.prepared))
-    if work.opens:
-        steps.append(sessions.Begin(work.read_only, since))
+    if work.begin is not None:
+        steps.append(sessions.Begin(work.begin, since))
         since = None
     steps.append(_run(work, since))
     return steps
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
@@ -0,0 +1,49 @@
+"""Acknowledges moves of a primary, so that their holder need not wait."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, leadership, session_items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Acknowledge(filters.Filter):
+    """Writes this host's acknowledgement of each move that it learns of.
+
+    The view of the replica set has no primary by then, as the same news makes
+    it, so nothing is sent to the old primary afterwards.
+    """
+
+    def __init__(self, me: str) -> None:
+        self._me = me
+        self._lease = 0
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields acknowledgements to write."""
+        match item:
+            case session_items.LeaseView():
+                self._lease = item.lease
+            case session_items.KeysListed():
+                for key, stored in item.keys.items():
+                    yield from self._acknowledge(key, stored, item.at)
+            case session_items.KeyChanged() if item.stored is not None:
+                yield from self._acknowledge(item.key, item.stored, item.at)
+        yield item
+
+    def _acknowledge(
+        self, key: str, stored: session_items.StoredKey, now: float
+    ) -> Iterator[filters.Item]:
+        database = leadership.database_of(key)
+        record = leadership.parse_record(stored) if database else None
+        if record is None or not record.is_moving or not self._lease:
+            return
+        yield session_items.WriteKey(
+            now,
+            leadership.ack_key(database, self._me),
+            str(record.revision),
+            self._lease,
+            None,
+        )
--- a/packages/fescueshunt/src/fescueshunt/takeover/hold.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/hold.py
@@ -30,7 +30,6 @@
 # A holder that reaches too few upstreams for this long gives the duty up.
 UNFIT_AFTER_S = 1.5
 ABSTAIN_S = 4.0
-FRESH_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,10 +164,10 @@
         yield self._view(now)
 
     def _is_fit(self, now: float) -> bool:
-        """Tells whether this host hears most upstreams."""
+        """Tells whether this host reaches most upstreams."""
         members = [m for view in self._views.values() for m in view.members]
-        heard = sum(now - member.asked_at < FRESH_S for member in members)
-        return heard * 2 > len(members)
+        failing = sum(member.failing_since is not None for member in members)
+        return bool(members) and failing * 2 <= len(members)
 
     def _view(self, now: float) -> items.DutyView:
         state = self._state
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -11,7 +11,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.takeover import hold, replace, vote
+from fescueshunt.takeover import acknowledge, hold, replace, vote
 
 ACCEPTS = (
     filters.Tick,
@@ -20,6 +20,7 @@
     session_items.KeysListed,
     session_items.KeyChanged,
     session_items.KeyRead,
+    session_items.KeyWritten,
     session_items.LiveHostsView,
     session_items.PromotionAnswered,
     session_items.UpstreamAnswered,
@@ -29,5 +30,10 @@
 
 def build(me: identity.Identity) -> filters.Pipe:
     """Returns the takeover pipe of the host `me`."""
-    stages = (hold.Hold(me.name), vote.Vote(me.name), replace.Replace(me.name))
+    stages = (
+        hold.Hold(me.name),
+        acknowledge.Acknowledge(me.name),
+        vote.Vote(me.name),
+        replace.Replace(me.name),
+    )
     return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/takeover/vote.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/vote.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-FAILING_AFTER_S = 0.9
+FAILING_AFTER_S = 0.7
+STALLED_AFTER_S = 1.2
 RETRY_AFTER_S = 1.0
 
 
@@ -43,8 +44,10 @@
                     for key, stored in item.keys.items()
                     if key.startswith(session_items.VOTES_PREFIX)
                 }
+                yield item
                 yield from self._publish(item.at)
             case session_items.KeyChanged():
+                yield item
                 yield from self._change(item)
             case session_items.LiveHostsView():
                 self._hosts = item.names
@@ -103,6 +106,10 @@
 
 def _is_failing(view: replica_sets.ReplicaSetView, now: float) -> bool:
     member = view.member(view.primary)
-    if member is None or member.failing_since is None:
+    if member is None:
         return False
-    return now - member.failing_since > FAILING_AFTER_S
+    failing_since = member.failing_since
+    stalled_since = member.stalled_since
+    if failing_since is not None and now - failing_since > FAILING_AFTER_S:
+        return True
+    return stalled_since is not None and now - stalled_since > STALLED_AFTER_S
