--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -11,7 +11,7 @@
 import structlog
 
 from fescueshunt import hosted
-from fescueshunt.core import identity, items, session_items
+from fescueshunt.core import identity, process, session_items
 from fescueshunt.sessions import items as session_pipe_items
 from fescueshunt_proxy._internal import clock, runtime
 from fescueshunt_proxy._internal.hosted import decisions, front, links, stores
@@ -44,7 +44,7 @@
     core = hosted.build(me, cfg.grace_s)
     joined = runtime.Runtime(core, clock.since_boot)
     stopped = asyncio.Event()
-    joined.subscribe(items.Stopped, lambda _: stopped.set())
+    joined.subscribe(process.Stopped, lambda _: stopped.set())
     log = decisions.DecisionLog(joined.now)
     joined.subscribe(session_items.Decided, log.decided)
     async with _background() as tasks, _border(cfg, joined, tasks):
@@ -106,7 +106,7 @@
     loop = asyncio.get_running_loop()
 
     def ask_to_stop() -> None:
-        joined.feed(items.StopAsked(joined.now()))
+        joined.feed(process.StopAsked(joined.now()))
 
     def reload() -> None:
         # Every setting of this program holds for the life of its process.
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
@@ -7,10 +7,9 @@
 
 from hdrh import histogram
 
-from fescueshunt.core import statements
+from fescueshunt.core import process, statements
 
 if TYPE_CHECKING:
-    from fescueshunt.core import items as core_items
     from fescueshunt.request import items
 
 LOWEST_US = 1
@@ -41,7 +40,7 @@
             )
         self.latencies[name].record_value(int(item.latency_s * US_PER_S) or 1)
 
-    def item_failed(self, item: core_items.ItemFailed) -> None:
+    def item_failed(self, item: process.ItemFailed) -> None:
         """Counts an item that was dropped."""
         self.counters[f"items_failed.{item.error}"] += 1
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -11,7 +11,7 @@
 import structlog
 
 from fescueshunt import proxy
-from fescueshunt.core import identity, items, views
+from fescueshunt.core import identity, items, process, views
 from fescueshunt.request import items as request_items
 from fescueshunt.request import policies
 from fescueshunt_proxy._internal import (
@@ -57,7 +57,7 @@
         )
     )
     stopped = asyncio.Event()
-    joined.subscribe(items.Stopped, lambda _: stopped.set())
+    joined.subscribe(process.Stopped, lambda _: stopped.set())
     measured = _watch(joined)
     with (
         recording.recording(cfg.record_file, me, joined),
@@ -122,7 +122,7 @@
     measured = metrics.Metrics()
     changes = logs.ChangeLog()
     joined.subscribe(request_items.Finished, measured.finished)
-    joined.subscribe(items.ItemFailed, measured.item_failed)
+    joined.subscribe(process.ItemFailed, measured.item_failed)
     joined.subscribe(views.SettingsView, changes.settings)
     joined.subscribe(views.FleetView, changes.fleet)
     joined.subscribe(views.GroupView, changes.group)
@@ -143,7 +143,7 @@
     loop = asyncio.get_running_loop()
 
     def ask_to_stop() -> None:
-        joined.feed(items.StopAsked(joined.now()))
+        joined.feed(process.StopAsked(joined.now()))
 
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, ask_to_stop)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
@@ -9,7 +9,7 @@
 import structlog
 from reactivex import operators
 
-from fescueshunt.core import filters, items
+from fescueshunt.core import filters, process
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -96,4 +96,4 @@
     def _report(self, exc: Exception) -> None:
         kind = type(exc).__name__
         self._logger.error("item_failed", error=kind, exc_info=exc)
-        self._hand_out(items.ItemFailed(self.now(), kind))
+        self._hand_out(process.ItemFailed(self.now(), kind))
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -25,6 +25,7 @@
         host, _, port = entry.address.rpartition(":")
         loop = asyncio.get_running_loop()
         started = loop.create_future()
+        started.add_done_callback(_retrieve)
         try:
             transport, _ = await loop.create_connection(
                 lambda: _LinkProtocol(listener, started), host, int(port)
@@ -41,6 +42,12 @@
         return _LineLink(transport)
 
 
+def _retrieve(fut: asyncio.Future[None]) -> None:
+    """Takes an exception that nobody waits for after a cancelled attempt."""
+    if not fut.cancelled():
+        fut.exception()
+
+
 class _LineLink(ports.Link):
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/records.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/records.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from fescueshunt import errors
-from fescueshunt.core import filters, identity, items
+from fescueshunt.core import filters, identity, items, process
 from fescueshunt_wire import codec
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 def _item_types() -> Iterator[type]:
     yield identity.Identity
     yield filters.Tick
-    for value in vars(items).values():
+    for value in (*vars(items).values(), *vars(process).values()):
         if dataclasses.is_dataclass(value):
             yield value
 
--- a/packages/fescueshunt/src/fescueshunt/core/items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/items.py
@@ -99,11 +99,6 @@
     error: errors.FescueshuntError
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopAsked(filters.Item):
-    """An operator, or a signal, asks this proxy to stop."""
-
-
 # Effects.
 
 
@@ -169,18 +164,6 @@
     timeout_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ItemFailed(filters.Item):
-    """An item caused an exception of type `error`, and was dropped."""
-
-    error: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stopped(filters.Item):
-    """Nothing is in flight any more; the process may exit."""
-
-
 # The platform's store and host list.
 
 
--- a/packages/fescueshunt/src/fescueshunt/members/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/members/pipe.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, views
+from fescueshunt.core import filters, process, views
 from fescueshunt.core import items as core_items
 from fescueshunt.members import items, listed, probe, publish, spread, table
 
@@ -18,7 +18,7 @@
     core_items.HostsRead,
     core_items.PeerReceived,
     core_items.PeerLost,
-    core_items.StopAsked,
+    process.StopAsked,
     filters.Tick,
     views.FleetView,
     views.SettingsView,
--- a/packages/fescueshunt/src/fescueshunt/members/table.py
+++ b/packages/fescueshunt/src/fescueshunt/members/table.py
@@ -12,8 +12,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, views
-from fescueshunt.core import items as core_items
+from fescueshunt.core import filters, process, views
 from fescueshunt.members import items
 
 if TYPE_CHECKING:
@@ -56,7 +55,7 @@
             case items.ListSeen():
                 self._state.listed = item.names or self._state.listed
                 yield item
-            case core_items.StopAsked():
+            case process.StopAsked():
                 self._state.stopping = True
                 yield from self._declare(views.MemberState.LEAVING, item.at)
                 yield item
--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, items, session_items
+from fescueshunt.core import filters, process, session_items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -70,7 +70,7 @@
                 stored = item.keys.get(self._key)
                 yield from self._check_key(stored, item.revision, item.at)
                 yield item
-            case items.StopAsked():
+            case process.StopAsked():
                 yield from self._leave(item.at)
             case _:
                 yield item
--- a/packages/fescueshunt/src/fescueshunt/presence/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/pipe.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import filters, identity, items, session_items
+from fescueshunt.core import filters, identity, process, session_items
 from fescueshunt.presence import hosts, lease
 
 ACCEPTS = (
     filters.Tick,
-    items.StopAsked,
+    process.StopAsked,
     session_items.LeaseGranted,
     session_items.LeaseLost,
     session_items.LeaseUnanswered,
--- a/packages/fescueshunt/src/fescueshunt/request/admit.py
+++ b/packages/fescueshunt/src/fescueshunt/request/admit.py
@@ -11,6 +11,7 @@
     document,
     filters,
     peer,
+    process,
     request,
     views,
 )
@@ -63,7 +64,7 @@
             case views.SettingsView():
                 self._state.settings = item.document
                 yield item
-            case core_items.StopAsked():
+            case process.StopAsked():
                 self._state.stopping = True
                 yield item
             case filters.Tick():
--- a/packages/fescueshunt/src/fescueshunt/request/drain.py
+++ b/packages/fescueshunt/src/fescueshunt/request/drain.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, peer
+from fescueshunt.core import filters, peer, process
 from fescueshunt.core import items as core_items
 from fescueshunt.request import items
 
@@ -52,10 +52,10 @@
                 state.transactions.add((item.side, item.transaction))
             case items.TransactionEnded():
                 state.transactions.discard((item.side, item.transaction))
-            case core_items.StopAsked() if state.asked_at is None:
+            case process.StopAsked() if state.asked_at is None:
                 state.asked_at = item.at
             case filters.Tick() if self._is_over(item.at):
-                yield core_items.Stopped(item.at)
+                yield process.Stopped(item.at)
         yield item
 
     def _is_over(self, now: float) -> bool:
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, identity, views
+from fescueshunt.core import filters, identity, process, views
 from fescueshunt.core import items as core_items
 from fescueshunt.request import (
     acknowledge,
@@ -36,7 +36,7 @@
     core_items.UpstreamOpened,
     core_items.UpstreamReplied,
     core_items.UpstreamFailed,
-    core_items.StopAsked,
+    process.StopAsked,
     filters.Tick,
     views.SettingsView,
     views.FleetView,
--- a/packages/fescueshunt/src/fescueshunt/sessions/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/choose.py
@@ -6,10 +6,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from fescueshunt.core import rendezvous
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from fescueshunt.core import position, replica_sets
+    from fescueshunt.core import identity, position, replica_sets
     from fescueshunt.sessions import items, pool
 
 # What a statement at the primary, or in another zone, counts as much as.
@@ -40,12 +42,42 @@
     ) -> list[Choice]:
         """Returns the upstreams that may run `work` now, the best first."""
 
+    @abc.abstractmethod
+    def standing(self, view: replica_sets.ReplicaSetView) -> Mapping[str, bool]:
+        """Tells of each member whether a connection to it is always kept."""
+
 
 class LeastLoaded(Placement):
-    """Replicas before the primary, the least busy first, then the nearest."""
+    """Replicas before the primary, the least busy first, then the nearest.
+
+    A host keeps connections to the primary and to one replica; to others it
+    opens them by need. So most connections of a replica are free when many
+    hosts start at the same moment.
+    """
+
+    def __init__(self, me: identity.Identity) -> None:
+        self._me = me.name
+        self._zone = me.zone
 
-    def __init__(self, zone: str) -> None:
-        self._zone = zone
+    def standing(self, view: replica_sets.ReplicaSetView) -> Mapping[str, bool]:
+        """Tells of each member whether a connection to it is always kept."""
+        near = [
+            member.upstream
+            for member in view.members
+            if member.upstream != view.primary
+            and member.entry.zone == self._zone
+            and _takes_work(member)
+        ]
+        able = near or [
+            member.upstream
+            for member in view.members
+            if member.upstream != view.primary and _takes_work(member)
+        ]
+        chosen = rendezvous.first(self._me, able)
+        return {
+            member.upstream: member.upstream in (view.primary, chosen)
+            for member in view.members
+        }
 
     def choices(
         self,
--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -10,9 +10,15 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, position, routes, session_items, sessions
-from fescueshunt.core import items as core_items
-from fescueshunt.sessions import departure, items
+from fescueshunt.core import (
+    filters,
+    position,
+    process,
+    routes,
+    session_items,
+    sessions,
+)
+from fescueshunt.sessions import departure, items, readiness
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -82,7 +88,11 @@
             case filters.Tick():
                 yield from self._tick(item.at)
                 yield item
-            case core_items.StopAsked():
+            case items.ReadinessView():
+                cut_off = item.reason == readiness.CUT_OFF
+                self._departure.set_cut_off(cut_off, item.at)
+                yield item
+            case process.StopAsked():
                 self._departure.begin(item.at)
                 yield item
             case _:
@@ -262,6 +272,8 @@
             item.at - work.arrived_at,
             item.upstream,
         )
+        if item.failure is not None:
+            yield _explain(item)
         if session is None or session.work is not work:
             if work.in_transaction and item.failure is None:
                 yield items.EndTransaction(item.at, work.client)
@@ -329,7 +341,7 @@
         return self._routes.routes.get(session.route)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
-        if not self._departure.begun:
+        if self._departure.is_idle:
             return
         for session in list(self._sessions.values()):
             idle = session.work is None
@@ -341,7 +353,26 @@
                 if session.is_upstream:
                     yield items.EndTransaction(now, session.client)
         if self._departure.is_over(now, len(self._sessions)):
-            yield core_items.Stopped(now)
+            yield process.Stopped(now)
+
+
+def _explain(item: items.WorkDone) -> session_items.Decided:
+    """Returns the log line of a statement that got no success."""
+    work = item.work
+    details = {
+        "outcome": item.failure.value,
+        "why": item.detail,
+        "route": work.route.name,
+        "verb": work.statement.verb.value,
+        "in_transaction": work.in_transaction,
+        "upstream": item.upstream,
+        "tries": work.tries,
+        "sent": work.sent,
+        "took_s": round(item.at - work.arrived_at, 4),
+    }
+    return session_items.Decided(
+        item.at, "statement_failed", work.statement.statement_id, details
+    )
 
 
 def _done(
--- a/packages/fescueshunt/src/fescueshunt/sessions/departure.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/departure.py
@@ -14,6 +14,7 @@
     def __init__(self, grace_s: float) -> None:
         self._grace_s = grace_s
         self._begun_at: float | None = None
+        self._cut_off_at: float | None = None
 
     @property
     def begun(self) -> bool:
@@ -25,12 +26,29 @@
         if self._begun_at is None:
             self._begun_at = now
 
+    def set_cut_off(self, cut_off: bool, now: float) -> None:
+        """Notes whether this host is cut off, so that others serve better."""
+        if not cut_off:
+            self._cut_off_at = None
+        elif self._cut_off_at is None:
+            self._cut_off_at = now
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no session is to be closed."""
+        return self._begun_at is None and self._cut_off_at is None
+
     def should_close(
         self, now: float, idle: bool, in_transaction: bool
     ) -> bool:
         """Tells whether a session is to be closed now."""
         if self._begun_at is None:
-            return False
+            return (
+                idle
+                and not in_transaction
+                and self._cut_off_at is not None
+                and now - self._cut_off_at > OUT_OF_ROTATION_S
+            )
         passed_s = now - self._begun_at
         if not idle:
             return passed_s > self._grace_s - END_MARGIN_S
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -350,12 +350,22 @@
             return
         kept = self._pools.by_upstream[link.upstream]
         kept.refused = item.refusal is sessions.Failure.MISROUTED
-        if link.state is pool.LinkState.OPENING:
-            self._pools.failed(link, item.at)
         if item.refusal in CROWDED:
             kept.crowded(item.at)
-        elif link.state is pool.LinkState.OPENING:
+        if link.state is pool.LinkState.OPENING:
+            self._pools.failed(link, item.at)
+        is_crowded = item.refusal in CROWDED
+        if link.state is pool.LinkState.OPENING and not is_crowded:
             yield from self._fail_asks(kept, item)
+        details = {
+            "upstream": link.upstream,
+            "was": link.state.value,
+            "error": item.error.code,
+            "refusal": item.refusal.value if item.refusal else "",
+            "links": len(kept.links),
+            "failures": kept.failures,
+        }
+        yield session_items.Decided(item.at, "link_failed", "", details)
         if item.refusal not in CROWDED:
             yield session_items.UpstreamSuspected(
                 item.at, link.upstream, item.error.code
@@ -435,6 +445,7 @@
 
     def _see(self, view: replica_sets.ReplicaSetView) -> Iterator[filters.Item]:
         self._views[view.database] = view
+        self._pools.set_standing(self._placement.standing(view))
         for link in list(self._pools.set_members(view)):
             yield from self._drop(link, "upstream is gone", view.at)
         yield from self._pump(view.at)
@@ -486,11 +497,28 @@
             return
         self._waiting = [w for w in self._waiting if now <= w.refuse_at]
         for work in over:
-            ruling = verdict.on_refusal(work)
+            ruling = verdict.on_refusal(self._why_waiting(work, now))
             yield self._done(
                 work, None, ruling.failure, ruling.detail, None, now
             )
 
+    def _why_waiting(self, work: items.Work, now: float) -> str:
+        """Returns what `work` waited for, for logs and for the client."""
+        view = self._views.get(work.route.database)
+        if view is None:
+            return "no upstreams known"
+        if self._choices(work, now):
+            return "no connection free"
+        if not work.needs_primary:
+            return "no upstream fresh enough"
+        if view.is_moving:
+            return "primary is being replaced"
+        if not view.primary:
+            return "no primary known"
+        if not view.is_confirmed(now):
+            return "primary not confirmed"
+        return "primary turned it away"
+
     def _expire_asks(self, now: float) -> Iterator[filters.Item]:
         for kept in self._pools.by_upstream.values():
             while kept.asks and now > kept.asks[0].deadline:
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -7,13 +7,11 @@
 from fescueshunt.core import (
     filters,
     identity,
+    process,
     replica_sets,
     routes,
     session_items,
 )
-from fescueshunt.core import (
-    items as core_items,
-)
 from fescueshunt.sessions import choose, converse, dispatch, items, readiness
 
 if TYPE_CHECKING:
@@ -28,9 +26,10 @@
     session_items.LinkFailed,
     session_items.AskUpstream,
     session_items.LiveHostsView,
+    session_items.LeaseView,
     items.WorkDone,
     items.TransactionDropped,
-    core_items.StopAsked,
+    process.StopAsked,
     filters.Tick,
     replica_sets.ReplicaSetView,
     routes.RoutesView,
@@ -50,6 +49,6 @@
     stages = (
         readiness.Readiness(),
         converse.Converse(grace_s),
-        dispatch.Dispatch(choose.LeastLoaded(me.zone), chance),
+        dispatch.Dispatch(choose.LeastLoaded(me), chance),
     )
     return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -20,6 +20,8 @@
 BORROWED_SHARE = 1 / 3
 # After the upstream had no connection left, nothing is borrowed for this long.
 CROWDED_S = 0.5
+# A connection that others give back is soon found: at most this many doublings.
+CROWDED_FAILURES = 2
 LINGER_S = 1.5
 
 
@@ -75,6 +77,7 @@
     Attributes:
       share: how many this host may always open.
       most: how many this host may open while others leave room.
+      is_standing: whether one connection is always kept.
       asks: calls of our own that wait for a connection.
       failures: how many opens failed in a row.
       open_after: no connection is opened before.
@@ -87,6 +90,7 @@
     share: int = 1
     most: int = 1
     crowded_until: float = 0.0
+    is_standing: bool = True
     links: dict[int, Link] = dataclasses.field(default_factory=dict)
     asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
         default_factory=collections.deque
@@ -133,6 +137,7 @@
         """Notes that the upstream had no connection left."""
         self.crowded_until = now + CROWDED_S
         self.heard_at = now
+        self.failures = min(self.failures, CROWDED_FAILURES)
 
     def open_failed(self, now: float, chance: random.Random) -> None:
         """Puts off the next open, longer for each failure in a row."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from fescueshunt.core import filters
 
@@ -58,6 +58,12 @@
                 yield from list(kept.links.values())
                 del self.by_upstream[upstream]
 
+    def set_standing(self, standing: Mapping[str, bool]) -> None:
+        """Takes over to which upstreams a connection is always kept."""
+        for upstream, is_standing in standing.items():
+            if upstream in self.by_upstream:
+                self.by_upstream[upstream].is_standing = is_standing
+
     def open(self, kept: pool.Pool, now: float) -> filters.Item:
         """Begins to open a link."""
         link = pool.Link(next(self._numbers), kept.entry.upstream, now)
@@ -82,7 +88,8 @@
         """Opens the links that are missing."""
         for kept in self.by_upstream.values():
             leaving = kept.entry.draining or not kept.entry.listed
-            if not kept.links and not leaving and kept.may_open(now):
+            missing = kept.is_standing and not kept.links and not leaving
+            if missing and kept.may_open(now):
                 yield self.open(kept, now)
 
     def overdue(self, now: float) -> list[pool.Link]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
@@ -4,8 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, routes, session_items
-from fescueshunt.core import items as core_items
+from fescueshunt.core import (
+    filters,
+    process,
+    replica_sets,
+    routes,
+    session_items,
+)
 from fescueshunt.sessions import items
 
 if TYPE_CHECKING:
@@ -14,12 +19,18 @@
 # A host that knows routes and upstreams but reaches too few of them says that
 # it is ready after this long, as no other host may reach more.
 PATIENCE_S = 2.0
+CUT_OFF_AFTER_S = 0.5
+
+
+CUT_OFF = "cut off"
 
 
 class Readiness(filters.Filter):
     """Ready once routes are in force and every replica set has a primary.
 
-    A host that can serve says so, also while the platform's store is away.
+    A host that can serve says so, also while the platform's store is away. One
+    that reaches neither the store nor most primaries is cut off: clients fare
+    better with another.
     """
 
     def __init__(self) -> None:
@@ -28,6 +39,7 @@
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
         self._known_at: float | None = None
         self._last: bool | None = None
+        self._lease_until = 0.0
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields whether this host is ready when that changes."""
@@ -37,7 +49,9 @@
             case replica_sets.ReplicaSetView():
                 self._views[item.database] = item
                 self._known_at = self._known_at or item.at
-            case core_items.StopAsked():
+            case session_items.LeaseView():
+                self._lease_until = item.valid_until
+            case process.StopAsked():
                 self._is_stopping = True
             case session_items.LinkReplied() | filters.Tick():
                 pass
@@ -56,6 +70,14 @@
             details = {"ready": ready, "reason": reason}
             yield session_items.Decided(now, "readiness", "", details)
 
+    def _is_cut_off(self, now: float) -> bool:
+        if now < self._lease_until or not self._views:
+            return False
+        unreachable = sum(
+            _is_unreachable(view, now) for view in self._views.values()
+        )
+        return unreachable * 2 > len(self._views)
+
     def _missing(self, now: float) -> str:
         if self._is_stopping:
             return "stopping"
@@ -63,8 +85,17 @@
             return "no routes"
         if self._known_at is None:
             return "no upstreams"
+        if self._is_cut_off(now):
+            return CUT_OFF
         if self._last or now - self._known_at > PATIENCE_S:
             return ""
         if all(view.is_confirmed(now) for view in self._views.values()):
             return ""
         return "no primary"
+
+
+def _is_unreachable(view: replica_sets.ReplicaSetView, now: float) -> bool:
+    primary = view.member(view.primary)
+    if primary is None or primary.failing_since is None:
+        return False
+    return now - primary.failing_since > CUT_OFF_AFTER_S
--- a/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
@@ -70,9 +70,9 @@
     return Ruling(sessions.Failure.BUSY, detail)
 
 
-def on_refusal(work: items.Work) -> Ruling:
-    """Rules on work that could not be sent in time."""
-    return Ruling(sessions.Failure.BUSY, "no upstream in time")
+def on_refusal(why: str) -> Ruling:
+    """Rules on work that could not be sent in time, for the reason `why`."""
+    return Ruling(sessions.Failure.BUSY, why)
 
 
 def _may_move(work: items.Work) -> bool:
--- a/packages/fescueshunt/src/fescueshunt/takeover/hold.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/hold.py
@@ -10,13 +10,11 @@
 
 from fescueshunt.core import (
     filters,
+    process,
     rendezvous,
     replica_sets,
     session_items,
 )
-from fescueshunt.core import (
-    items as core_items,
-)
 from fescueshunt.takeover import items
 
 if TYPE_CHECKING:
@@ -84,7 +82,7 @@
             case replica_sets.ReplicaSetView():
                 self._views[item.database] = item
                 yield item
-            case core_items.StopAsked():
+            case process.StopAsked():
                 self._state.stopping = True
                 yield item
             case filters.Tick():
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -5,17 +5,15 @@
 from fescueshunt.core import (
     filters,
     identity,
+    process,
     replica_sets,
     session_items,
 )
-from fescueshunt.core import (
-    items as core_items,
-)
 from fescueshunt.takeover import acknowledge, hold, replace, vote
 
 ACCEPTS = (
     filters.Tick,
-    core_items.StopAsked,
+    process.StopAsked,
     session_items.LeaseView,
     session_items.KeysListed,
     session_items.KeyChanged,
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -71,6 +71,8 @@
                 yield from self._drive_all(item)
             case filters.Tick():
                 yield from self._tick(item)
+            case _:
+                yield item
 
     def _note_record(self, key: str, stored: session_items.StoredKey) -> None:
         database = leadership.database_of(key)
--- a/tests/functional/test_replays.py
+++ b/tests/functional/test_replays.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fescueshunt import errors
-from fescueshunt.core import items, position, upstream, views
+from fescueshunt.core import items, position, process, upstream, views
 from lib import replayer, scenarios
 
 DONE = errors.Outcome.DONE
@@ -114,9 +114,9 @@
     effects = [
         effect
         for effect in replayed.effects
-        if isinstance(effect, items.AnswerCaller | items.Stopped)
+        if isinstance(effect, items.AnswerCaller | process.Stopped)
     ]
-    assert isinstance(effects[-1], items.Stopped)
+    assert isinstance(effects[-1], process.Stopped)
     told = [effect.answer for effect in effects[1:-1]]
     assert [a.error for a in told if a.error] == [errors.StoppingError()]
     assert len(told) == 5
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fescueshunt import errors
-from fescueshunt.core import document, items, peer, request, upstream
+from fescueshunt.core import document, items, peer, process, request, upstream
 from fescueshunt.request import ledger
 from lib import scenarios, world
 
@@ -459,14 +459,14 @@
 
 def test_stop_waits_for_an_open_transaction(played, other):
     begin_id = begin(played, other)
-    played.feed(other, items.StopAsked(played.now))
+    played.feed(other, process.StopAsked(played.now))
     played.run(3.0)
     assert other in played.proxies
     refused = played.ask(other, scenarios.read(played), conn=2)
     assert refused.error == errors.StoppingError()
     played.ask(other, step(played, begin_id, "one"))
     assert played.ask(other, commit(played, begin_id)).error is None
-    played.feed(other, items.StopAsked(played.now))
+    played.feed(other, process.StopAsked(played.now))
     played.run(0.2)
     assert other not in played.proxies
     assert played.rows() == ["one"]
@@ -474,7 +474,7 @@
 
 def test_stop_does_not_wait_for_ever(played, other):
     begin(played, other)
-    played.feed(other, items.StopAsked(played.now))
+    played.feed(other, process.StopAsked(played.now))
     played.run(20.0)
     assert other not in played.proxies
 
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from fescueshunt.core import items, peer, request, upstream
+from fescueshunt.core import items, peer, process, request, upstream
 from lib import world
 
 ADD = "INSERT INTO hit VALUES (?)"
@@ -214,7 +214,7 @@
     stopping = played.proxies[home]
     played.ask(home, inside(played, request.Kind.BEGIN, begin))
     played.send(home, 2, write(played, "queued"))
-    played.feed(home, items.StopAsked(played.now))
+    played.feed(home, process.StopAsked(played.now))
     played.run(1.5)
     played.ask(home, read(played), 3)
     played.ask(home, inside(played, request.Kind.STEP, begin, add("kept")))
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -18,6 +18,7 @@
     filters,
     identity,
     items,
+    process,
     request,
     upstream,
 )
@@ -289,7 +290,7 @@
                 self.at(
                     delay_s, lambda: self._feed_to(source, self._settings())
                 )
-            case items.Stopped():
+            case process.Stopped():
                 source.stopped = True
                 self.kill(source.me.name)
 
--- a/tests/unit/test_members.py
+++ b/tests/unit/test_members.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fescueshunt.core import filters, heartbeat, identity, views
+from fescueshunt.core import filters, heartbeat, identity, process, views
 from fescueshunt.core import items as core_items
 from fescueshunt.members import pipe, probe, table
 
@@ -149,7 +149,7 @@
 def test_a_stopping_proxy_tells_the_others_within_two_seconds():
     network = Network(ZONES)
     network.run(3)
-    network.feed("p3", core_items.StopAsked(network.now))
+    network.feed("p3", process.StopAsked(network.now))
     network.run(2)
     for name in ZONES:
         assert network.states(name)["p3"] is LEAVING
--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fescueshunt.core import filters, items
+from fescueshunt.core import filters, process
 from fescueshunt_proxy._internal import metrics, runtime
 
 
@@ -34,7 +34,7 @@
     async def feed():
         pipe = filters.Pipe((Divide(),), (filters.Tick,))
         joined = runtime.Runtime(filters.Core((pipe,)))
-        joined.subscribe(items.ItemFailed, measured.item_failed)
+        joined.subscribe(process.ItemFailed, measured.item_failed)
         joined.subscribe(Passed, sink)
         for wall_s in wall_times:
             joined.feed(filters.Tick(0.0, wall_s))
