Learn positions from members without a connection to the primary

Cause: after a power loss a host without a connection to the primary had no position and refused every read of a stated age, though replicas were there. Change: such a read asks all members once; connections beyond the standing ones close after a while.

--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -25,7 +25,7 @@
 TIMEOUT_S = 0.5
 # A member under suspicion is asked until it has answered, or for this long.
 SUSPECT_FOR_S = 20.0
-WANTED_FOR_S = 0.5
+WANTED_FOR_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -15,18 +15,17 @@
     session_items,
     sessions,
 )
-from fescueshunt.sessions import items, pool, pools, steps, verdict
+from fescueshunt.sessions import choose, items, pool, pools, steps, verdict
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
 
-    from fescueshunt.sessions import choose
-
 BUSY_PAUSE_S = 0.01
 TELL_EVERY_S = 0.05
 WANT_EVERY_S = 0.1
 SLOW_S = 0.35
+REPORT_EVERY_S = 2.0
 CROWDED = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
 
 
@@ -42,6 +41,7 @@
         self._waiting: list[items.Work] = []
         self._held: dict[int, pool.Link] = {}
         self._wanted_at: dict[str, float] = {}
+        self._report_at = 0.0
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields calls on connections, and what became of each statement."""
@@ -135,19 +135,30 @@
     def _want_confirmation(
         self, waiting: list[items.Work], now: float
     ) -> Iterator[filters.Item]:
-        """Asks for a primary to be confirmed where work waits for that."""
-        for database in {work.route.database for work in waiting}:
-            view = self._views.get(database)
+        """Asks for the members' words where work waits for them."""
+        for work in waiting:
+            database = work.route.database
             asked_at = self._wanted_at.get(database, 0.0)
-            if (
-                view is None
-                or view.is_moving
-                or view.is_confirmed(now)
-                or now - asked_at < WANT_EVERY_S
-            ):
-                continue
-            self._wanted_at[database] = now
-            yield session_items.ConfirmationWanted(now, database)
+            if now - asked_at >= WANT_EVERY_S and self._lacks_word(work, now):
+                self._wanted_at[database] = now
+                yield session_items.ConfirmationWanted(now, database)
+
+    def _lacks_word(self, work: items.Work, now: float) -> bool:
+        """Tells whether `work` waits for what the members can tell.
+
+        That is who leads, without a lease, or a position that covers what a
+        read has to see, without a connection to the primary.
+        """
+        view = self._views.get(work.route.database)
+        if view is None:
+            return False
+        primary = self._pools.by_upstream.get(view.primary)
+        has_link = primary is not None and primary.has_open_link()
+        if view.is_confirmed(now) and has_link:
+            return False
+        if work.needs_primary:
+            return not view.is_moving and not view.is_confirmed(now)
+        return choose.needed_position(work, view) is None
 
     def _start(
         self,
@@ -445,9 +456,9 @@
 
     def _see(self, view: replica_sets.ReplicaSetView) -> Iterator[filters.Item]:
         self._views[view.database] = view
-        self._pools.set_standing(self._placement.standing(view))
         for link in list(self._pools.set_members(view)):
             yield from self._drop(link, "upstream is gone", view.at)
+        self._pools.set_standing(self._placement.standing(view))
         yield from self._pump(view.at)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
@@ -461,6 +472,19 @@
                 self._pools.remove(link)
                 yield session_items.CloseLink(now, link.number)
         yield from self._pump(now)
+        yield from self._report(now)
+
+    def _report(self, now: float) -> Iterator[filters.Item]:
+        """Tells now and then how many connections there are to whom."""
+        if now < self._report_at:
+            return
+        self._report_at = now + REPORT_EVERY_S
+        sizes = {
+            upstream: len(kept.links)
+            for upstream, kept in self._pools.by_upstream.items()
+        }
+        details = {"links": sizes, "waiting": len(self._waiting)}
+        yield session_items.Decided(now, "pools", "", details)
 
     def _suspect_slow(self, now: float) -> Iterator[filters.Item]:
         """Reports statements that take long at an upstream that is silent."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -90,7 +90,7 @@
     share: int = 1
     most: int = 1
     crowded_until: float = 0.0
-    is_standing: bool = True
+    is_standing: bool = False
     links: dict[int, Link] = dataclasses.field(default_factory=dict)
     asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
         default_factory=collections.deque
@@ -145,9 +145,15 @@
         self.failures += 1
         self.open_after = now + limit_s * chance.uniform(0.5, 1.0)
 
+    def has_open_link(self) -> bool:
+        """Tells whether a connection is open."""
+        opening = self.count(LinkState.OPENING)
+        return len(self.links) > opening
+
     def surplus(self, now: float) -> list[Link]:
-        """Returns idle connections above the share that nothing needed."""
+        """Returns idle connections that nothing needed for a while."""
+        kept = self.share if self.is_standing else 0
         unused = [
             link for link in self.idle_links() if now - link.since > LINGER_S
         ]
-        return unused[: max(len(self.links) - self.share, 0)]
+        return unused[: max(len(self.links) - kept, 0)]
