Take turns with scarce connections after a mass restart

Cause: upstreams count the connections of hosts that lost power for 3 s, so after a restart 3 or 4 of 16 are free for 9 hosts, and who got one kept it. Ruled out: fewer connections before the loss, as open transactions hold them. Change: a host that was refused for lack of connections keeps no idle ones for a second and tries again within 20 ms; a statement waits half of its objective for a connection; a cut-off host notices 0.6 s sooner.

--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -24,7 +24,7 @@
     from collections.abc import Iterator
 
 # The part of its latency objective that a statement may wait to be sent.
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.5
 IDLE = sessions.TransactionState.IDLE
 OPEN = sessions.TransactionState.OPEN
 FAILED = sessions.TransactionState.FAILED
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -361,12 +361,11 @@
             return
         kept = self._pools.by_upstream[link.upstream]
         kept.refused = item.refusal is sessions.Failure.MISROUTED
-        if item.refusal in CROWDED:
-            kept.crowded(item.at)
-        if link.state is pool.LinkState.OPENING:
-            self._pools.failed(link, item.at)
         is_crowded = item.refusal in CROWDED
-        if link.state is pool.LinkState.OPENING and not is_crowded:
+        if is_crowded:
+            self._pools.crowded(link, item.at)
+        elif link.state is pool.LinkState.OPENING:
+            self._pools.failed(link, item.at)
             yield from self._fail_asks(kept, item)
         details = {
             "upstream": link.upstream,
@@ -377,7 +376,7 @@
             "failures": kept.failures,
         }
         yield session_items.Decided(item.at, "link_failed", "", details)
-        if item.refusal not in CROWDED:
+        if not is_crowded:
             yield session_items.UpstreamSuspected(
                 item.at, link.upstream, item.error.code
             )
@@ -467,10 +466,9 @@
         yield from self._expire_waiting(now)
         yield from self._expire_asks(now)
         yield from self._pools.upkeep(now)
-        for kept in list(self._pools.by_upstream.values()):
-            for link in kept.surplus(now):
-                self._pools.remove(link)
-                yield session_items.CloseLink(now, link.number)
+        for link in self._pools.surplus(now):
+            self._pools.remove(link)
+            yield session_items.CloseLink(now, link.number)
         yield from self._pump(now)
         yield from self._report(now)
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -20,9 +20,12 @@
 BORROWED_SHARE = 1 / 3
 # After the upstream had no connection left, nothing is borrowed for this long.
 CROWDED_S = 0.5
-# A connection that others give back is soon found: at most this many doublings.
-CROWDED_FAILURES = 2
+# Connections that hosts take turns with come free every few milliseconds.
+CROWDED_BACKOFF_S = 0.02
+TURN_S = 0.02
 LINGER_S = 1.5
+# With more connections than this of its own a host need not take turns.
+SCARCE_SHARE = 2
 
 
 class LinkState(enum.Enum):
@@ -133,11 +136,11 @@
         self.failures = 0
         self.refused = False
 
-    def crowded(self, now: float) -> None:
+    def crowded(self, now: float, chance: random.Random) -> None:
         """Notes that the upstream had no connection left."""
         self.crowded_until = now + CROWDED_S
         self.heard_at = now
-        self.failures = min(self.failures, CROWDED_FAILURES)
+        self.open_after = now + CROWDED_BACKOFF_S * chance.uniform(0.4, 1.0)
 
     def open_failed(self, now: float, chance: random.Random) -> None:
         """Puts off the next open, longer for each failure in a row."""
@@ -150,10 +153,17 @@
         opening = self.count(LinkState.OPENING)
         return len(self.links) > opening
 
-    def surplus(self, now: float) -> list[Link]:
-        """Returns idle connections that nothing needed for a while."""
-        kept = self.share if self.is_standing else 0
+    def surplus(self, now: float, taking_turns: bool) -> list[Link]:
+        """Returns idle connections that nothing needed for a while.
+
+        While hosts take turns, an idle connection goes back at once.
+        """
+        kept, linger_s = self.share, LINGER_S
+        if taking_turns and self.share <= SCARCE_SHARE:
+            kept, linger_s = 0, TURN_S
+        elif not self.is_standing:
+            kept = 0
         unused = [
-            link for link in self.idle_links() if now - link.since > LINGER_S
+            link for link in self.idle_links() if now - link.since > linger_s
         ]
         return unused[: max(len(self.links) - kept, 0)]
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -15,6 +15,8 @@
     from fescueshunt.core import filters
 
 OPEN_TIMEOUT_S = 1.0
+# After an upstream had no connection left, hosts take turns for this long.
+TURNS_S = 1.0
 
 
 class Pools:
@@ -27,6 +29,7 @@
         self._numbers = itertools.count(1)
         self._hosts = 1
         self._policies: dict[str, routes.ReplicaSetPolicy] = {}
+        self._turns_until = 0.0
 
     def set_hosts(self, count: int) -> None:
         """Shares connections out between `count` hosts."""
@@ -84,14 +87,37 @@
         if kept is not None:
             kept.open_failed(now, self._chance)
 
+    def crowded(self, link: pool.Link, now: float) -> None:
+        """Notes that an upstream had no connection left for a link."""
+        self._turns_until = now + TURNS_S
+        kept = self.by_upstream.get(link.upstream)
+        if kept is not None:
+            kept.crowded(now, self._chance)
+
     def upkeep(self, now: float) -> Iterator[filters.Item]:
-        """Opens the links that are missing."""
+        """Opens the standing links that are missing, unless hosts take turns.
+
+        Right after many hosts have started, the upstreams still count the
+        connections of their former lives.
+        """
+        taking_turns = now < self._turns_until
         for kept in self.by_upstream.values():
+            if taking_turns and kept.share <= pool.SCARCE_SHARE:
+                continue
             leaving = kept.entry.draining or not kept.entry.listed
             missing = kept.is_standing and not kept.links and not leaving
             if missing and kept.may_open(now):
                 yield self.open(kept, now)
 
+    def surplus(self, now: float) -> list[pool.Link]:
+        """Returns the idle links to close."""
+        taking_turns = now < self._turns_until
+        return [
+            link
+            for kept in self.by_upstream.values()
+            for link in kept.surplus(now, taking_turns)
+        ]
+
     def overdue(self, now: float) -> list[pool.Link]:
         """Returns the links that took too long to open."""
         return [
--- a/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
@@ -20,6 +20,8 @@
 # it is ready after this long, as no other host may reach more.
 PATIENCE_S = 2.0
 CUT_OFF_AFTER_S = 0.5
+# A lease is renewed more than twice as often.
+LEASE_LATE_S = 0.9
 
 
 CUT_OFF = "cut off"
@@ -71,7 +73,8 @@
             yield session_items.Decided(now, "readiness", "", details)
 
     def _is_cut_off(self, now: float) -> bool:
-        if now < self._lease_until or not self._views:
+        due_at = self._lease_until - session_items.LEASE_TTL_S
+        if now < due_at + LEASE_LATE_S or not self._views:
             return False
         unreachable = sum(
             _is_unreachable(view, now) for view in self._views.values()
