Drive the real program on the hosts' path without the kit

The HTTP client and server moved to fescueshunt-wire, shared with the stand-in. One name of ours was the platform's own word and was changed.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
@@ -5,7 +5,7 @@
 import json
 
 from fescueshunt_proxy._internal.hosted import ports
-from fescueshunt_proxy.platform import http
+from fescueshunt_wire import http
 
 CALL_TIMEOUT_S = 1.5
 OK = 200
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -38,7 +38,7 @@
     "ABORTED": sessions.Failure.ABORTED,
     "LAGGING": sessions.Failure.LAGGING,
     "READONLY": sessions.Failure.READ_ONLY,
-    "MISROUTED": sessions.Failure.MISROUTED,
+    "MISROUTED": sessions.Failure.WRONG_UPSTREAM,
     "CONNLIMIT": sessions.Failure.CONNECTION_LIMIT,
     "INDOUBT": sessions.Failure.IN_DOUBT,
     "TIMEOUT": sessions.Failure.TIMEOUT,
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/readiness.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/readiness.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt_proxy._internal.hosted import ports
-from fescueshunt_proxy.platform import http
+from fescueshunt_wire import http
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -23,8 +23,9 @@
     ) -> AsyncIterator[None]:
         """Serves while the block runs."""
 
-        def respond(method: str, target: str) -> http.Response:
-            if method != "GET" or target.partition("?")[0] != TARGET:
+        async def respond(request: http.Request) -> http.Response:
+            path = request.target.partition("?")[0]
+            if request.method != "GET" or path != TARGET:
                 return http.Response(404, b"")
             return http.Response(200 if is_ready() else 503, b"")
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -10,7 +10,8 @@
 
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
-from fescueshunt_proxy.platform import documents, http
+from fescueshunt_proxy.platform import documents
+from fescueshunt_wire import http
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/lib/fake_store.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/kv.py
@@ -9,7 +9,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class FakeStore:
+class KeyValues:
     """Keys, leases and every change, in the order of their revisions."""
 
     keys: dict[str, session_items.StoredKey] = dataclasses.field(
@@ -26,18 +26,21 @@
     )
 
     def grant(self, ttl_s: float, now: float) -> int:
+        """Grants a lease and returns its number."""
         lease = next(self.numbers)
         self.leases[lease] = now + ttl_s
         self.ttls[lease] = ttl_s
         return lease
 
     def renew(self, lease: int, now: float) -> bool:
+        """Renews a lease; False if it has ended."""
         if lease not in self.leases:
             return False
         self.leases[lease] = now + self.ttls[lease]
         return True
 
     def end(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
         if self.leases.pop(lease, None) is None:
             return
         for key, stored in list(self.keys.items()):
@@ -45,6 +48,7 @@
                 self._put(key, None)
 
     def expire(self, now: float) -> None:
+        """Ends the leases whose time is over."""
         for lease, until in list(self.leases.items()):
             if now >= until:
                 self.end(lease)
@@ -56,6 +60,7 @@
                 self._put(key, None)
 
     def write(self, item: session_items.WriteKey) -> tuple[bool, int]:
+        """Writes a key; returns whether it was done, and the revision."""
         known = self.keys.get(item.key)
         revision = known.revision if known else 0
         if item.expected is not None and item.expected != revision:
--- a/tests/lib/fake_replicas.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from fescueshunt.core import position, sessions
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 WORK_S = 0.004
 SHIP_S = 0.003
 SELF_DEMOTE_S = 1.0
@@ -42,18 +45,23 @@
 
     @property
     def is_primary(self) -> bool:
+        """Whether it takes itself for the primary."""
         return self.role is sessions.ReplicaRole.PRIMARY
 
     def received(self) -> position.Position:
+        """Returns the end of its log."""
         return _position(self.log)
 
     def applied_position(self) -> position.Position:
+        """Returns the last position that it applied."""
         return _position(self.log[: self.applied])
 
     def holds(self, wanted: position.Position) -> bool:
+        """Tells whether it has applied the entry at `wanted`."""
         return self.applied_position() >= wanted
 
     def standing(self) -> sessions.Standing:
+        """Returns what a status call tells."""
         return sessions.Standing(
             self.role, self.term, self.received(), self.held_term, 0.0, 0, 1
         )
@@ -84,6 +92,7 @@
     )
 
     def primary(self) -> Member | None:
+        """Returns the running primary of the highest term, or None."""
         leading = [m for m in self.members.values() if m.is_primary and m.up]
         return max(leading, key=lambda m: m.term, default=None)
 
@@ -151,17 +160,20 @@
         self.waiting = still
 
     def pause(self, member: Member, term: int) -> None:
+        """Stops a replica from receiving, for a term above every known one."""
         newest = max(m.term for m in self.members.values())
         if not member.is_primary and term > max(newest, member.held_term):
             member.held_term = term
 
     def step_down(self, member: Member, term: int) -> None:
+        """Makes a primary of a lower term a replica."""
         if member.is_primary and member.term < term:
             member.role = sessions.ReplicaRole.REPLICA
 
     def promote(
         self, name: str, after_s: float, now: float, token: int
     ) -> bool:
+        """Lets a member lead after a while; False if it is not running."""
         member = self.members.get(name)
         if member is None or not member.up:
             return False
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -12,13 +12,27 @@
 from fescueshunt import errors
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable, Mapping
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Mapping,
+    )
 
 READ_BYTES = 1 << 16
 OPEN_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request; `target` is its path and query."""
+
+    method: str
+    target: str
+    body: bytes = b""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A whole response."""
@@ -154,9 +168,9 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    address: str, respond: Callable[[str, str], Response]
+    address: str, respond: Callable[[Request], Awaitable[Response]]
 ) -> AsyncIterator[None]:
-    """Answers `respond(method, target)` at `address` while the block runs."""
+    """Answers requests at `address` by `respond` while the block runs."""
 
     async def handle(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -179,24 +193,31 @@
 async def _serve(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    respond: Callable[[str, str], Response],
+    respond: Callable[[Request], Awaitable[Response]],
 ) -> None:
     state = h11.Connection(h11.SERVER)
-    request: h11.Request | None = None
+    head: h11.Request | None = None
+    body: list[bytes] = []
     while True:
-        event = state.next_event()
-        if event is h11.NEED_DATA:
-            state.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.EndOfMessage) and request is not None:
-            response = respond(request.method.decode(), request.target.decode())
-            writer.write(_encode(state, response))
-            if state.our_state is h11.MUST_CLOSE:
+        match state.next_event():
+            case h11.NEED_DATA:
+                state.receive_data(await reader.read(READ_BYTES))
+            case h11.Request() as head:
+                body = []
+            case h11.Data() as part:
+                body.append(bytes(part.data))
+            case h11.EndOfMessage() if head is not None:
+                response = await respond(_request(head, body))
+                writer.write(_encode(state, response))
+                if state.our_state is h11.MUST_CLOSE:
+                    return
+                state.start_next_cycle()
+            case h11.ConnectionClosed():
                 return
-            state.start_next_cycle()
-        elif isinstance(event, h11.ConnectionClosed):
-            return
+
+
+def _request(head: h11.Request, body: list[bytes]) -> Request:
+    return Request(head.method.decode(), head.target.decode(), b"".join(body))
 
 
 def _encode(state: h11.Connection, response: Response) -> bytes:
--- a/packages/fescueshunt/src/fescueshunt/core/sessions.py
+++ b/packages/fescueshunt/src/fescueshunt/core/sessions.py
@@ -41,7 +41,7 @@
     ABORTED = "aborted"
     LAGGING = "lagging"
     READ_ONLY = "read_only"
-    MISROUTED = "misrouted"
+    WRONG_UPSTREAM = "wrong_upstream"
     CONNECTION_LIMIT = "connection_limit"
     IN_DOUBT = "in_doubt"
     TIMEOUT = "timeout"
@@ -57,7 +57,7 @@
         Failure.LAGGING,
         Failure.READ_ONLY,
         Failure.NO_STATEMENT,
-        Failure.MISROUTED,
+        Failure.WRONG_UPSTREAM,
         Failure.CONNECTION_LIMIT,
     }
 )
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -360,7 +360,7 @@
         if link is None:
             return
         kept = self._pools.by_upstream[link.upstream]
-        kept.refused = item.refusal is sessions.Failure.MISROUTED
+        kept.refused = item.refusal is sessions.Failure.WRONG_UPSTREAM
         is_crowded = item.refusal in CROWDED
         if is_crowded:
             self._pools.crowded(link, item.at)
--- /dev/null
+++ b/tests/functional/test_hosted_path.py
@@ -0,0 +1,112 @@
+"""The program on the hosts' path, as processes against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from lib import hosted_processes
+
+WRITE_GAP_S = 8.0
+STOP_S = 6.0
+
+
+async def _write_until_done(address: str, item: str) -> None:
+    async with asyncio.timeout(WRITE_GAP_S):
+        while True:
+            async with hosted_processes.session(
+                address, "card-renew"
+            ) as client:
+                answer = await client.ask(f"WRITE {item} x{item}")
+            if answer[-2].startswith("COMPLETE"):
+                return
+            await asyncio.sleep(0.1)
+
+
+def test_sessions_write_read_transact_and_keep_their_settings():
+    async def run() -> None:
+        async with hosted_processes.running() as deployed:
+            first, second = deployed.hosts
+            async with hosted_processes.session(
+                first.sessions, "agent-history"
+            ) as client:
+                assert await client.ask("WRITE a 1") == [
+                    "COMPLETE receipt",
+                    "READY I -",
+                ]
+                assert "ROW 1" in await client.ask("READ a")
+                assert await client.ask("SET zone west") == [
+                    "COMPLETE -",
+                    "READY I -",
+                ]
+                await client.ask("PREPARE p WRITE shape1")
+                await client.ask("BEGIN")
+                answer = await client.ask("EXECUTE p b 2")
+                assert answer == ["COMPLETE receipt", "READY T -"]
+                answer = await client.ask("COMMIT")
+                assert answer == ["COMPLETE receipt", "READY I -"]
+                rows = await client.ask("READ b")
+                assert any(row.startswith("ROW") for row in rows)
+            async with hosted_processes.session(
+                second.sessions, "card-renew"
+            ) as client:
+                assert "ROW 1" in await client.ask("READ a")
+
+    asyncio.run(run())
+
+
+def test_an_unknown_route_and_bad_lines_hurt_nobody_else():
+    async def run() -> None:
+        async with hosted_processes.running(1) as deployed:
+            address = deployed.hosts[0].sessions
+            host, _, port = address.rpartition(":")
+            async with hosted_processes.session(address, "card-renew") as good:
+                for data in (b"START nobody x\r\n", b"\xff\x00\r\n", b"x\r\n"):
+                    reader, writer = await asyncio.open_connection(
+                        host, int(port)
+                    )
+                    writer.write(data)
+                    async with asyncio.timeout(5):
+                        answer = await reader.read()
+                    assert answer.startswith(b"ERROR")
+                    writer.close()
+                assert (await good.ask("WRITE a 1"))[0] == "COMPLETE receipt"
+
+    asyncio.run(run())
+
+
+def test_a_crashed_primary_is_replaced_and_loses_nothing():
+    async def run() -> None:
+        async with hosted_processes.running() as deployed:
+            address = deployed.hosts[0].sessions
+            await _write_until_done(address, "1")
+            await deployed.act("crash", "u-a")
+            await _write_until_done(address, "2")
+            async with hosted_processes.session(
+                deployed.hosts[1].sessions, "card-renew"
+            ) as client:
+                rows = await client.ask("READ a")
+            assert rows.count("ROW x1") == 1
+            assert rows.count("ROW x2") == 1
+
+    asyncio.run(run())
+
+
+def test_a_stopping_host_finishes_its_transaction_and_exits():
+    async def run() -> None:
+        async with hosted_processes.running() as deployed:
+            host = deployed.hosts[0]
+            async with hosted_processes.session(
+                host.sessions, "card-renew"
+            ) as client:
+                await client.ask("BEGIN")
+                await client.ask("WRITE a 1")
+                host.popen.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.3)
+                assert not await hosted_processes.is_ready(host)
+                answer = await client.ask("COMMIT")
+                assert answer[0] == "COMPLETE receipt"
+            code = await asyncio.to_thread(host.popen.wait, STOP_S)
+            assert code == 0
+
+    asyncio.run(run())
--- a/tests/lib/hosted_clients.py
+++ b/tests/lib/hosted_clients.py
@@ -15,7 +15,7 @@
         sessions.Failure.ABORTED,
         sessions.Failure.LAGGING,
         sessions.Failure.READ_ONLY,
-        sessions.Failure.MISROUTED,
+        sessions.Failure.WRONG_UPSTREAM,
         sessions.Failure.CONNECTION_LIMIT,
     }
 )
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -22,7 +22,7 @@
     sessions,
 )
 from fescueshunt.routing import items as routing_items
-from lib import fake_replicas, fake_store
+from fescueshunt_standins.hosted import kv, replicas, statements
 
 TICK_S = 0.02
 HOP_S = 0.001
@@ -33,9 +33,6 @@
 STORE = "store"
 DUTY_KEY = session_items.DUTY_KEY
 HOSTS_PREFIX = session_items.HOSTS_PREFIX
-IDLE = sessions.TransactionState.IDLE
-OPEN = sessions.TransactionState.OPEN
-FAILED = sessions.TransactionState.FAILED
 LOST = errors.ConnectionLostError("cut")
 
 
@@ -57,12 +54,13 @@
     """A connection of a host to a member."""
 
     host: str
-    member: fake_replicas.Member
-    state: sessions.TransactionState = IDLE
-    plain: bool = False
-    tags: list[str] = dataclasses.field(default_factory=list)
+    session: statements.UpstreamSession
     open: bool = True
 
+    @property
+    def member(self) -> replicas.Member:
+        return self.session.member
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Host:
@@ -86,7 +84,7 @@
     def __init__(self, seed: int = 0, hosts: int = 3) -> None:
         self.now = 100.0
         self.chance = random.Random(seed)
-        self.store = fake_store.FakeStore()
+        self.store = kv.KeyValues()
         self.cut: set[frozenset[str]] = set()
         self.answers: dict[tuple[str, int], Callable] = {}
         self.promotion_s = PROMOTE_S
@@ -94,7 +92,7 @@
         self._events: list = []
         self._order = itertools.count()
         members = {
-            f"u{n}": fake_replicas.Member(
+            f"u{n}": replicas.Member(
                 f"u{n}",
                 sessions.ReplicaRole.PRIMARY
                 if n == 0
@@ -102,9 +100,7 @@
             )
             for n in range(3)
         }
-        self.replicas = fake_replicas.ReplicaSet(
-            members, self.reaches, self.later
-        )
+        self.replicas = replicas.ReplicaSet(members, self.reaches, self.later)
         self.draining: set[str] = set()
         self.hosts: dict[str, Host] = {}
         for number in range(hosts):
@@ -329,7 +325,8 @@
                     session_items.LinkFailed(self.now, effect.link, LOST),
                 )
                 return
-            host.links[effect.link] = Link(host.name, member)
+            session = statements.UpstreamSession(member)
+            host.links[effect.link] = Link(host.name, session)
             self.feed(host, session_items.LinkOpened(self.now, effect.link))
 
         self.later(0.005, arrive)
@@ -358,8 +355,7 @@
 
     def _roll_back(self, link: Link) -> None:
         link.open = False
-        link.tags = []
-        link.state = IDLE
+        link.session.roll_back()
 
     def _call(self, host: Host, effect: session_items.CallLink) -> None:
         link = host.links.get(effect.link)
@@ -373,7 +369,7 @@
         if not self.reaches(host.name, link.member.name) or not link.open:
             return
         self.later(
-            fake_replicas.WORK_S,
+            replicas.WORK_S,
             lambda: self._execute(host, effect, link),
         )
 
@@ -393,7 +389,7 @@
                 "" if failure else "receipt",
                 failure,
                 "",
-                link.state,
+                link.session.state,
                 link.member.applied_position(),
                 standing,
             )
@@ -407,7 +403,7 @@
 
             self.later(HOP_S, deliver)
 
-        _run(self.replicas, link, effect.call, reply)
+        statements.run(self.replicas, link.session, effect.call, reply)
 
     # Clients.
 
@@ -458,87 +454,3 @@
         case session_items.ReadKey():
             return session_items.KeyRead(0.0, effect.key, sent_at, False, None)
     return None
-
-
-def _run(
-    replicas: fake_replicas.ReplicaSet,
-    link: Link,
-    call: sessions.UpstreamCall,
-    reply: Callable,
-) -> None:
-    member = link.member
-    match call:
-        case sessions.AskStatus():
-            reply(standing=member.standing())
-        case sessions.Pause():
-            replicas.pause(member, call.term)
-            reply(standing=member.standing())
-        case sessions.Resume():
-            member.held_term = 0
-            reply(standing=member.standing())
-        case sessions.StepDown():
-            replicas.step_down(member, call.term)
-            reply(standing=member.standing())
-        case sessions.Begin():
-            _begin(link, call, reply)
-        case sessions.Rollback():
-            link.state, link.tags = IDLE, []
-            reply()
-        case sessions.PassOn():
-            _pass_on(replicas, link, call, reply)
-        case _:
-            reply()
-
-
-def _begin(link: Link, call: sessions.Begin, reply: Callable) -> None:
-    member = link.member
-    plain = not call.statement.read_only
-    if plain and not member.is_primary:
-        reply(sessions.Failure.READ_ONLY)
-    elif call.since is not None and not member.holds(call.since):
-        reply(sessions.Failure.LAGGING)
-    else:
-        link.state, link.plain = OPEN, plain
-        reply()
-
-
-def _pass_on(
-    replicas: fake_replicas.ReplicaSet,
-    link: Link,
-    call: sessions.PassOn,
-    reply: Callable,
-) -> None:
-    member, statement = link.member, call.statement
-    deposed = link.state is OPEN and link.plain and not member.is_primary
-    wrote = bool(link.tags)
-    match statement.verb:
-        case sessions.Verb.COMMIT if deposed and wrote:
-            link.state, link.tags = IDLE, []
-            reply(sessions.Failure.READ_ONLY)
-        case sessions.Verb.COMMIT if wrote:
-            tags, link.tags = link.tags, []
-
-            def done() -> None:
-                link.state = IDLE
-                reply()
-
-            replicas.commit(member, tags, done)
-        case sessions.Verb.COMMIT:
-            link.state = IDLE
-            reply()
-        case _ if deposed:
-            link.state = FAILED
-            reply(sessions.Failure.READ_ONLY)
-        case sessions.Verb.READ:
-            if call.since is not None and not member.holds(call.since):
-                reply(sessions.Failure.LAGGING)
-            else:
-                tags = tuple(c.tag for c in member.log[: member.applied])
-                reply(rows=tags)
-        case sessions.Verb.WRITE if link.state is OPEN:
-            link.tags.append(statement.argument)
-            reply()
-        case sessions.Verb.WRITE if not member.is_primary:
-            reply(sessions.Failure.READ_ONLY)
-        case sessions.Verb.WRITE:
-            replicas.commit(member, [statement.argument], reply)
