Stay ready without the store where reads can be served; repeat a lost promotion

While the store was away and a zone was cut, every host outside said it was not ready though two thirds of the upstreams were in reach; a promotion waited 2.4 s for hosts that had lost the store. Ruled out: fewer votes, which came in time. Change: cut off means most upstreams unreachable; an unanswered call is sent again after a fresh check of the duty; leases of 1.2 s, by the store's own word on how long they hold; patience for acknowledgements 0.5 s.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
@@ -7,7 +7,7 @@
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_wire import http
 
-CALL_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 0.8
 OK = 200
 
 
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -16,7 +16,7 @@
 HOSTS_PREFIX = KEY_PREFIX + "hosts/"
 VOTES_PREFIX = KEY_PREFIX + "votes/"
 DUTY_KEY = KEY_PREFIX + "failover"
-LEASE_TTL_S = 1.5
+LEASE_TTL_S = 1.2
 
 # Sources: clients.
 
@@ -391,10 +391,12 @@
     Attributes:
       valid_until: until then it certainly holds, and this host is known to all
         others as one whose acknowledgement counts; 0.0 otherwise.
+      ttl_s: how long a lease holds, by the store's own word.
     """
 
     lease: int
     valid_until: float
+    ttl_s: float = LEASE_TTL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -12,7 +12,7 @@
 
     from fescueshunt.core import identity
 
-RENEW_EVERY_S = 0.4
+RENEW_EVERY_S = 0.35
 RETRY_AFTER_S = 0.25
 
 
@@ -23,6 +23,7 @@
     Attributes:
       lease: its number, 0 for none.
       valid_until: it certainly holds until then; local clock.
+      ttl_s: how long a lease holds, by the store's own word.
       due_at: when the next call for it is due.
       key_revision: of this host's key under the lease, 0 if not written yet.
       is_known: whether this host has read its key back, and so knows whatever
@@ -31,6 +32,7 @@
 
     lease: int = 0
     valid_until: float = 0.0
+    ttl_s: float = session_items.LEASE_TTL_S
     due_at: float = 0.0
     key_revision: int = 0
     is_known: bool = False
@@ -95,6 +97,7 @@
             return
         is_new = state.lease != item.lease
         state.lease = item.lease
+        state.ttl_s = item.ttl_s
         until = item.asked_at + item.ttl_s
         state.valid_until = max(state.valid_until, until)
         if is_new:
@@ -156,4 +159,4 @@
     def _view(self, now: float) -> session_items.LeaseView:
         state = self._state
         until = state.valid_until if state.is_known else 0.0
-        return session_items.LeaseView(now, state.lease, until)
+        return session_items.LeaseView(now, state.lease, until, state.ttl_s)
--- a/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
@@ -19,7 +19,7 @@
 # A host that knows routes and upstreams but reaches too few of them says that
 # it is ready after this long, as no other host may reach more.
 PATIENCE_S = 2.0
-CUT_OFF_AFTER_S = 0.5
+CUT_OFF_AFTER_S = 0.3
 # A lease is renewed more than twice as often.
 LEASE_LATE_S = 0.9
 
@@ -31,7 +31,7 @@
     """Ready once routes are in force and every replica set has a primary.
 
     A host that can serve says so, also while the platform's store is away. One
-    that reaches neither the store nor most primaries is cut off: clients fare
+    that reaches neither the store nor most upstreams is cut off: clients fare
     better with another.
     """
 
@@ -76,10 +76,9 @@
         due_at = self._lease_until - session_items.LEASE_TTL_S
         if now < due_at + LEASE_LATE_S or not self._views:
             return False
-        unreachable = sum(
-            _is_unreachable(view, now) for view in self._views.values()
-        )
-        return unreachable * 2 > len(self._views)
+        members = [m for view in self._views.values() for m in view.members]
+        unreachable = sum(_is_unreachable(member, now) for member in members)
+        return unreachable * 2 > len(members)
 
     def _missing(self, now: float) -> str:
         if self._is_stopping:
@@ -97,8 +96,6 @@
         return "no primary"
 
 
-def _is_unreachable(view: replica_sets.ReplicaSetView, now: float) -> bool:
-    primary = view.member(view.primary)
-    if primary is None or primary.failing_since is None:
-        return False
-    return now - primary.failing_since > CUT_OFF_AFTER_S
+def _is_unreachable(member: replica_sets.MemberView, now: float) -> bool:
+    since = member.failing_since
+    return since is not None and now - since > CUT_OFF_AFTER_S
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -34,11 +34,12 @@
 ANNOUNCE_TIMEOUT_S = 1.5
 CLOCK_MARGIN_S = 0.05
 # A host that has not acknowledged by then loses its lease.
-PATIENCE_S = 0.8
+PATIENCE_S = 0.5
 AUDIENCE_TIMEOUT_S = 6.0
 # The promotion must be sent this soon after the check of the duty was sent.
 CHECK_VALID_S = 0.3
 LEAD_TIMEOUT_S = 3.0
+PROMOTE_TIMEOUT_S = 12.0
 LOOK_EVERY_S = 0.1
 MAX_FENCES = 4
 
@@ -245,8 +246,8 @@
                 yield from self._tick_fencing(now, waited_s)
             case Step.WAITING:
                 yield from self._tick_waiting(now, waited_s, hosts)
-            case Step.CHECKING | Step.PROMOTING if now >= self._repeat_at:
-                yield from self._check(now)
+            case Step.CHECKING | Step.PROMOTING:
+                yield from self._tick_promoting(now)
             case Step.FOLLOWING:
                 yield from self._tick_following(now, waited_s)
 
@@ -327,11 +328,21 @@
             self._ends.pop(self.target, None)
             yield from self._give_up(f"not promoted: {item.detail}", item.at)
             return
+        if item.done is None:
+            # A call that did arrive makes the repetition change nothing.
+            self._repeat_at = item.at
+            return
         self._enter(Step.FOLLOWING, item.at)
         self._repeat_at = item.at
 
     # Follow.
 
+    def _tick_promoting(self, now: float) -> Iterator[filters.Item]:
+        if now - self._fenced_at > PROMOTE_TIMEOUT_S:
+            self.outcome = "promotion not answered"
+        elif now >= self._repeat_at:
+            yield from self._check(now)
+
     def _tick_following(
         self, now: float, waited_s: float
     ) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/takeover/audience.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/audience.py
@@ -14,10 +14,14 @@
     """Live hosts with their leases, hosts that went, acknowledgements.
 
     A host that went may have lost its key while it believes in its lease for
-    another LEASE_TTL_S; so may one that went before this host looked.
+    another lease; so may one that went before this host looked.
+
+    Attributes:
+      ttl_s: how long a lease holds, the same for all hosts.
     """
 
     def __init__(self) -> None:
+        self.ttl_s = session_items.LEASE_TTL_S
         self._leases: dict[str, int] = {}
         self._gone_at: dict[str, float] = {}
         self._acks: dict[tuple[str, str], int] = {}
@@ -58,7 +62,7 @@
             return False
         last = max(self._gone_at.values(), default=self._looked_at)
         last = max(last, self._looked_at)
-        return now - last > session_items.LEASE_TTL_S
+        return now - last > self.ttl_s
 
     def _set(
         self, key: str, stored: session_items.StoredKey | None, now: float
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -46,10 +46,12 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the calls of attempts under way."""
         match item:
-            case items.DutyView():
-                self._duty = item
-            case items.FindingsView():
-                self._findings[item.database] = item
+            case (
+                items.DutyView()
+                | items.FindingsView()
+                | session_items.LeaseView()
+            ):
+                self._note(item)
             case session_items.KeysListed():
                 self._audience.list(item)
                 for key, stored in item.keys.items():
@@ -74,6 +76,15 @@
             case _:
                 yield item
 
+    def _note(self, item: filters.Item) -> None:
+        match item:
+            case items.DutyView():
+                self._duty = item
+            case items.FindingsView():
+                self._findings[item.database] = item
+            case session_items.LeaseView():
+                self._audience.ttl_s = item.ttl_s
+
     def _note_record(self, key: str, stored: session_items.StoredKey) -> None:
         database = leadership.database_of(key)
         record = leadership.parse_record(stored) if database else None
--- a/packages/fescueshunt/src/fescueshunt/takeover/vote.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/vote.py
@@ -38,6 +38,7 @@
                 if item.lease != self._lease:
                     self._lease = item.lease
                     self._cast.clear()
+                yield item
             case session_items.KeysListed():
                 self._votes = {
                     key: stored.value
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -22,12 +22,14 @@
     sessions,
 )
 from fescueshunt.routing import items as routing_items
+from fescueshunt.sessions import items as pipe_items
 from fescueshunt_standins.hosted import kv, replicas, statements
 
 TICK_S = 0.02
 HOP_S = 0.001
 STORE_S = 0.004
 STORE_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.8
 PROMOTE_S = 0.3
 DATABASE = "db"
 STORE = "store"
@@ -89,6 +91,7 @@
         self.answers: dict[tuple[str, int], Callable] = {}
         self.promotion_s = PROMOTE_S
         self.lose_store_answers = 0.0
+        self.lost_promotions = 0
         self._events: list = []
         self._order = itertools.count()
         members = {
@@ -242,6 +245,8 @@
                 self._promote(host, effect)
             case session_items.Decided():
                 host.decisions.append(effect)
+            case pipe_items.ReadinessView():
+                host.ready = effect.ready
             case (
                 session_items.AskLease()
                 | session_items.RenewLease()
@@ -303,6 +308,13 @@
         return None
 
     def _promote(self, host: Host, effect: session_items.CallPromotion) -> None:
+        if self.lost_promotions:
+            self.lost_promotions -= 1
+            unknown = session_items.PromotionAnswered(
+                self.now, effect.database, effect.upstream, None, "lost"
+            )
+            self.later(CALL_TIMEOUT_S, lambda: self._give(host, unknown))
+            return
         done = self.replicas.promote(
             effect.upstream, self.promotion_s, self.now, effect.token
         )
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -46,3 +46,33 @@
     world.run(4.0)
     assert world.replicas.primary().name != "u0"
     assert hosted_clients.check_end(world, history) == []
+
+
+def test_a_promotion_call_that_is_lost_is_sent_again():
+    world = hosted_world.World()
+    world.run(1.0)
+    history = hosted_clients.run_clients(world)
+    world.run(2.0)
+    world.lost_promotions = 1
+    crashed_at = world.now
+    world.crash("u0")
+    world.run(6.0)
+    first = min(at for at in history.acked.values() if at > crashed_at)
+    assert first - crashed_at < GAP_S + hosted_world.CALL_TIMEOUT_S
+    assert hosted_clients.check_end(world, history) == []
+
+
+def test_a_host_that_lost_the_store_holds_a_promotion_up_for_a_lease_only():
+    world = hosted_world.World()
+    world.run(1.0)
+    history = hosted_clients.run_clients(world)
+    world.run(2.0)
+    holder = world.store.keys[session_items.DUTY_KEY].value
+    other = next(name for name in sorted(world.hosts) if name != holder)
+    crashed_at = world.now
+    world.separate(other, hosted_world.STORE)
+    world.crash("u0")
+    world.run(6.0)
+    first = min(at for at in history.acked.values() if at > crashed_at)
+    assert first - crashed_at < GAP_S + session_items.LEASE_TTL_S
+    assert hosted_clients.check_end(world, history) == []
