Refuse a COMMIT outside a transaction; correct a client of the histories

Traced: no promotion took place; the test's client had given its session up, and sent the COMMIT of the old one on a new one, where it was passed on and answered with success. Ruled out: a wrong promotion, a wrong position. Change: a COMMIT outside a transaction is invalid; the client stops when its session is another one (the check is as strict: it judges the same commits).

--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -149,6 +149,10 @@
                 yield _done(session, statement, item.at)
             case sessions.Verb.DEALLOCATE:
                 yield self._deallocate(session, statement, item.at)
+            case sessions.Verb.COMMIT if session.state is IDLE:
+                yield _failed(
+                    session, statement, sessions.Failure.INVALID, item.at
+                )
             case sessions.Verb.INVALID:
                 yield _failed(
                     session, statement, sessions.Failure.INVALID, item.at
--- a/tests/lib/hosted_clients.py
+++ b/tests/lib/hosted_clients.py
@@ -128,6 +128,8 @@
                 self._ask(sessions.Verb.WRITE, tag, written)
 
         def written(answer: sessions.SessionAnswer) -> None:
+            if self._session != session:
+                return
             verb = sessions.Verb.COMMIT
             if answer.failure is not None:
                 self._wrote(tag, own, answer)
