--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -16,6 +16,7 @@
 from fescueshunt.core import (
     filters,
     identity,
+    position,
     replica_sets,
     routes,
     session_items,
@@ -34,6 +35,7 @@
 DATABASE = "db"
 STORE = "store"
 DUTY_KEY = session_items.DUTY_KEY
+ORIGIN = position.Position(position.Term(1), 0)
 HOSTS_PREFIX = session_items.HOSTS_PREFIX
 LOST = errors.ConnectionLostError("cut")
 
