Write the log of decisions without ever waiting for its reader

Cause: a reader that stops reading would have stopped every request of the host. Change: standard output doesn't block; a line without room is left out and counted.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,43 @@
 BURST_LINES = 60.0
 
 
+class LineSink:
+    """Writes lines to a file descriptor and never waits for its reader.
+
+    A line that finds no room is left out and counted; the next one that is
+    written tells how many were.
+    """
+
+    def __init__(self, fd: int) -> None:
+        os.set_blocking(fd, False)
+        self._fd = fd
+        self._rest = b""
+        self._left_out = 0
+
+    @classmethod
+    def of_standard_output(cls, *_: object) -> LineSink:
+        """Returns a sink of standard output."""
+        return cls(sys.stdout.fileno())
+
+    def msg(self, line: str) -> None:
+        """Writes `line`, or leaves it out."""
+        data = self._rest + self._told() + line.encode() + b"\n"
+        try:
+            written = os.write(self._fd, data)
+        except BlockingIOError:
+            self._left_out += 1
+            return
+        self._left_out = 0
+        self._rest = data[written:]
+
+    info = warning = error = debug = critical = msg
+
+    def _told(self) -> bytes:
+        if not self._left_out:
+            return b""
+        return b'{"event": "lines_left_out", "count": %d}\n' % self._left_out
+
+
 def configure(me: identity.Identity) -> None:
     """Sends log lines as JSON to standard output."""
     structlog.configure(
@@ -27,7 +65,7 @@
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=LineSink.of_standard_output,
     )
     structlog.contextvars.bind_contextvars(host=me.name, zone=me.zone)
 
