--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: env
 	$(BIN)/python demo/demo.py
+	$(BIN)/python demo/hosted.py
 
 test: env
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/demo/hosted.py
@@ -0,0 +1,58 @@
+"""The path of the new machines on loopback: sessions, and a lost primary."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from fescueshunt_standins.hosted import deployment
+
+RETRY_S = 0.2
+
+
+async def show(client: deployment.LineClient, text: str) -> list[str]:
+    """Sends a statement and prints what comes back."""
+    answer = await client.ask(text)
+    print(f"  {text:28} -> {' | '.join(answer)}")
+    return answer
+
+
+async def write_until_done(address: str, text: str) -> int:
+    """Writes until it succeeds; returns how many times it was refused."""
+    refused = 0
+    while True:
+        async with deployment.session(address, "card-renew") as client:
+            answer = await client.ask(text)
+        if answer[-2].startswith("COMPLETE"):
+            return refused
+        refused += 1
+        await asyncio.sleep(RETRY_S)
+
+
+async def main() -> int:
+    """Runs the demo and returns its exit code."""
+    print("Starting the platform's stand-in, 3 upstreams and 2 hosts.")
+    async with deployment.running() as deployed:
+        first, second = deployed.hosts
+        print("A session on the first host:")
+        async with deployment.session(
+            first.sessions, "agent-history"
+        ) as client:
+            await show(client, "WRITE c1 2027-03-10")
+            await show(client, "READ c1")
+            await show(client, "BEGIN")
+            await show(client, "WRITE c2 2027-01-01")
+            await show(client, "COMMIT")
+        print("Its primary crashes; writes are refused until another leads:")
+        await deployed.act("crash", "u-a")
+        refused = await write_until_done(first.sessions, "WRITE c3 2027-05-05")
+        print(f"  written after {refused} refusals")
+        print("The second host reads all of it:")
+        async with deployment.session(second.sessions, "card-renew") as client:
+            await show(client, "READ c1")
+    print("All processes ended.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/tests/lib/hosted_processes.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -12,16 +12,18 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Iterator
+from typing import TYPE_CHECKING
 
 from fescueshunt_standins import fleet
 from fescueshunt_wire import http
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 6.0
-ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,7 +55,7 @@
 def _running(args: list[str], log: pathlib.Path, env: dict) -> Iterator:
     with log.open("w") as stream:
         popen = subprocess.Popen(
-            args, stdout=stream, stderr=subprocess.STDOUT, env=env, cwd=ROOT
+            args, stdout=stream, stderr=subprocess.STDOUT, env=env
         )
         try:
             yield popen
--- a/packages/fescueshunt/src/fescueshunt/presence/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/pipe.py
@@ -19,4 +19,5 @@
 
 def build(me: identity.Identity) -> filters.Pipe:
     """Returns the presence pipe of the host `me`."""
-    return filters.Pipe((lease.Lease(me), hosts.Hosts(me)), ACCEPTS)
+    stages = (lease.Lease(me), hosts.Hosts(me))
+    return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/routing/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/routing/pipe.py
@@ -10,4 +10,5 @@
 
 def build() -> filters.Pipe:
     """Returns the routing pipe."""
-    return filters.Pipe((adopt.Adopt(),), ACCEPTS)
+    stages = (adopt.Adopt(),)
+    return filters.Pipe(stages, ACCEPTS)
--- a/tests/functional/test_hosted_path.py
+++ b/tests/functional/test_hosted_path.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 
-from lib import hosted_processes
+from fescueshunt_standins.hosted import deployment
 
 WRITE_GAP_S = 8.0
 STOP_S = 6.0
@@ -14,9 +14,7 @@
 async def _write_until_done(address: str, item: str) -> None:
     async with asyncio.timeout(WRITE_GAP_S):
         while True:
-            async with hosted_processes.session(
-                address, "card-renew"
-            ) as client:
+            async with deployment.session(address, "card-renew") as client:
                 answer = await client.ask(f"WRITE {item} x{item}")
             if answer[-2].startswith("COMPLETE"):
                 return
@@ -25,9 +23,9 @@
 
 def test_sessions_write_read_transact_and_keep_their_settings():
     async def run() -> None:
-        async with hosted_processes.running() as deployed:
+        async with deployment.running() as deployed:
             first, second = deployed.hosts
-            async with hosted_processes.session(
+            async with deployment.session(
                 first.sessions, "agent-history"
             ) as client:
                 assert await client.ask("WRITE a 1") == [
@@ -47,7 +45,7 @@
                 assert answer == ["COMPLETE receipt", "READY I -"]
                 rows = await client.ask("READ b")
                 assert any(row.startswith("ROW") for row in rows)
-            async with hosted_processes.session(
+            async with deployment.session(
                 second.sessions, "card-renew"
             ) as client:
                 assert "ROW 1" in await client.ask("READ a")
@@ -57,10 +55,10 @@
 
 def test_an_unknown_route_and_bad_lines_hurt_nobody_else():
     async def run() -> None:
-        async with hosted_processes.running(1) as deployed:
+        async with deployment.running(1) as deployed:
             address = deployed.hosts[0].sessions
             host, _, port = address.rpartition(":")
-            async with hosted_processes.session(address, "card-renew") as good:
+            async with deployment.session(address, "card-renew") as good:
                 for data in (b"START nobody x\r\n", b"\xff\x00\r\n", b"x\r\n"):
                     reader, writer = await asyncio.open_connection(
                         host, int(port)
@@ -77,12 +75,12 @@
 
 def test_a_crashed_primary_is_replaced_and_loses_nothing():
     async def run() -> None:
-        async with hosted_processes.running() as deployed:
+        async with deployment.running() as deployed:
             address = deployed.hosts[0].sessions
             await _write_until_done(address, "1")
             await deployed.act("crash", "u-a")
             await _write_until_done(address, "2")
-            async with hosted_processes.session(
+            async with deployment.session(
                 deployed.hosts[1].sessions, "card-renew"
             ) as client:
                 rows = await client.ask("READ a")
@@ -94,16 +92,16 @@
 
 def test_a_stopping_host_finishes_its_transaction_and_exits():
     async def run() -> None:
-        async with hosted_processes.running() as deployed:
+        async with deployment.running() as deployed:
             host = deployed.hosts[0]
-            async with hosted_processes.session(
+            async with deployment.session(
                 host.sessions, "card-renew"
             ) as client:
                 await client.ask("BEGIN")
                 await client.ask("WRITE a 1")
                 host.popen.send_signal(signal.SIGTERM)
                 await asyncio.sleep(0.3)
-                assert not await hosted_processes.is_ready(host)
+                assert not await deployment.is_ready(host)
                 answer = await client.ask("COMMIT")
                 assert answer[0] == "COMPLETE receipt"
             code = await asyncio.to_thread(host.popen.wait, STOP_S)
--- /dev/null
+++ b/tests/unit/test_documents.py
@@ -0,0 +1,135 @@
+"""What the platform's store and settings file hold, read at the border."""
+
+from __future__ import annotations
+
+import base64
+import json
+import pathlib
+
+import pytest
+
+from fescueshunt.core import routes, sessions
+from fescueshunt.routing import adopt
+from fescueshunt.routing import items as routing_items
+from fescueshunt_proxy._internal.hosted import daemon, ports
+from fescueshunt_proxy.platform import documents, settings
+from fescueshunt_wire import ini
+
+ENTRY = {
+    "service": "db1",
+    "address": "10.1.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "db_role": "replica",
+    "seq": 4,
+    "born": 1772280060553,
+}
+BOOT = {
+    "node_name": "edge-1",
+    "zone": "z1",
+    "listen": {"front": "10.1.0.8:1", "ready": "10.1.0.8:2"},
+    "platform": {"address": "10.1.0.1:3"},
+    "cloud_api": {"address": "10.1.0.1:4"},
+    "bounds": {"grace_s": 6},
+    "a_field_of_tomorrow": [1],
+}
+
+
+def _item(key: str, data: bytes, revision: int = 5) -> documents.Item:
+    value = base64.b64encode(data).decode()
+    return documents.Item(key=key, value=value, revision=revision)
+
+
+def test_an_entry_is_decoded_into_our_words():
+    data = json.dumps(ENTRY).encode()
+    change = documents.decode_change(_item("servers/i-1", data), 1.0)
+    assert isinstance(change, ports.EntryChange)
+    assert change.entry.upstream == "i-1"
+    assert change.entry.database == "db1"
+    assert change.entry.role is sessions.ReplicaRole.REPLICA
+    assert not change.entry.draining
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {"slots": "2"},
+        {"state": "odd"},
+        {"address": 7},
+        {"address": "somewhere"},
+        {"db_role": None},
+        {"service": ""},
+        {"born": 1.5},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(broken: dict):
+    data = json.dumps(ENTRY | broken).encode()
+    change = documents.decode_change(_item("servers/i-1", data), 1.0)
+    assert change == ports.EntryChange("i-1", None, readable=False)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\x00", b"[]", b"{}", b"null"])
+def test_bytes_that_are_no_entry_name_no_upstream(data: bytes):
+    change = documents.decode_change(_item("servers/i-1", data), 1.0)
+    assert change == ports.EntryChange("i-1", None, readable=False)
+
+
+def test_a_document_that_cannot_be_read_leaves_the_newest_good_one():
+    good = {
+        "version": 7,
+        "routes": [
+            {
+                "db_name": "r1",
+                "service": "db1",
+                "route_type": "bounded_staleness",
+                "timeout_ms": 800,
+                "target_latency_ms": 100,
+                "priority": 0,
+                "max_staleness_ms": 1500,
+            }
+        ],
+        "services": [{"name": "db1", "max_conns": 16, "sync_replicas": 1}],
+    }
+    data = json.dumps(good).encode()
+    change = documents.decode_change(_item("op/config", data), 1.0)
+    route = change.routes.routes["r1"]
+    assert route.consistency is routes.Consistency.BOUNDED
+    assert route.max_age_s == 1.5
+    bad = documents.decode_change(_item("op/config", b"{"), 2.0)
+    assert bad.routes is None
+    adopting = adopt.Adopt()
+    read = routing_items.RoutesRead(1.0, change.routes)
+    assert change.routes in list(adopting.process(read))
+    unreadable = routing_items.RoutesUnreadable(2.0, bad.problem)
+    (told,) = adopting.process(unreadable)
+    assert told.event == "routes_unreadable"
+    assert told.details["kept_version"] == 7
+    assert list(adopting.process(read)) == []
+
+
+def test_settings_are_read_and_fields_of_tomorrow_ignored(
+    tmp_path: pathlib.Path,
+):
+    file = tmp_path / "boot.json"
+    file.write_text(json.dumps(BOOT))
+    cfg = settings.load(file)
+    assert (cfg.name, cfg.sessions, cfg.grace_s) == ("edge-1", "10.1.0.8:1", 6)
+    assert daemon.main(["--check-settings", str(file)]) == daemon.SUCCESS
+
+
+def test_every_problem_of_the_settings_is_told_at_once(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture
+):
+    file = tmp_path / "boot.json"
+    broken = BOOT | {"zone": 3, "bounds": {"grace_s": -1}}
+    del broken["listen"]
+    file.write_text(json.dumps(broken))
+    with pytest.raises(ini.InvalidSettingsError) as caught:
+        settings.load(file)
+    keys = {problem.key for problem in caught.value.problems}
+    assert keys == {"zone", "listen", "bounds.grace_s"}
+    assert daemon.main([str(file)]) == daemon.SETTINGS_INVALID
+    assert capsys.readouterr().err.count("\n") == 3
