Give up silent rollbacks and idle transactions; split the dispatch by job

Cause: read as a newcomer, dispatch.py held queue, calls of our own, watchdog and reports in 572 lines; and a connection whose rollback is never answered, or whose client says nothing in its transaction, was held for ever, so that silent connections could use up a host's share. Change: queue, waiting, asks, watchdog and reports are modules of their own; a rollback has 1 s, an idle transaction the operator's time and a margin; one background task group for both roots.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -47,7 +47,7 @@
     joined.subscribe(process.Stopped, lambda _: stopped.set())
     log = decisions.DecisionLog(joined.now)
     joined.subscribe(session_items.Decided, log.decided)
-    async with _background() as tasks, _border(cfg, joined, tasks):
+    async with runtime.background() as tasks, _border(cfg, joined, tasks):
         logger.info("started", incarnation=me.incarnation)
         _catch_signals(joined)
         await stopped.wait()
@@ -56,16 +56,6 @@
     return SUCCESS
 
 
-@contextlib.asynccontextmanager
-async def _background() -> AsyncIterator[asyncio.TaskGroup]:
-    """Yields a task group whose tasks end with the block."""
-    async with asyncio.TaskGroup() as tasks:
-        yield tasks
-        for task in asyncio.all_tasks():
-            if task is not asyncio.current_task():
-                task.cancel()
-
-
 @contextlib.asynccontextmanager
 async def _border(
     cfg: ports.HostSettings,
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -64,7 +64,7 @@
         tracing.tracing(cfg.trace_file, cfg.trace_share, me) as tracer,
     ):
         async with (
-            _background() as tasks,
+            runtime.background() as tasks,
             _border(cfg, me, joined, tasks, tracer, measured),
         ):
             logger.info("started", incarnation=me.incarnation)
@@ -75,16 +75,6 @@
     return SUCCESS
 
 
-@contextlib.asynccontextmanager
-async def _background() -> AsyncIterator[asyncio.TaskGroup]:
-    """Yields a task group whose tasks end with the block."""
-    async with asyncio.TaskGroup() as tasks:
-        yield tasks
-        for task in asyncio.all_tasks():
-            if task is not asyncio.current_task():
-                task.cancel()
-
-
 @contextlib.asynccontextmanager
 async def _border(
     cfg: settings.ProxySettings,
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, TypeVar
 
 import reactivex
@@ -12,7 +13,7 @@
 from fescueshunt.core import filters, process
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from reactivex import abc
 
@@ -20,6 +21,16 @@
 ReceivedT = TypeVar("ReceivedT")
 
 
+@contextlib.asynccontextmanager
+async def background() -> AsyncIterator[asyncio.TaskGroup]:
+    """Yields a task group whose tasks end with the block."""
+    async with asyncio.TaskGroup() as tasks:
+        yield tasks
+        for task in asyncio.all_tasks():
+            if task is not asyncio.current_task():
+                task.cancel()
+
+
 class Runtime:
     """Joins sources, core and sinks with observables on the one loop.
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -15,16 +15,26 @@
     session_items,
     sessions,
 )
-from fescueshunt.sessions import choose, items, pool, pools, steps, verdict
+from fescueshunt.sessions import (
+    asks,
+    items,
+    pool,
+    pools,
+    queue,
+    reports,
+    steps,
+    verdict,
+    watchdog,
+)
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterator
 
+    from fescueshunt.sessions import choose
+
 BUSY_PAUSE_S = 0.01
 TELL_EVERY_S = 0.05
-WANT_EVERY_S = 0.1
-SLOW_S = 0.35
 REPORT_EVERY_S = 2.0
 CROWDED = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
 
@@ -37,11 +47,10 @@
     ) -> None:
         self._placement = placement
         self._pools = pools.Pools(chance)
-        self._views: dict[str, replica_sets.ReplicaSetView] = {}
-        self._waiting: list[items.Work] = []
+        self._queue = queue.Queue(placement, self._pools)
         self._held: dict[int, pool.Link] = {}
-        self._wanted_at: dict[str, float] = {}
         self._report_at = 0.0
+        self._transaction_idle_s = float("inf")
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields calls on connections, and what became of each statement."""
@@ -64,6 +73,7 @@
                 yield from self._tick(item.at)
             case routes.RoutesView():
                 self._pools.set_policies(item)
+                self._transaction_idle_s = item.transaction_idle_s
             case session_items.LiveHostsView():
                 self._pools.set_hosts(len(item.names))
             case _:
@@ -76,89 +86,16 @@
         if link is not None:
             yield from self._start(link, work, None, now)
             return
-        self._enqueue(work)
+        self._queue.add(work)
         yield from self._pump(now)
 
-    def _enqueue(self, work: items.Work) -> None:
-        self._waiting.append(work)
-        self._waiting.sort(key=lambda w: (w.route.priority, w.arrived_at))
-
     def _pump(self, now: float) -> Iterator[filters.Item]:
         """Starts what can start; opens connections for what can't."""
-        still: list[items.Work] = []
-        for work in self._waiting:
-            effects = self._place(work, now)
-            if effects is None:
-                still.append(work)
-            else:
-                yield from effects
-        self._waiting = still
-        if still:
-            yield from self._open_for(still, now)
-            yield from self._want_confirmation(still, now)
-
-    def _place(
-        self, work: items.Work, now: float
-    ) -> Iterator[filters.Item] | None:
-        if now < work.not_before:
-            return None
-        for choice in self._choices(work, now):
-            idle = self._pools.by_upstream[choice.upstream].idle_links()
-            if idle:
-                link = min(idle, key=lambda one: steps.cost(work, one))
-                return self._start(link, work, choice.since, now)
-        return None
-
-    def _choices(self, work: items.Work, now: float) -> list[choose.Choice]:
-        view = self._views.get(work.route.database)
-        if view is None:
-            return []
-        by_upstream = self._pools.by_upstream
-        return self._placement.choices(work, view, by_upstream, now)
-
-    def _open_for(
-        self, waiting: list[items.Work], now: float
-    ) -> Iterator[filters.Item]:
-        """Opens a connection where one that is being opened isn't enough."""
-        wanted: dict[str, int] = {}
-        for work in waiting:
-            choices = self._choices(work, now)
-            if choices:
-                first = choices[0].upstream
-                wanted[first] = wanted.get(first, 0) + 1
-        for upstream, count in wanted.items():
-            kept = self._pools.by_upstream[upstream]
-            opening = kept.count(pool.LinkState.OPENING)
-            if opening < count and kept.may_open(now):
-                yield self._pools.open(kept, now)
-
-    def _want_confirmation(
-        self, waiting: list[items.Work], now: float
-    ) -> Iterator[filters.Item]:
-        """Asks for the members' words where work waits for them."""
-        for work in waiting:
-            database = work.route.database
-            asked_at = self._wanted_at.get(database, 0.0)
-            if now - asked_at >= WANT_EVERY_S and self._lacks_word(work, now):
-                self._wanted_at[database] = now
-                yield session_items.ConfirmationWanted(now, database)
-
-    def _lacks_word(self, work: items.Work, now: float) -> bool:
-        """Tells whether `work` waits for what the members can tell.
-
-        That is who leads, without a lease, or a position that covers what a
-        read has to see, without a connection to the primary.
-        """
-        view = self._views.get(work.route.database)
-        if view is None:
-            return False
-        primary = self._pools.by_upstream.get(view.primary)
-        has_link = primary is not None and primary.has_open_link()
-        if view.is_confirmed(now) and has_link:
-            return False
-        if work.needs_primary:
-            return not view.is_moving and not view.is_confirmed(now)
-        return choose.needed_position(work, view) is None
+        for link, work, since in self._queue.startable(now):
+            yield from self._start(link, work, since, now)
+        if len(self._queue):
+            yield from self._queue.open_missing(now)
+            yield from self._queue.want_words(now)
 
     def _start(
         self,
@@ -206,7 +143,7 @@
         item: session_items.LinkReplied,
     ) -> Iterator[filters.Item]:
         kept.heard_at = item.at
-        wrote = steps.is_final(call) and _commits(link.work)
+        wrote = steps.is_final(call) and steps.commits(link.work)
         if wrote or item.at - kept.told_at >= TELL_EVERY_S:
             kept.told_at = item.at
             yield session_items.UpstreamHeard(
@@ -283,7 +220,7 @@
         else:
             work.not_before = now + BUSY_PAUSE_S
         work.refuse_at = min(now + work.wait_s, work.expire_at)
-        self._enqueue(work)
+        self._queue.add(work)
         yield from self._pump(now)
 
     def _done(
@@ -366,16 +303,8 @@
             self._pools.crowded(link, item.at)
         elif link.state is pool.LinkState.OPENING:
             self._pools.failed(link, item.at)
-            yield from self._fail_asks(kept, item)
-        details = {
-            "upstream": link.upstream,
-            "was": link.state.value,
-            "error": item.error.code,
-            "refusal": item.refusal.value if item.refusal else "",
-            "links": len(kept.links),
-            "failures": kept.failures,
-        }
-        yield session_items.Decided(item.at, "link_failed", "", details)
+            yield from asks.fail(kept, item.at)
+        yield reports.link_failed(kept, link, item)
         if not is_crowded:
             yield session_items.UpstreamSuspected(
                 item.at, link.upstream, item.error.code
@@ -398,7 +327,7 @@
             if link.work is None:
                 yield items.TransactionDropped(now, link.client, detail)
         if link.ask is not None:
-            yield _unanswered(link.ask, link.sent_at, now)
+            yield asks.unanswered(link.ask, link.sent_at, now)
         if link.work is not None:
             work, link.work = link.work, None
             ruling = verdict.on_loss(work, detail, now)
@@ -410,7 +339,7 @@
     def _ask(self, item: session_items.AskUpstream) -> Iterator[filters.Item]:
         kept = self._pools.by_upstream.get(item.upstream)
         if kept is None:
-            yield _unanswered(item, item.at, item.at)
+            yield asks.unanswered(item, item.at, item.at)
             return
         idle = kept.idle_links()
         if idle:
@@ -441,132 +370,50 @@
         )
         yield from self._free(link, item.at)
 
-    def _fail_asks(
-        self, kept: pool.Pool, item: session_items.LinkFailed
-    ) -> Iterator[filters.Item]:
-        """Answers calls that wait for a connection that can't be had."""
-        if len(kept.links) > 1:
-            return
-        while kept.asks:
-            ask = kept.asks.popleft()
-            yield _unanswered(ask, ask.at, item.at, refused=kept.refused)
-
     # Time and views.
 
     def _see(self, view: replica_sets.ReplicaSetView) -> Iterator[filters.Item]:
-        self._views[view.database] = view
+        self._queue.see(view)
         for link in list(self._pools.set_members(view)):
             yield from self._drop(link, "upstream is gone", view.at)
         self._pools.set_standing(self._placement.standing(view))
         yield from self._pump(view.at)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
-        yield from self._suspect_slow(now)
+        yield from watchdog.slow(self._pools, now)
         yield from self._expire_links(now)
+        yield from self._expire_transactions(now)
         yield from self._expire_waiting(now)
-        yield from self._expire_asks(now)
+        yield from asks.expire(self._pools.by_upstream.values(), now)
         yield from self._pools.upkeep(now)
         for link in self._pools.surplus(now):
             self._pools.remove(link)
             yield session_items.CloseLink(now, link.number)
         yield from self._pump(now)
-        yield from self._report(now)
-
-    def _report(self, now: float) -> Iterator[filters.Item]:
-        """Tells now and then how many connections there are to whom."""
-        if now < self._report_at:
-            return
-        self._report_at = now + REPORT_EVERY_S
-        sizes = {
-            upstream: len(kept.links)
-            for upstream, kept in self._pools.by_upstream.items()
-        }
-        details = {"links": sizes, "waiting": len(self._waiting)}
-        yield session_items.Decided(now, "pools", "", details)
-
-    def _suspect_slow(self, now: float) -> Iterator[filters.Item]:
-        """Reports statements that take long at an upstream that is silent."""
-        for link in self._pools.links.values():
-            slow_s = now - link.sent_at
-            if link.work is None or link.suspected or slow_s < SLOW_S:
-                continue
-            commits = steps.is_final(link.steps[0]) and _commits(link.work)
-            heard_at = self._pools.by_upstream[link.upstream].heard_at
-            if not commits and heard_at >= link.sent_at:
-                continue
-            link.suspected = True
-            since = link.sent_at if commits else None
-            yield session_items.UpstreamSuspected(
-                now, link.upstream, "slow", since
-            )
+        if now >= self._report_at:
+            self._report_at = now + REPORT_EVERY_S
+            yield reports.sizes(self._pools, len(self._queue), now)
 
     def _expire_links(self, now: float) -> Iterator[filters.Item]:
         for link in self._pools.overdue(now):
             self._pools.failed(link, now)
             kept = self._pools.by_upstream[link.upstream]
-            lost = session_items.LinkFailed(now, link.number, verdict.SILENT)
-            yield from self._fail_asks(kept, lost)
+            yield from asks.fail(kept, now)
             yield from self._drop(link, "open timed out", now)
-        for link in list(self._pools.links.values()):
-            late_work = link.work is not None and now > link.work.expire_at
-            late_ask = link.ask is not None and now > link.ask.deadline
-            if late_work or late_ask:
-                yield from self._drop(link, "timeout", now)
+        for link in watchdog.stuck(self._pools, now):
+            yield from self._drop(link, "timeout", now)
+
+    def _expire_transactions(self, now: float) -> Iterator[filters.Item]:
+        """Ends the transactions of clients that say nothing more."""
+        idle_s = self._transaction_idle_s
+        for link in watchdog.idle_transactions(self._pools, idle_s, now):
+            client = link.client
+            yield items.TransactionDropped(now, client, "idle")
+            yield from self._end(items.EndTransaction(now, client))
 
     def _expire_waiting(self, now: float) -> Iterator[filters.Item]:
-        over = [work for work in self._waiting if now > work.refuse_at]
-        if not over:
-            return
-        self._waiting = [w for w in self._waiting if now <= w.refuse_at]
-        for work in over:
-            ruling = verdict.on_refusal(self._why_waiting(work, now))
+        for work, why in self._queue.overdue(now):
+            ruling = verdict.on_refusal(why)
             yield self._done(
                 work, None, ruling.failure, ruling.detail, None, now
             )
-
-    def _why_waiting(self, work: items.Work, now: float) -> str:
-        """Returns what `work` waited for, for logs and for the client."""
-        view = self._views.get(work.route.database)
-        if view is None:
-            return "no upstreams known"
-        if self._choices(work, now):
-            return "no connection free"
-        if not work.needs_primary:
-            return "no upstream fresh enough"
-        if view.is_moving:
-            return "primary is being replaced"
-        if not view.primary:
-            return "no primary known"
-        if not view.is_confirmed(now):
-            return "primary not confirmed"
-        return "primary turned it away"
-
-    def _expire_asks(self, now: float) -> Iterator[filters.Item]:
-        for kept in self._pools.by_upstream.values():
-            while kept.asks and now > kept.asks[0].deadline:
-                ask = kept.asks.popleft()
-                if kept.heard_at < ask.at:
-                    yield _unanswered(ask, ask.at, now)
-                else:
-                    yield _unanswered(ask, ask.at, now, sent=False)
-
-
-def _commits(work: items.Work | None) -> bool:
-    """Tells whether `work` makes a change that a replica must receive."""
-    if work is None:
-        return False
-    is_commit = work.statement.verb is sessions.Verb.COMMIT
-    return is_commit or (work.writes and not work.in_transaction)
-
-
-def _unanswered(
-    ask: session_items.AskUpstream,
-    sent_at: float,
-    now: float,
-    *,
-    refused: bool = False,
-    sent: bool = True,
-) -> session_items.UpstreamAnswered:
-    return session_items.UpstreamAnswered(
-        now, ask.upstream, ask.call, sent_at, None, refused, sent
-    )
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -60,6 +60,14 @@
     return isinstance(call, sessions.PassOn | sessions.RunPrepared)
 
 
+def commits(work: items.Work | None) -> bool:
+    """Tells whether `work` makes a change that a replica must receive."""
+    if work is None:
+        return False
+    is_commit = work.statement.verb is sessions.Verb.COMMIT
+    return is_commit or (work.writes and not work.in_transaction)
+
+
 def _run(
     work: items.Work, since: position.Position | None
 ) -> sessions.UpstreamCall:
--- a/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
@@ -11,14 +11,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt import errors
 from fescueshunt.core import sessions
+from fescueshunt.sessions import steps
 
 if TYPE_CHECKING:
     from fescueshunt.sessions import items
 
 MAX_TRIES = 8
-SILENT = errors.ConnectionLostError("silent")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,9 +56,7 @@
 
 def on_loss(work: items.Work, detail: str, now: float) -> Ruling:
     """Rules on a connection that was lost with `work` on it."""
-    is_commit = work.statement.verb is sessions.Verb.COMMIT
-    single_write = work.writes and not work.in_transaction
-    if work.sent and (is_commit or single_write):
+    if work.sent and steps.commits(work):
         return Ruling(sessions.Failure.IN_DOUBT, detail)
     if _may_move(work) and _has_time(work, now):
         return Ruling(None)
