--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
@@ -41,7 +41,6 @@
     applied: int = 0
     lag_s: float = 0.0
     up: bool = True
-    deposed_at: float | None = None
 
     @property
     def is_primary(self) -> bool:
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -31,6 +31,7 @@
     import random
     from collections.abc import Iterator
 
+    from fescueshunt.core import position
     from fescueshunt.sessions import choose
 
 BUSY_PAUSE_S = 0.01
@@ -91,8 +92,8 @@
 
     def _pump(self, now: float) -> Iterator[filters.Item]:
         """Starts what can start; opens connections for what can't."""
-        for link, work, since in self._queue.startable(now):
-            yield from self._start(link, work, since, now)
+        for start in self._queue.startable(now):
+            yield from self._start(start.link, start.work, start.since, now)
         if len(self._queue):
             yield from self._queue.open_missing(now)
             yield from self._queue.want_words(now)
@@ -101,7 +102,7 @@
         self,
         link: pool.Link,
         work: items.Work,
-        since: object,
+        since: position.Position | None,
         now: float,
     ) -> Iterator[filters.Item]:
         link.work = work
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
 
 from fescueshunt.core import filters, position, routes, sessions
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Work:
@@ -115,10 +111,3 @@
 
     ready: bool
     reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolsView(filters.Item):
-    """Connections by upstream, for metrics."""
-
-    sizes: Mapping[str, int]
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import position, session_items
+from fescueshunt.core import session_items
 from fescueshunt.sessions import pool, steps, waiting
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fescueshunt.core import filters, replica_sets
+    from fescueshunt.core import filters, position, replica_sets
     from fescueshunt.sessions import choose, items, pools
 
 WANT_EVERY_S = 0.1
 
-Start = tuple[pool.Link, "items.Work", "position.Position | None"]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """A statement that can start on `link`; it needs the position `since`."""
+
+    link: pool.Link
+    work: items.Work
+    since: position.Position | None
 
 
 class Queue:
@@ -41,7 +49,7 @@
         self._works.sort(key=lambda one: (one.route.priority, one.arrived_at))
 
     def startable(self, now: float) -> Iterator[Start]:
-        """Takes out and yields what can start: link, statement, position.
+        """Takes out and yields what can start.
 
         Each is to be started before the next one is asked for.
         """
@@ -91,7 +99,7 @@
             idle = self._pools.by_upstream[choice.upstream].idle_links()
             if idle:
                 link = min(idle, key=lambda one: steps.cost(work, one))
-                return link, work, choice.since
+                return Start(link, work, choice.since)
         return None
 
     def _choices(self, work: items.Work, now: float) -> list[choose.Choice]:
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -269,7 +269,7 @@
     def _tick_waiting(
         self, now: float, waited_s: float, hosts: audience.Audience
     ) -> Iterator[filters.Item]:
-        missing = hosts.missing(self._database, self._record_revision, now)
+        missing = hosts.missing(self._database, self._record_revision)
         if missing and waited_s > PATIENCE_S and not self._evicted:
             self._evicted = True
             for lease in missing.values():
--- a/packages/fescueshunt/src/fescueshunt/takeover/audience.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/audience.py
@@ -46,9 +46,7 @@
         """Takes over one change."""
         self._set(item.key, item.stored, item.at)
 
-    def missing(
-        self, database: str, revision: int, now: float
-    ) -> Mapping[str, int]:
+    def missing(self, database: str, revision: int) -> Mapping[str, int]:
         """Returns the live hosts that have not acknowledged, with leases."""
         return {
             name: lease
