Let a watch wait 2.5 s

Ruled out: fewer renewals, as a lease of 1.2 s needs three. Change: a watch waits 2.5 s in place of 2; one that went silent is still noticed in 3.25 s, within the time after which a host counts as in touch again.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
@@ -17,7 +17,7 @@
 
     from fescueshunt_proxy._internal import runtime
 
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 2.5
 # News often comes in groups; a short wait takes several with one call.
 GATHER_S = 0.03
 FIRST_PAUSE_S = 0.05
