--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -15,8 +15,8 @@
     from fescueshunt.core import (
         replica_sets,
         routes,
-        session_items,
         sessions,
+        store_items,
     )
 
 
@@ -71,7 +71,7 @@
     routes: routes.RoutesView | None
     routes_problem: str
     entries: tuple[replica_sets.Entry, ...]
-    keys: Mapping[str, session_items.StoredKey]
+    keys: Mapping[str, store_items.StoredKey]
     unreadable: int
     revision: int
 
@@ -98,7 +98,7 @@
     """A key of this system; None: it was removed."""
 
     key: str
-    stored: session_items.StoredKey | None
+    stored: store_items.StoredKey | None
     revision: int
 
 
@@ -133,7 +133,7 @@
         """
 
     @abc.abstractmethod
-    async def read_key(self, key: str) -> session_items.StoredKey | None:
+    async def read_key(self, key: str) -> store_items.StoredKey | None:
         """Returns a key as it is now."""
 
     @abc.abstractmethod
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
@@ -8,7 +8,7 @@
 import structlog
 
 from fescueshunt import errors
-from fescueshunt.core import session_items
+from fescueshunt.core import store_items
 from fescueshunt.routing import items as routing_items
 from fescueshunt_proxy._internal.hosted import ports
 
@@ -88,9 +88,9 @@
             self._feed(ports.RoutesChange(snapshot.routes, problem))
         if snapshot.unreadable:
             self._logger.info("entries_unreadable", count=snapshot.unreadable)
-        self._joined.feed(session_items.EntriesListed(now, snapshot.entries))
+        self._joined.feed(store_items.EntriesListed(now, snapshot.entries))
         self._joined.feed(
-            session_items.KeysListed(now, snapshot.keys, snapshot.revision)
+            store_items.KeysListed(now, snapshot.keys, snapshot.revision)
         )
 
     def _feed(self, change: ports.Change) -> None:
@@ -101,15 +101,15 @@
             case ports.RoutesChange():
                 item = routing_items.RoutesUnreadable(now, change.problem)
             case ports.EntryChange() if change.entry is not None:
-                item = session_items.EntryChanged(now, change.entry)
+                item = store_items.EntryChanged(now, change.entry)
             case ports.EntryChange():
                 if not change.readable:
                     self._logger.info(
                         "entry_unreadable", upstream=change.upstream
                     )
-                item = session_items.EntryRemoved(now, change.upstream)
+                item = store_items.EntryRemoved(now, change.upstream)
             case ports.KeyChange():
-                item = session_items.KeyChanged(
+                item = store_items.KeyChanged(
                     now, change.key, change.stored, change.revision
                 )
         self._joined.feed(item)
@@ -129,12 +129,12 @@
         self._store = store
         self._promotions = promotions
         self._tasks = tasks
-        joined.subscribe(session_items.AskLease, self._on(self._ask))
-        joined.subscribe(session_items.RenewLease, self._on(self._renew))
-        joined.subscribe(session_items.EndLease, self._on(self._end))
-        joined.subscribe(session_items.WriteKey, self._on(self._write))
-        joined.subscribe(session_items.ReadKey, self._on(self._read))
-        joined.subscribe(session_items.CallPromotion, self._on(self._promote))
+        joined.subscribe(store_items.AskLease, self._on(self._ask))
+        joined.subscribe(store_items.RenewLease, self._on(self._renew))
+        joined.subscribe(store_items.EndLease, self._on(self._end))
+        joined.subscribe(store_items.WriteKey, self._on(self._write))
+        joined.subscribe(store_items.ReadKey, self._on(self._read))
+        joined.subscribe(store_items.CallPromotion, self._on(self._promote))
 
     def _on(self, call: object) -> object:
         def start(item: object) -> None:
@@ -147,28 +147,28 @@
         if answer is not None:
             self._joined.feed(answer)
 
-    async def _ask(self, item: session_items.AskLease) -> object:
+    async def _ask(self, item: store_items.AskLease) -> object:
         sent_at = self._joined.now()
         try:
             lease, ttl_s = await self._store.grant_lease(item.ttl_s)
         except errors.StoreUnavailableError:
-            return session_items.LeaseUnanswered(self._joined.now(), 0)
+            return store_items.LeaseUnanswered(self._joined.now(), 0)
         now = self._joined.now()
-        return session_items.LeaseGranted(now, lease, sent_at, ttl_s)
+        return store_items.LeaseGranted(now, lease, sent_at, ttl_s)
 
-    async def _renew(self, item: session_items.RenewLease) -> object:
+    async def _renew(self, item: store_items.RenewLease) -> object:
         sent_at = self._joined.now()
         try:
             ttl_s = await self._store.renew_lease(item.lease)
         except ports.LeaseEndedError:
-            return session_items.LeaseLost(self._joined.now(), item.lease)
+            return store_items.LeaseLost(self._joined.now(), item.lease)
         except errors.StoreUnavailableError:
             now = self._joined.now()
-            return session_items.LeaseUnanswered(now, item.lease)
+            return store_items.LeaseUnanswered(now, item.lease)
         now = self._joined.now()
-        return session_items.LeaseGranted(now, item.lease, sent_at, ttl_s)
+        return store_items.LeaseGranted(now, item.lease, sent_at, ttl_s)
 
-    async def _end(self, item: session_items.EndLease) -> object:
+    async def _end(self, item: store_items.EndLease) -> object:
         try:
             await self._store.end_lease(item.lease)
         except errors.StoreUnavailableError as exc:
@@ -176,7 +176,7 @@
                 "lease_left_to_end", lease=item.lease, error=str(exc)
             )
 
-    async def _write(self, item: session_items.WriteKey) -> object:
+    async def _write(self, item: store_items.WriteKey) -> object:
         done: bool | None = None
         revision = 0
         try:
@@ -189,19 +189,19 @@
         except errors.StoreUnavailableError:
             done = None
         now = self._joined.now()
-        return session_items.KeyWritten(now, item.key, done, revision)
+        return store_items.KeyWritten(now, item.key, done, revision)
 
-    async def _read(self, item: session_items.ReadKey) -> object:
+    async def _read(self, item: store_items.ReadKey) -> object:
         sent_at = self._joined.now()
         try:
             stored = await self._store.read_key(item.key)
         except errors.StoreUnavailableError:
             now = self._joined.now()
-            return session_items.KeyRead(now, item.key, sent_at, False, None)
+            return store_items.KeyRead(now, item.key, sent_at, False, None)
         now = self._joined.now()
-        return session_items.KeyRead(now, item.key, sent_at, True, stored)
+        return store_items.KeyRead(now, item.key, sent_at, True, stored)
 
-    async def _promote(self, item: session_items.CallPromotion) -> object:
+    async def _promote(self, item: store_items.CallPromotion) -> object:
         done: bool | None = None
         try:
             detail = await self._promotions.promote(
@@ -210,6 +210,6 @@
             done = not detail
         except errors.ConnectionLostError as exc:
             detail = exc.detail
-        return session_items.PromotionAnswered(
+        return store_items.PromotionAnswered(
             self._joined.now(), item.database, item.upstream, done, detail
         )
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
@@ -8,7 +8,12 @@
 
 import pydantic
 
-from fescueshunt.core import replica_sets, routes, session_items, sessions
+from fescueshunt.core import (
+    replica_sets,
+    routes,
+    sessions,
+    store_items,
+)
 from fescueshunt_proxy._internal.hosted import ports
 
 ROUTES_KEY = "op/config"
@@ -186,10 +191,10 @@
     return base64.b64encode(value.encode()).decode()
 
 
-def decode_key(item: Item) -> session_items.StoredKey:
+def decode_key(item: Item) -> store_items.StoredKey:
     """Returns a key of this system."""
     value = item.data().decode(errors="replace")
-    return session_items.StoredKey(value, item.revision, item.lease_id)
+    return store_items.StoredKey(value, item.revision, item.lease_id)
 
 
 def decode_change(item: Item, now: float) -> ports.Change | None:
@@ -198,7 +203,7 @@
         return _routes_change(item, now)
     if item.key.startswith(ENTRIES_PREFIX):
         return _entry_change(item)
-    if item.key.startswith(session_items.KEY_PREFIX):
+    if item.key.startswith(store_items.KEY_PREFIX):
         stored = None if item.deleted else decode_key(item)
         return ports.KeyChange(item.key, stored, item.revision)
     return None
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fescueshunt.core import session_items
+    from fescueshunt.core import store_items
+
 
 CALL_TIMEOUT_S = 1.0
 # An answer may be under way this long after the wait of a watch is over.
@@ -73,7 +74,7 @@
         changes = [change for change in decoded if change is not None]
         return ports.Changes(changes, events.as_of)
 
-    async def read_key(self, key: str) -> session_items.StoredKey | None:
+    async def read_key(self, key: str) -> store_items.StoredKey | None:
         """Returns a key as it is now."""
         query = urllib.parse.urlencode({"key": key})
         response = await self._send(self._client, "GET", f"/kv-key?{query}")
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/kv.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/kv.py
@@ -5,19 +5,19 @@
 import dataclasses
 import itertools
 
-from fescueshunt.core import session_items
+from fescueshunt.core import store_items
 
 
 @dataclasses.dataclass(slots=True)
 class KeyValues:
     """Keys, leases and every change, in the order of their revisions."""
 
-    keys: dict[str, session_items.StoredKey] = dataclasses.field(
+    keys: dict[str, store_items.StoredKey] = dataclasses.field(
         default_factory=dict
     )
     leases: dict[int, float] = dataclasses.field(default_factory=dict)
     ttls: dict[int, float] = dataclasses.field(default_factory=dict)
-    changes: list[tuple[int, str, session_items.StoredKey | None]] = (
+    changes: list[tuple[int, str, store_items.StoredKey | None]] = (
         dataclasses.field(default_factory=list)
     )
     revision: int = 10
@@ -59,7 +59,7 @@
             if stored.lease == lease:
                 self._put(key, None)
 
-    def write(self, item: session_items.WriteKey) -> tuple[bool, int]:
+    def write(self, item: store_items.WriteKey) -> tuple[bool, int]:
         """Writes a key; returns whether it was done, and the revision."""
         known = self.keys.get(item.key)
         revision = known.revision if known else 0
@@ -71,13 +71,13 @@
             if known is not None:
                 self._put(item.key, None)
             return True, self.revision
-        stored = session_items.StoredKey(
+        stored = store_items.StoredKey(
             item.value, self.revision + 1, item.lease
         )
         self._put(item.key, stored)
         return True, self.revision
 
-    def _put(self, key: str, stored: session_items.StoredKey | None) -> None:
+    def _put(self, key: str, stored: store_items.StoredKey | None) -> None:
         self.revision += 1
         if stored is None:
             self.keys.pop(key, None)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -15,7 +15,7 @@
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
-from fescueshunt.core import session_items, sessions
+from fescueshunt.core import sessions, store_items
 from fescueshunt_standins.hosted import kv, lines, replicas
 from fescueshunt_wire import http
 
@@ -89,7 +89,7 @@
                 self._write(f"servers/{name}", text)
 
     def _write(self, key: str, value: str | None) -> None:
-        self.keys.write(session_items.WriteKey(0.0, key, value, 0, None))
+        self.keys.write(store_items.WriteKey(0.0, key, value, 0, None))
 
     async def tick(self) -> None:
         """Lets time pass, for ever."""
@@ -170,7 +170,7 @@
             lease = row.get("lease_id", 0)
             if lease and lease not in self.keys.leases:
                 return http.Response(404, b"")
-            item = session_items.WriteKey(0.0, row["key"], value, lease, None)
+            item = store_items.WriteKey(0.0, row["key"], value, lease, None)
             self.keys.write(item)
         for key in body.get("remove", ()):
             self._write(key, None)
@@ -215,7 +215,7 @@
             tick.cancel()
 
 
-def _item(key: str, stored: session_items.StoredKey) -> dict[str, Any]:
+def _item(key: str, stored: store_items.StoredKey) -> dict[str, Any]:
     return {
         "key": key,
         "value": base64.b64encode(stored.value.encode()).decode(),
--- a/packages/fescueshunt/src/fescueshunt/core/leadership.py
+++ b/packages/fescueshunt/src/fescueshunt/core/leadership.py
@@ -9,10 +9,10 @@
 import dataclasses
 import enum
 
-from fescueshunt.core import session_items
+from fescueshunt.core import store_items
 
-RECORDS_PREFIX = session_items.KEY_PREFIX + "primaries/"
-ACKS_PREFIX = session_items.KEY_PREFIX + "acks/"
+RECORDS_PREFIX = store_items.KEY_PREFIX + "primaries/"
+ACKS_PREFIX = store_items.KEY_PREFIX + "acks/"
 
 
 class Phase(enum.Enum):
@@ -54,6 +54,15 @@
     return key.removeprefix(RECORDS_PREFIX)
 
 
+def record_in(
+    key: str, stored: store_items.StoredKey
+) -> tuple[str, Record] | None:
+    """Returns the database and its record, None if `key` holds none."""
+    database = database_of(key)
+    record = parse_record(stored) if database else None
+    return (database, record) if record is not None else None
+
+
 def ack_key(database: str, host: str) -> str:
     """Returns the key by which `host` acknowledges a move."""
     return f"{ACKS_PREFIX}{database}/{host}"
@@ -64,7 +73,7 @@
     return f"{record.phase.value} {record.term} {record.upstream}"
 
 
-def parse_record(stored: session_items.StoredKey) -> Record | None:
+def parse_record(stored: store_items.StoredKey) -> Record | None:
     """Returns the record that `stored` is, None if it is none."""
     phase, _, rest = stored.value.partition(" ")
     term, _, upstream = rest.partition(" ")
--- a/packages/fescueshunt/src/fescueshunt/presence/hosts.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/hosts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, session_items
+from fescueshunt.core import filters, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,15 +22,17 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the live hosts when they change."""
         match item:
-            case session_items.KeysListed():
-                yield from self._set(item.at, map(_host_of, item.keys))
-            case session_items.KeyChanged():
+            case store_items.KeysListed():
+                yield from self._set(
+                    item.at, map(store_items.host_of, item.keys)
+                )
+            case store_items.KeyChanged():
                 yield from self._change(item)
             case _:
                 yield item
 
-    def _change(self, item: session_items.KeyChanged) -> Iterator[filters.Item]:
-        name = _host_of(item.key)
+    def _change(self, item: store_items.KeyChanged) -> Iterator[filters.Item]:
+        name = store_items.host_of(item.key)
         if not name:
             return
         others = self._names - {name}
@@ -43,9 +45,4 @@
         live = frozenset(name for name in names if name) | {self._me}
         if live != self._names:
             self._names = live
-            yield session_items.LiveHostsView(now, live)
-
-
-def _host_of(key: str) -> str:
-    prefix = session_items.HOSTS_PREFIX
-    return key.removeprefix(prefix) if key.startswith(prefix) else ""
+            yield store_items.LiveHostsView(now, live)
--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, process, session_items
+from fescueshunt.core import filters, process, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -32,7 +32,7 @@
 
     lease: int = 0
     valid_until: float = 0.0
-    ttl_s: float = session_items.LEASE_TTL_S
+    ttl_s: float = store_items.LEASE_TTL_S
     due_at: float = 0.0
     key_revision: int = 0
     is_known: bool = False
@@ -48,7 +48,7 @@
 
     def __init__(self, me: identity.Identity) -> None:
         self._me = me
-        self._key = session_items.HOSTS_PREFIX + me.name
+        self._key = store_items.HOSTS_PREFIX + me.name
         self._state = LeaseState()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -57,18 +57,18 @@
             case filters.Tick():
                 yield from self._tick(item.at)
                 yield item
-            case session_items.LeaseGranted():
+            case store_items.LeaseGranted():
                 yield from self._granted(item)
-            case session_items.LeaseLost():
+            case store_items.LeaseLost():
                 yield from self._lost(item)
-            case session_items.LeaseUnanswered():
+            case store_items.LeaseUnanswered():
                 self._state.due_at = item.at + RETRY_AFTER_S
-            case session_items.KeyWritten() if item.key == self._key:
+            case store_items.KeyWritten() if item.key == self._key:
                 yield from self._written(item)
-            case session_items.KeyChanged() if item.key == self._key:
+            case store_items.KeyChanged() if item.key == self._key:
                 yield from self._check_key(item.stored, item.revision, item.at)
                 yield item
-            case session_items.KeysListed():
+            case store_items.KeysListed():
                 stored = item.keys.get(self._key)
                 yield from self._check_key(stored, item.revision, item.at)
                 yield item
@@ -83,12 +83,12 @@
             return
         state.due_at = now + RENEW_EVERY_S
         if state.lease:
-            yield session_items.RenewLease(now, state.lease)
+            yield store_items.RenewLease(now, state.lease)
         else:
-            yield session_items.AskLease(now, session_items.LEASE_TTL_S)
+            yield store_items.AskLease(now, store_items.LEASE_TTL_S)
 
     def _granted(
-        self, item: session_items.LeaseGranted
+        self, item: store_items.LeaseGranted
     ) -> Iterator[filters.Item]:
         state = self._state
         if state.leaving:
@@ -102,12 +102,12 @@
         state.valid_until = max(state.valid_until, until)
         if is_new:
             state.valid_until = until
-            yield session_items.WriteKey(
+            yield store_items.WriteKey(
                 item.at, self._key, self._me.zone, item.lease, None
             )
         yield self._view(item.at)
 
-    def _lost(self, item: session_items.LeaseLost) -> Iterator[filters.Item]:
+    def _lost(self, item: store_items.LeaseLost) -> Iterator[filters.Item]:
         if item.lease != self._state.lease:
             return
         self._state.lease = 0
@@ -115,11 +115,9 @@
         self._state.key_revision = 0
         self._state.is_known = False
         self._state.due_at = item.at
-        yield session_items.LeaseView(item.at, 0, 0.0)
+        yield store_items.LeaseView(item.at, 0, 0.0)
 
-    def _written(
-        self, item: session_items.KeyWritten
-    ) -> Iterator[filters.Item]:
+    def _written(self, item: store_items.KeyWritten) -> Iterator[filters.Item]:
         if item.done:
             self._state.key_revision = item.revision
         elif self._state.lease and not self._state.leaving:
@@ -128,7 +126,7 @@
 
     def _check_key(
         self,
-        stored: session_items.StoredKey | None,
+        stored: store_items.StoredKey | None,
         revision: int,
         now: float,
     ) -> Iterator[filters.Item]:
@@ -146,17 +144,17 @@
 
     def _renounce(self, now: float) -> Iterator[filters.Item]:
         lease = self._state.lease
-        yield session_items.EndLease(now, lease)
-        yield from self._lost(session_items.LeaseLost(now, lease))
+        yield store_items.EndLease(now, lease)
+        yield from self._lost(store_items.LeaseLost(now, lease))
 
     def _leave(self, now: float) -> Iterator[filters.Item]:
         self._state.leaving = True
         if self._state.lease:
-            yield session_items.EndLease(now, self._state.lease)
+            yield store_items.EndLease(now, self._state.lease)
         self._state.lease = 0
-        yield session_items.LeaseView(now, 0, 0.0)
+        yield store_items.LeaseView(now, 0, 0.0)
 
-    def _view(self, now: float) -> session_items.LeaseView:
+    def _view(self, now: float) -> store_items.LeaseView:
         state = self._state
         until = state.valid_until if state.is_known else 0.0
-        return session_items.LeaseView(now, state.lease, until, state.ttl_s)
+        return store_items.LeaseView(now, state.lease, until, state.ttl_s)
--- a/packages/fescueshunt/src/fescueshunt/presence/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/pipe.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import filters, identity, process, session_items
+from fescueshunt.core import (
+    filters,
+    identity,
+    process,
+    store_items,
+)
 from fescueshunt.presence import hosts, lease
 
 ACCEPTS = (
     filters.Tick,
     process.StopAsked,
-    session_items.LeaseGranted,
-    session_items.LeaseLost,
-    session_items.LeaseUnanswered,
-    session_items.KeyWritten,
-    session_items.KeysListed,
-    session_items.KeyChanged,
+    store_items.LeaseGranted,
+    store_items.LeaseLost,
+    store_items.LeaseUnanswered,
+    store_items.KeyWritten,
+    store_items.KeysListed,
+    store_items.KeyChanged,
 )
 
 
--- a/packages/fescueshunt/src/fescueshunt/replicas/entries.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/entries.py
@@ -10,7 +10,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, session_items
+from fescueshunt.core import filters, replica_sets, session_items, store_items
 from fescueshunt.replicas import items
 
 if TYPE_CHECKING:
@@ -44,11 +44,11 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the members of a database when they change."""
         match item:
-            case session_items.EntriesListed():
+            case store_items.EntriesListed():
                 yield from self._list(item)
-            case session_items.EntryChanged():
+            case store_items.EntryChanged():
                 yield from self._change(item.entry, item.at)
-            case session_items.EntryRemoved():
+            case store_items.EntryRemoved():
                 yield from self._remove(item.upstream, item.at)
             case session_items.UpstreamAnswered():
                 yield from self._hear(item)
@@ -63,9 +63,7 @@
             case _:
                 yield item
 
-    def _list(
-        self, item: session_items.EntriesListed
-    ) -> Iterator[filters.Item]:
+    def _list(self, item: store_items.EntriesListed) -> Iterator[filters.Item]:
         listed = {entry.upstream for entry in item.entries}
         for upstream in self._known.keys() - listed:
             yield from self._remove(upstream, item.at)
--- a/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, session_items
+from fescueshunt.core import filters, session_items, store_items
 from fescueshunt.replicas import entries, poll, track
 
 if TYPE_CHECKING:
@@ -12,16 +12,16 @@
 
 ACCEPTS = (
     filters.Tick,
-    session_items.EntriesListed,
-    session_items.EntryChanged,
-    session_items.EntryRemoved,
+    store_items.EntriesListed,
+    store_items.EntryChanged,
+    store_items.EntryRemoved,
     session_items.UpstreamAnswered,
     session_items.UpstreamHeard,
     session_items.UpstreamSuspected,
     session_items.ConfirmationWanted,
-    session_items.LeaseView,
-    session_items.KeysListed,
-    session_items.KeyChanged,
+    store_items.LeaseView,
+    store_items.KeysListed,
+    store_items.KeyChanged,
 )
 
 
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -16,6 +16,7 @@
     position,
     replica_sets,
     session_items,
+    store_items,
 )
 from fescueshunt.replicas import items, lead
 
@@ -52,7 +53,7 @@
         match item:
             case session_items.UpstreamHeard():
                 yield from self._hear(item)
-            case session_items.LeaseView():
+            case store_items.LeaseView():
                 self._lease_until = item.valid_until
                 yield from self._renew(item.at)
             case session_items.UpstreamAnswered():
@@ -61,10 +62,10 @@
                 self._suspect(item)
             case items.MembersChanged():
                 yield from self._change(item)
-            case session_items.KeysListed():
+            case store_items.KeysListed():
                 yield from self._list(item)
-            case session_items.KeyChanged():
-                yield from self._record(item)
+            case store_items.KeyChanged() if item.stored is not None:
+                yield from self._take_record(item.key, item.stored, item.at)
             case filters.Tick():
                 yield from self._expire(item.at)
             case _:
@@ -82,24 +83,20 @@
             self._database_of.pop(gone, None)
         yield from self._publish(item.database, found, item.at)
 
-    def _list(self, item: session_items.KeysListed) -> Iterator[filters.Item]:
+    def _list(self, item: store_items.KeysListed) -> Iterator[filters.Item]:
         for key, stored in item.keys.items():
-            database = leadership.database_of(key)
-            if database:
-                yield from self._take_record(database, stored, item.at)
-
-    def _record(self, item: session_items.KeyChanged) -> Iterator[filters.Item]:
-        database = leadership.database_of(item.key)
-        if database and item.stored is not None:
-            yield from self._take_record(database, item.stored, item.at)
+            yield from self._take_record(key, stored, item.at)
 
     def _take_record(
-        self, database: str, stored: session_items.StoredKey, now: float
+        self, key: str, stored: store_items.StoredKey, now: float
     ) -> Iterator[filters.Item]:
+        named = leadership.record_in(key, stored)
+        if named is None:
+            return
+        database, record = named
         found = self._sets.setdefault(database, ReplicaSet())
-        record = leadership.parse_record(stored)
         known = found.record.revision if found.record else 0
-        if record is None or record.revision <= known:
+        if record.revision <= known:
             return
         found.record = record
         yield from self._publish(database, found, now)
--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -18,7 +18,7 @@
     session_items,
     sessions,
 )
-from fescueshunt.sessions import departure, items, readiness
+from fescueshunt.sessions import departure, items, readiness, steps
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,12 +41,10 @@
       is_upstream: whether its transaction has begun upstream.
       last_commit: the position of its last commit, or None.
       work: the statement in flight, or None.
-      active_at: when it last sent or got something.
     """
 
     client: int
     route: str
-    active_at: float
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[str, sessions.Prepared] = dataclasses.field(
         default_factory=dict
@@ -106,7 +104,7 @@
         elif item.route not in self._routes.routes:
             failure = sessions.Failure.NO_DATABASE
         else:
-            session = Session(item.client, item.route, item.at)
+            session = Session(item.client, item.route)
             self._sessions[item.client] = session
             yield session_items.WelcomeSession(item.at, item.client)
             return
@@ -127,7 +125,6 @@
         session = self._sessions.get(item.client)
         if session is None:
             return
-        session.active_at = item.at
         if session.work is not None:
             yield session_items.CloseSession(item.at, item.client)
             return
@@ -240,7 +237,7 @@
             prepared is not None and prepared.writes
         )
         may_read_replica = not writes and (
-            session.read_only if in_transaction else True
+            session.read_only or not in_transaction
         )
         opens = in_transaction and not session.is_upstream
         strict = route.consistency is routes.Consistency.PRIMARY
@@ -267,15 +264,6 @@
     def _finish(self, item: items.WorkDone) -> Iterator[filters.Item]:
         work = item.work
         session = self._sessions.get(work.client)
-        yield items.Finished(
-            item.at,
-            work.route.name,
-            work.route.priority,
-            work.route.consistency,
-            item.failure.value if item.failure else "done",
-            item.at - work.arrived_at,
-            item.upstream,
-        )
         if item.failure is not None:
             yield _explain(item)
         if session is None or session.work is not work:
@@ -283,7 +271,6 @@
                 yield items.EndTransaction(item.at, work.client)
             return
         session.work = None
-        session.active_at = item.at
         if item.failure is None:
             self._note_success(session, work, item.reply)
         elif work.in_transaction:
@@ -312,10 +299,7 @@
             session.is_upstream = False
         elif work.in_transaction:
             session.is_upstream = True
-        is_commit = work.statement.verb is sessions.Verb.COMMIT
-        if (is_commit and not work.read_only) or (
-            work.writes and not work.in_transaction
-        ):
+        if steps.commits(work) and not work.read_only:
             session.last_commit = reply.applied
 
     def _fail(
--- a/packages/fescueshunt/src/fescueshunt/sessions/departure.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/departure.py
@@ -16,11 +16,6 @@
         self._begun_at: float | None = None
         self._cut_off_at: float | None = None
 
-    @property
-    def begun(self) -> bool:
-        """Whether this host is stopping."""
-        return self._begun_at is not None
-
     def begin(self, now: float) -> None:
         """Starts the stop, once."""
         if self._begun_at is None:
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
@@ -14,6 +15,7 @@
     routes,
     session_items,
     sessions,
+    store_items,
 )
 from fescueshunt.sessions import (
     asks,
@@ -29,13 +31,12 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from fescueshunt.core import position
     from fescueshunt.sessions import choose
 
 BUSY_PAUSE_S = 0.01
-TELL_EVERY_S = 0.05
 REPORT_EVERY_S = 2.0
 CROWDED = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
 
@@ -75,7 +76,7 @@
             case routes.RoutesView():
                 self._pools.set_policies(item)
                 self._transaction_idle_s = item.transaction_idle_s
-            case session_items.LiveHostsView():
+            case store_items.LiveHostsView():
                 self._pools.set_hosts(len(item.names))
             case _:
                 yield item
@@ -106,10 +107,19 @@
         now: float,
     ) -> Iterator[filters.Item]:
         link.work = work
-        link.steps = steps.plan(work, link, since)
-        link.enter(pool.LinkState.WORKING, now)
         work.tries += 1
         work.sent = False
+        yield from self._run(link, steps.plan(work, link, since), now)
+
+    def _run(
+        self,
+        link: pool.Link,
+        calls: Iterable[sessions.UpstreamCall],
+        now: float,
+    ) -> Iterator[filters.Item]:
+        """Sends the first call; each reply lets the next one follow."""
+        link.steps = collections.deque(calls)
+        link.enter(pool.LinkState.WORKING, now)
         yield from self._send(link, now)
 
     def _send(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
@@ -143,10 +153,8 @@
         call: sessions.UpstreamCall,
         item: session_items.LinkReplied,
     ) -> Iterator[filters.Item]:
-        kept.heard_at = item.at
         wrote = steps.is_final(call) and steps.commits(link.work)
-        if wrote or item.at - kept.told_at >= TELL_EVERY_S:
-            kept.told_at = item.at
+        if kept.is_news(item.at) or wrote:
             yield session_items.UpstreamHeard(
                 item.at, link.upstream, link.sent_at, item.reply.applied, wrote
             )
@@ -163,41 +171,31 @@
             return
         link.work = None
         link.steps.clear()
+        yield from self._settle(link, work, reply, item.at)
         if reply.failure is None:
-            yield from self._keep(link, work, item)
-            yield self._done(work, reply, None, "", link, item.at)
+            yield items.WorkDone(item.at, work, reply, None, "", link.upstream)
             return
         is_final = steps.is_final(call)
-        ruling = verdict.on_reply(work, call, reply, is_final, item.at)
-        yield from self._let_go(link, work, reply, item.at)
+        ruling = verdict.on_reply(work, reply, is_final, item.at)
         yield from self._rule(work, ruling, reply, link, item.at)
 
-    def _keep(
-        self,
-        link: pool.Link,
-        work: items.Work,
-        item: session_items.LinkReplied,
-    ) -> Iterator[filters.Item]:
-        """Holds the connection of an open transaction, or frees it."""
-        if item.reply.state is sessions.TransactionState.IDLE:
-            self._held.pop(work.client, None)
-            yield from self._free(link, item.at)
-            return
-        link.client = work.client
-        link.enter(pool.LinkState.HELD, item.at)
-        self._held[work.client] = link
-
-    def _let_go(
+    def _settle(
         self,
         link: pool.Link,
         work: items.Work,
         reply: sessions.UpstreamReply,
         now: float,
     ) -> Iterator[filters.Item]:
-        """Frees a connection after a failure, rolling back what is open."""
+        """Frees a connection; an open transaction holds it until it fails."""
+        is_idle = reply.state is sessions.TransactionState.IDLE
+        if reply.failure is None and not is_idle:
+            link.client = work.client
+            link.enter(pool.LinkState.HELD, now)
+            self._held[work.client] = link
+            return
         self._held.pop(work.client, None)
         link.client = None
-        if reply.state is sessions.TransactionState.IDLE:
+        if is_idle:
             yield from self._free(link, now)
         else:
             yield from self._roll_back(link, now)
@@ -212,8 +210,8 @@
     ) -> Iterator[filters.Item]:
         """Tries again, or ends the work."""
         if ruling.failure is not None:
-            yield self._done(
-                work, reply, ruling.failure, ruling.detail, link, now
+            yield items.WorkDone(
+                now, work, reply, ruling.failure, ruling.detail, link.upstream
             )
             return
         if ruling.avoid:
@@ -224,18 +222,6 @@
         self._queue.add(work)
         yield from self._pump(now)
 
-    def _done(
-        self,
-        work: items.Work,
-        reply: sessions.UpstreamReply | None,
-        failure: sessions.Failure | None,
-        detail: str,
-        link: pool.Link | None,
-        now: float,
-    ) -> items.WorkDone:
-        upstream = link.upstream if link is not None else ""
-        return items.WorkDone(now, work, reply, failure, detail, upstream)
-
     # Connections.
 
     def _free(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
@@ -253,10 +239,7 @@
         now: float,
         statement: sessions.Statement | None = None,
     ) -> Iterator[filters.Item]:
-        link.steps.clear()
-        link.steps.append(sessions.Rollback(statement))
-        link.enter(pool.LinkState.WORKING, now)
-        yield from self._send(link, now)
+        yield from self._run(link, (sessions.Rollback(statement),), now)
 
     def _rolled_back(
         self, link: pool.Link, item: session_items.LinkReplied
@@ -264,7 +247,7 @@
         if item.reply.state is sessions.TransactionState.IDLE:
             yield from self._free(link, item.at)
         else:
-            yield from self._close(link, item.at)
+            yield from self._drop(link, "rollback failed", item.at)
 
     def _end(self, item: items.EndTransaction) -> Iterator[filters.Item]:
         link = self._held.get(item.client)
@@ -277,11 +260,6 @@
         else:
             yield from self._drop(link, "client left", item.at)
 
-    def _close(self, link: pool.Link, now: float) -> Iterator[filters.Item]:
-        self._pools.remove(link)
-        yield session_items.CloseLink(now, link.number)
-        yield from self._pump(now)
-
     def _opened(self, item: session_items.LinkOpened) -> Iterator[filters.Item]:
         link = self._pools.links.get(item.link)
         if link is None:
@@ -316,7 +294,7 @@
         self, link: pool.Link, detail: str, now: float
     ) -> Iterator[filters.Item]:
         """Closes a connection in doubt, and settles what was on it."""
-        yield session_items.CloseLink(now, link.number)
+        yield self._pools.close(link, now)
         yield from self._lose(link, detail, now)
 
     def _lose(
@@ -357,10 +335,7 @@
         now: float,
     ) -> Iterator[filters.Item]:
         link.ask = ask
-        link.steps.clear()
-        link.steps.append(ask.call)
-        link.enter(pool.LinkState.WORKING, now)
-        yield from self._send(link, now)
+        yield from self._run(link, (ask.call,), now)
 
     def _asked(
         self, link: pool.Link, item: session_items.LinkReplied
@@ -388,8 +363,7 @@
         yield from asks.expire(self._pools.by_upstream.values(), now)
         yield from self._pools.upkeep(now)
         for link in self._pools.surplus(now):
-            self._pools.remove(link)
-            yield session_items.CloseLink(now, link.number)
+            yield self._pools.close(link, now)
         yield from self._pump(now)
         if now >= self._report_at:
             self._report_at = now + REPORT_EVERY_S
@@ -415,6 +389,6 @@
     def _expire_waiting(self, now: float) -> Iterator[filters.Item]:
         for work, why in self._queue.overdue(now):
             ruling = verdict.on_refusal(why)
-            yield self._done(
-                work, None, ruling.failure, ruling.detail, None, now
+            yield items.WorkDone(
+                now, work, None, ruling.failure, ruling.detail, ""
             )
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -93,18 +93,6 @@
     statement: sessions.Statement | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished(filters.Item):
-    """A statement was answered; for metrics."""
-
-    route: str
-    priority: int
-    consistency: routes.Consistency
-    outcome: str
-    latency_s: float
-    upstream: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadinessView(filters.Item):
     """Whether this host takes new sessions."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -11,6 +11,7 @@
     replica_sets,
     routes,
     session_items,
+    store_items,
 )
 from fescueshunt.sessions import choose, converse, dispatch, items, readiness
 
@@ -25,8 +26,8 @@
     session_items.LinkReplied,
     session_items.LinkFailed,
     session_items.AskUpstream,
-    session_items.LiveHostsView,
-    session_items.LeaseView,
+    store_items.LiveHostsView,
+    store_items.LeaseView,
     items.WorkDone,
     items.TransactionDropped,
     process.StopAsked,
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -24,6 +24,7 @@
 CROWDED_BACKOFF_S = 0.02
 TURN_S = 0.02
 LINGER_S = 1.5
+TELL_EVERY_S = 0.05
 # With more connections than this of its own a host need not take turns.
 SCARCE_SHARE = 2
 
@@ -136,6 +137,14 @@
         self.failures = 0
         self.refused = False
 
+    def is_news(self, now: float) -> bool:
+        """Notes an answer; tells whether the core has to know of it yet."""
+        self.heard_at = now
+        if now - self.told_at < TELL_EVERY_S:
+            return False
+        self.told_at = now
+        return True
+
     def crowded(self, now: float, chance: random.Random) -> None:
         """Notes that the upstream had no connection left."""
         self.crowded_until = now + CROWDED_S
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -74,6 +74,11 @@
         self.links[link.number] = link
         return session_items.OpenLink(now, link.number, kept.entry)
 
+    def close(self, link: pool.Link, now: float) -> filters.Item:
+        """Closes a link and forgets it."""
+        self.remove(link)
+        return session_items.CloseLink(now, link.number)
+
     def remove(self, link: pool.Link) -> None:
         """Forgets a link that is closed or being closed."""
         self.links.pop(link.number, None)
--- a/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/readiness.py
@@ -10,6 +10,7 @@
     replica_sets,
     routes,
     session_items,
+    store_items,
 )
 from fescueshunt.sessions import items
 
@@ -22,8 +23,6 @@
 CUT_OFF_AFTER_S = 0.3
 # A lease is renewed more than twice as often.
 LEASE_LATE_S = 0.9
-
-
 CUT_OFF = "cut off"
 
 
@@ -41,7 +40,7 @@
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
         self._known_at: float | None = None
         self._last: bool | None = None
-        self._lease_until = 0.0
+        self._renewed_at = replica_sets.NEVER
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields whether this host is ready when that changes."""
@@ -51,11 +50,11 @@
             case replica_sets.ReplicaSetView():
                 self._views[item.database] = item
                 self._known_at = self._known_at or item.at
-            case session_items.LeaseView():
-                self._lease_until = item.valid_until
+            case store_items.LeaseView():
+                self._renewed_at = item.valid_until - item.ttl_s
             case process.StopAsked():
                 self._is_stopping = True
-            case session_items.LinkReplied() | filters.Tick():
+            case filters.Tick():
                 pass
             case _:
                 yield item
@@ -73,8 +72,7 @@
             yield session_items.Decided(now, "readiness", "", details)
 
     def _is_cut_off(self, now: float) -> bool:
-        due_at = self._lease_until - session_items.LEASE_TTL_S
-        if now < due_at + LEASE_LATE_S or not self._views:
+        if now < self._renewed_at + LEASE_LATE_S or not self._views:
             return False
         members = [m for view in self._views.values() for m in view.members]
         unreachable = sum(_is_unreachable(member, now) for member in members)
--- a/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
@@ -36,12 +36,14 @@
 
 def on_reply(
     work: items.Work,
-    call: sessions.UpstreamCall,
     reply: sessions.UpstreamReply,
     is_final: bool,
     now: float,
 ) -> Ruling:
-    """Rules on a reply that is no success, to `call` on behalf of `work`."""
+    """Rules on a reply that is no success.
+
+    `is_final` tells whether it is to the client's statement itself.
+    """
     not_run = not is_final or reply.failure in sessions.NOT_RUN
     if not_run and _may_move(work) and _has_time(work, now):
         is_busy = reply.failure is sessions.Failure.BUSY
--- a/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, leadership, session_items
+from fescueshunt.core import filters, leadership, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,23 +24,25 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields acknowledgements to write."""
         match item:
-            case session_items.LeaseView():
+            case store_items.LeaseView():
                 self._lease = item.lease
-            case session_items.KeysListed():
+            case store_items.KeysListed():
                 for key, stored in item.keys.items():
                     yield from self._acknowledge(key, stored, item.at)
-            case session_items.KeyChanged() if item.stored is not None:
+            case store_items.KeyChanged() if item.stored is not None:
                 yield from self._acknowledge(item.key, item.stored, item.at)
         yield item
 
     def _acknowledge(
-        self, key: str, stored: session_items.StoredKey, now: float
+        self, key: str, stored: store_items.StoredKey, now: float
     ) -> Iterator[filters.Item]:
-        database = leadership.database_of(key)
-        record = leadership.parse_record(stored) if database else None
-        if record is None or not record.is_moving or not self._lease:
+        found = leadership.record_in(key, stored)
+        if found is None or not self._lease:
             return
-        yield session_items.WriteKey(
+        database, record = found
+        if not record.is_moving:
+            return
+        yield store_items.WriteKey(
             now,
             leadership.ack_key(database, self._me),
             str(record.revision),
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -20,6 +20,7 @@
     replica_sets,
     session_items,
     sessions,
+    store_items,
 )
 from fescueshunt.takeover import cause as causes
 
@@ -107,13 +108,13 @@
     ) -> Iterator[filters.Item]:
         """Takes the attempt on with a reply, a change or the time."""
         match item:
-            case session_items.KeyWritten():
+            case store_items.KeyWritten():
                 yield from self._written(item)
             case session_items.UpstreamAnswered():
                 yield from self._answered(item)
-            case session_items.KeyRead():
+            case store_items.KeyRead():
                 yield from self._checked(item, duty)
-            case session_items.PromotionAnswered():
+            case store_items.PromotionAnswered():
                 yield from self._promotion_answered(item)
             case filters.Tick():
                 yield from self._tick(item.at, hosts)
@@ -125,7 +126,7 @@
     ) -> filters.Item:
         term = max(self._new_term, self._old_term)
         record = leadership.Record(phase, upstream, term)
-        return session_items.WriteKey(
+        return store_items.WriteKey(
             now,
             leadership.record_key(self._database),
             leadership.format_record(record),
@@ -133,9 +134,7 @@
             self._record_revision,
         )
 
-    def _written(
-        self, item: session_items.KeyWritten
-    ) -> Iterator[filters.Item]:
+    def _written(self, item: store_items.KeyWritten) -> Iterator[filters.Item]:
         if item.key != leadership.record_key(self._database):
             return
         if item.done is not True:
@@ -273,7 +272,7 @@
         if missing and waited_s > PATIENCE_S and not self._evicted:
             self._evicted = True
             for lease in missing.values():
-                yield session_items.EndLease(now, lease)
+                yield store_items.EndLease(now, lease)
         if waited_s > AUDIENCE_TIMEOUT_S:
             yield from self._give_up("hosts did not acknowledge", now)
             return
@@ -291,7 +290,7 @@
         self.target = chosen
         self._enter(Step.CHECKING, now)
         self._repeat_at = now + REPEAT_S
-        yield session_items.ReadKey(now, session_items.DUTY_KEY)
+        yield store_items.ReadKey(now, store_items.DUTY_KEY)
 
     def _is_pointless(self, chosen: str) -> bool:
         """Tells whether one leaving primary would follow another."""
@@ -302,7 +301,7 @@
         )
 
     def _checked(
-        self, item: session_items.KeyRead, duty: items.DutyView
+        self, item: store_items.KeyRead, duty: items.DutyView
     ) -> Iterator[filters.Item]:
         if self._step is not Step.CHECKING or not item.answered:
             return
@@ -315,12 +314,12 @@
             return
         self._enter(Step.PROMOTING, item.at)
         self._repeat_at = item.at + LEAD_TIMEOUT_S
-        yield session_items.CallPromotion(
+        yield store_items.CallPromotion(
             item.at, self._database, self.target, self._me, duty.token
         )
 
     def _promotion_answered(
-        self, item: session_items.PromotionAnswered
+        self, item: store_items.PromotionAnswered
     ) -> Iterator[filters.Item]:
         if self._step is not Step.PROMOTING or item.upstream != self.target:
             return
--- a/packages/fescueshunt/src/fescueshunt/takeover/audience.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/audience.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import leadership, session_items
+from fescueshunt.core import leadership, store_items
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -21,28 +21,23 @@
     """
 
     def __init__(self) -> None:
-        self.ttl_s = session_items.LEASE_TTL_S
+        self.ttl_s = store_items.LEASE_TTL_S
         self._leases: dict[str, int] = {}
         self._gone_at: dict[str, float] = {}
         self._acks: dict[tuple[str, str], int] = {}
         self._looked_at: float | None = None
 
-    def list(self, item: session_items.KeysListed) -> None:
+    def list(self, item: store_items.KeysListed) -> None:
         """Takes over a whole listing."""
         if self._looked_at is None:
             self._looked_at = item.at
-        hosts = {
-            key: stored
-            for key, stored in item.keys.items()
-            if key.startswith(session_items.HOSTS_PREFIX)
-        }
-        for name in list(self._leases):
-            if session_items.HOSTS_PREFIX + name not in hosts:
-                self._remove(name, item.at)
+        listed = {store_items.host_of(key) for key in item.keys}
+        for name in self._leases.keys() - listed:
+            self._remove(name, item.at)
         for key, stored in item.keys.items():
             self._set(key, stored, item.at)
 
-    def change(self, item: session_items.KeyChanged) -> None:
+    def change(self, item: store_items.KeyChanged) -> None:
         """Takes over one change."""
         self._set(item.key, item.stored, item.at)
 
@@ -63,15 +58,14 @@
         return now - last > self.ttl_s
 
     def _set(
-        self, key: str, stored: session_items.StoredKey | None, now: float
+        self, key: str, stored: store_items.StoredKey | None, now: float
     ) -> None:
-        if key.startswith(session_items.HOSTS_PREFIX):
-            name = key.removeprefix(session_items.HOSTS_PREFIX)
-            if stored is None:
-                self._remove(name, now)
-            else:
-                self._leases[name] = stored.lease
-                self._gone_at.pop(name, None)
+        host = store_items.host_of(key)
+        if host and stored is None:
+            self._remove(host, now)
+        elif host:
+            self._leases[host] = stored.lease
+            self._gone_at.pop(host, None)
         elif key.startswith(leadership.ACKS_PREFIX):
             rest = key.removeprefix(leadership.ACKS_PREFIX)
             database, _, name = rest.rpartition("/")
--- a/packages/fescueshunt/src/fescueshunt/takeover/hold.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/hold.py
@@ -14,6 +14,7 @@
     rendezvous,
     replica_sets,
     session_items,
+    store_items,
 )
 from fescueshunt.takeover import items
 
@@ -42,7 +43,7 @@
     """
 
     known: bool = False
-    holder: session_items.StoredKey | None = None
+    holder: store_items.StoredKey | None = None
     free_since: float = 0.0
     token: int = 0
     held_since: float = 0.0
@@ -65,18 +66,18 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields attempts, and whether the duty is held."""
         match item:
-            case session_items.LeaseView():
+            case store_items.LeaseView():
                 yield from self._lease(item)
                 yield item
-            case session_items.KeysListed():
-                held = item.keys.get(session_items.DUTY_KEY)
+            case store_items.KeysListed():
+                held = item.keys.get(store_items.DUTY_KEY)
                 yield from self._see(held, item.at)
                 yield item
-            case session_items.KeyChanged():
-                if item.key == session_items.DUTY_KEY:
+            case store_items.KeyChanged():
+                if item.key == store_items.DUTY_KEY:
                     yield from self._see(item.stored, item.at)
                 yield item
-            case session_items.LiveHostsView():
+            case store_items.LiveHostsView():
                 self._hosts = item.names
                 yield item
             case replica_sets.ReplicaSetView():
@@ -91,7 +92,7 @@
             case _:
                 yield item
 
-    def _lease(self, item: session_items.LeaseView) -> Iterator[filters.Item]:
+    def _lease(self, item: store_items.LeaseView) -> Iterator[filters.Item]:
         state = self._state
         if item.lease != state.lease:
             state.lease = item.lease
@@ -100,7 +101,7 @@
         yield self._view(item.at)
 
     def _see(
-        self, held: session_items.StoredKey | None, now: float
+        self, held: store_items.StoredKey | None, now: float
     ) -> Iterator[filters.Item]:
         state = self._state
         if held is None and (state.holder is not None or not state.known):
@@ -125,20 +126,18 @@
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
         state = self._state
-        if self._is_fit(now):
+        if self._is_fit():
             state.fit_at = now
         if state.token and now - state.fit_at > UNFIT_AFTER_S:
             yield from self._give_up(now)
         elif self._may_try(now):
             state.try_after = now + RETRY_AFTER_S
-            yield session_items.WriteKey(
-                now, session_items.DUTY_KEY, self._me, state.lease, 0
+            yield store_items.WriteKey(
+                now, store_items.DUTY_KEY, self._me, state.lease, 0
             )
 
     def _may_try(self, now: float) -> bool:
         state = self._state
-        ranked = rendezvous.rank(session_items.DUTY_KEY, self._hosts)
-        turn_s = ranked.index(self._me) * TURN_S
         return (
             state.known
             and state.holder is None
@@ -146,22 +145,27 @@
             and state.lease != 0
             and now < state.valid_until
             and now >= state.try_after
-            and now >= state.free_since + turn_s
-            and self._is_fit(now)
+            and self._is_fit()
+            and now >= state.free_since + self._turn_s()
         )
 
+    def _turn_s(self) -> float:
+        """Returns how long a free duty is left to the hosts before this one."""
+        ranked = rendezvous.rank(store_items.DUTY_KEY, self._hosts)
+        return ranked.index(self._me) * TURN_S
+
     def _give_up(self, now: float) -> Iterator[filters.Item]:
         state = self._state
         state.try_after = now + ABSTAIN_S
         details = {"unfit_s": now - state.fit_at}
         yield session_items.Decided(now, "duty_given_up", "", details)
-        yield session_items.WriteKey(
-            now, session_items.DUTY_KEY, None, 0, state.token
+        yield store_items.WriteKey(
+            now, store_items.DUTY_KEY, None, 0, state.token
         )
         state.token = 0
         yield self._view(now)
 
-    def _is_fit(self, now: float) -> bool:
+    def _is_fit(self) -> bool:
         """Tells whether this host reaches most upstreams."""
         members = [m for view in self._views.values() for m in view.members]
         failing = sum(member.failing_since is not None for member in members)
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -8,19 +8,20 @@
     process,
     replica_sets,
     session_items,
+    store_items,
 )
 from fescueshunt.takeover import acknowledge, hold, replace, vote
 
 ACCEPTS = (
     filters.Tick,
     process.StopAsked,
-    session_items.LeaseView,
-    session_items.KeysListed,
-    session_items.KeyChanged,
-    session_items.KeyRead,
-    session_items.KeyWritten,
-    session_items.LiveHostsView,
-    session_items.PromotionAnswered,
+    store_items.LeaseView,
+    store_items.KeysListed,
+    store_items.KeyChanged,
+    store_items.KeyRead,
+    store_items.KeyWritten,
+    store_items.LiveHostsView,
+    store_items.PromotionAnswered,
     session_items.UpstreamAnswered,
     replica_sets.ReplicaSetView,
 )
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -15,6 +15,7 @@
     leadership,
     replica_sets,
     session_items,
+    store_items,
 )
 from fescueshunt.takeover import attempt, audience, cause, items, tidy
 
@@ -49,14 +50,14 @@
             case (
                 items.DutyView()
                 | items.FindingsView()
-                | session_items.LeaseView()
+                | store_items.LeaseView()
             ):
                 self._note(item)
-            case session_items.KeysListed():
+            case store_items.KeysListed():
                 self._audience.list(item)
                 for key, stored in item.keys.items():
                     self._note_record(key, stored)
-            case session_items.KeyChanged():
+            case store_items.KeyChanged():
                 self._audience.change(item)
                 if item.stored is not None:
                     self._note_record(item.key, item.stored)
@@ -67,9 +68,9 @@
             case session_items.UpstreamAnswered():
                 self._tidy.hear(item)
                 yield from self._drive_all(item)
-            case session_items.PromotionAnswered():
+            case store_items.PromotionAnswered():
                 yield from self._drive(item.database, item)
-            case session_items.KeyRead() | session_items.KeyWritten():
+            case store_items.KeyRead() | store_items.KeyWritten():
                 yield from self._drive_all(item)
             case filters.Tick():
                 yield from self._tick(item)
@@ -82,13 +83,13 @@
                 self._duty = item
             case items.FindingsView():
                 self._findings[item.database] = item
-            case session_items.LeaseView():
+            case store_items.LeaseView():
                 self._audience.ttl_s = item.ttl_s
 
-    def _note_record(self, key: str, stored: session_items.StoredKey) -> None:
-        database = leadership.database_of(key)
-        record = leadership.parse_record(stored) if database else None
-        if record is not None:
+    def _note_record(self, key: str, stored: store_items.StoredKey) -> None:
+        found = leadership.record_in(key, stored)
+        if found is not None:
+            database, record = found
             self._records[database] = record
 
     def _tick(self, item: filters.Tick) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/takeover/vote.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/vote.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, session_items
+from fescueshunt.core import filters, replica_sets, session_items, store_items
 from fescueshunt.takeover import items
 
 if TYPE_CHECKING:
@@ -34,23 +34,23 @@
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields votes to cast, and the findings when they change."""
         match item:
-            case session_items.LeaseView():
+            case store_items.LeaseView():
                 if item.lease != self._lease:
                     self._lease = item.lease
                     self._cast.clear()
                 yield item
-            case session_items.KeysListed():
+            case store_items.KeysListed():
                 self._votes = {
                     key: stored.value
                     for key, stored in item.keys.items()
-                    if key.startswith(session_items.VOTES_PREFIX)
+                    if key.startswith(store_items.VOTES_PREFIX)
                 }
                 yield item
                 yield from self._publish(item.at)
-            case session_items.KeyChanged():
+            case store_items.KeyChanged():
                 yield item
                 yield from self._change(item)
-            case session_items.LiveHostsView():
+            case store_items.LiveHostsView():
                 self._hosts = item.names
             case replica_sets.ReplicaSetView():
                 self._views[item.database] = item
@@ -63,8 +63,8 @@
             case _:
                 yield item
 
-    def _change(self, item: session_items.KeyChanged) -> Iterator[filters.Item]:
-        if not item.key.startswith(session_items.VOTES_PREFIX):
+    def _change(self, item: store_items.KeyChanged) -> Iterator[filters.Item]:
+        if not item.key.startswith(store_items.VOTES_PREFIX):
             return
         if item.stored is None:
             self._votes.pop(item.key, None)
@@ -87,7 +87,7 @@
             self._cast_at[database] = now
             details = {"database": database, "failing": found}
             yield session_items.Decided(now, "vote", "", details)
-            yield session_items.WriteKey(
+            yield store_items.WriteKey(
                 now, key, found or None, self._lease if found else 0, None
             )
 
@@ -102,7 +102,7 @@
             )
 
     def _key(self, database: str, host: str) -> str:
-        return f"{session_items.VOTES_PREFIX}{database}/{host}"
+        return f"{store_items.VOTES_PREFIX}{database}/{host}"
 
 
 def _is_failing(view: replica_sets.ReplicaSetView, now: float) -> bool:
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -21,6 +21,7 @@
     routes,
     session_items,
     sessions,
+    store_items,
 )
 from fescueshunt.routing import items as routing_items
 from fescueshunt.sessions import items as pipe_items
@@ -34,9 +35,9 @@
 PROMOTE_S = 0.3
 DATABASE = "db"
 STORE = "store"
-DUTY_KEY = session_items.DUTY_KEY
+DUTY_KEY = store_items.DUTY_KEY
 ORIGIN = position.Position(position.Term(1), 0)
-HOSTS_PREFIX = session_items.HOSTS_PREFIX
+HOSTS_PREFIX = store_items.HOSTS_PREFIX
 LOST = errors.ConnectionLostError("cut")
 
 
@@ -186,7 +187,7 @@
             return
         for revision, key, stored in self.store.changes:
             if revision > host.watched:
-                item = session_items.KeyChanged(self.now, key, stored, revision)
+                item = store_items.KeyChanged(self.now, key, stored, revision)
                 self.feed(host, item)
         host.watched = self.store.revision
 
@@ -199,11 +200,11 @@
             3.0,
         )
         self.feed(host, routing_items.RoutesRead(self.now, offered))
-        self.feed(host, session_items.EntriesListed(self.now, self.entries()))
+        self.feed(host, store_items.EntriesListed(self.now, self.entries()))
         keys = dict(self.store.keys)
         self.feed(
             host,
-            session_items.KeysListed(self.now, keys, self.store.revision),
+            store_items.KeysListed(self.now, keys, self.store.revision),
         )
 
     def entries(self) -> tuple[replica_sets.Entry, ...]:
@@ -224,7 +225,7 @@
         for host in self.hosts.values():
             if self.reaches(host.name, STORE):
                 for entry in self.entries():
-                    item = session_items.EntryChanged(self.now, entry)
+                    item = store_items.EntryChanged(self.now, entry)
                     self.feed(host, item)
 
     # Effects.
@@ -243,18 +244,18 @@
                 answer = self.answers.pop((host.name, effect.client), None)
                 if answer is not None:
                     self.later(HOP_S, lambda: answer(effect.answer))
-            case session_items.CallPromotion():
+            case store_items.CallPromotion():
                 self._promote(host, effect)
             case session_items.Decided():
                 host.decisions.append(effect)
             case pipe_items.ReadinessView():
                 host.ready = effect.ready
             case (
-                session_items.AskLease()
-                | session_items.RenewLease()
-                | session_items.EndLease()
-                | session_items.WriteKey()
-                | session_items.ReadKey()
+                store_items.AskLease()
+                | store_items.RenewLease()
+                | store_items.EndLease()
+                | store_items.WriteKey()
+                | store_items.ReadKey()
             ):
                 self._ask_store(host, effect)
 
@@ -285,34 +286,34 @@
     ) -> filters.Item | None:
         store, now = self.store, self.now
         match effect:
-            case session_items.AskLease():
+            case store_items.AskLease():
                 lease = store.grant(effect.ttl_s, now)
-                return session_items.LeaseGranted(
+                return store_items.LeaseGranted(
                     now, lease, sent_at, effect.ttl_s
                 )
-            case session_items.RenewLease():
+            case store_items.RenewLease():
                 if not store.renew(effect.lease, now):
-                    return session_items.LeaseLost(now, effect.lease)
+                    return store_items.LeaseLost(now, effect.lease)
                 ttl_s = store.ttls[effect.lease]
-                return session_items.LeaseGranted(
+                return store_items.LeaseGranted(
                     now, effect.lease, sent_at, ttl_s
                 )
-            case session_items.EndLease():
+            case store_items.EndLease():
                 store.end(effect.lease)
-            case session_items.WriteKey():
+            case store_items.WriteKey():
                 done, revision = store.write(effect)
-                return session_items.KeyWritten(now, effect.key, done, revision)
-            case session_items.ReadKey():
+                return store_items.KeyWritten(now, effect.key, done, revision)
+            case store_items.ReadKey():
                 stored = store.keys.get(effect.key)
-                return session_items.KeyRead(
+                return store_items.KeyRead(
                     now, effect.key, sent_at, True, stored
                 )
         return None
 
-    def _promote(self, host: Host, effect: session_items.CallPromotion) -> None:
+    def _promote(self, host: Host, effect: store_items.CallPromotion) -> None:
         if self.lost_promotions:
             self.lost_promotions -= 1
-            unknown = session_items.PromotionAnswered(
+            unknown = store_items.PromotionAnswered(
                 self.now, effect.database, effect.upstream, None, "lost"
             )
             self.later(CALL_TIMEOUT_S, lambda: self._give(host, unknown))
@@ -320,7 +321,7 @@
         done = self.replicas.promote(
             effect.upstream, self.promotion_s, self.now, effect.token
         )
-        answer = session_items.PromotionAnswered(
+        answer = store_items.PromotionAnswered(
             self.now, effect.database, effect.upstream, done, ""
         )
         self.later(2 * HOP_S, lambda: self._give(host, answer))
@@ -459,12 +460,12 @@
 
 def _unanswered(effect: filters.Item, sent_at: float) -> filters.Item | None:
     match effect:
-        case session_items.AskLease():
-            return session_items.LeaseUnanswered(0.0, 0)
-        case session_items.RenewLease():
-            return session_items.LeaseUnanswered(0.0, effect.lease)
-        case session_items.WriteKey():
-            return session_items.KeyWritten(0.0, effect.key, None, 0)
-        case session_items.ReadKey():
-            return session_items.KeyRead(0.0, effect.key, sent_at, False, None)
+        case store_items.AskLease():
+            return store_items.LeaseUnanswered(0.0, 0)
+        case store_items.RenewLease():
+            return store_items.LeaseUnanswered(0.0, effect.lease)
+        case store_items.WriteKey():
+            return store_items.KeyWritten(0.0, effect.key, None, 0)
+        case store_items.ReadKey():
+            return store_items.KeyRead(0.0, effect.key, sent_at, False, None)
     return None
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescueshunt.core import session_items
+from fescueshunt.core import store_items
 from lib import hosted_clients, hosted_world
 
 # The expected promotion, and what the aim allows beyond it.
@@ -14,7 +14,7 @@
     world.run(1.0)
     history = hosted_clients.run_clients(world)
     world.run(4.0)
-    assert session_items.DUTY_KEY in world.store.keys
+    assert store_items.DUTY_KEY in world.store.keys
     assert history.served > 100
     assert history.failed == 0
     assert hosted_clients.check_end(world, history) == []
@@ -67,12 +67,12 @@
     world.run(1.0)
     history = hosted_clients.run_clients(world)
     world.run(2.0)
-    holder = world.store.keys[session_items.DUTY_KEY].value
+    holder = world.store.keys[store_items.DUTY_KEY].value
     other = next(name for name in sorted(world.hosts) if name != holder)
     crashed_at = world.now
     world.separate(other, hosted_world.STORE)
     world.crash("u0")
     world.run(6.0)
     first = min(at for at in history.acked.values() if at > crashed_at)
-    assert first - crashed_at < GAP_S + session_items.LEASE_TTL_S
+    assert first - crashed_at < GAP_S + store_items.LEASE_TTL_S
     assert hosted_clients.check_end(world, history) == []
--- a/tests/unit/test_takeover_removals.py
+++ b/tests/unit/test_takeover_removals.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fescueshunt.core import replica_sets, session_items, sessions
+from fescueshunt.core import replica_sets, sessions, store_items
 from fescueshunt.sessions import choose
 from fescueshunt.takeover import attempt, audience
 from lib import hosted_clients, hosted_world
@@ -27,7 +27,7 @@
     world.run(WARM_S)
     history = hosted_clients.run_clients(world)
     world.run(WARM_S)
-    holder = world.store.keys[session_items.DUTY_KEY].value
+    holder = world.store.keys[store_items.DUTY_KEY].value
     other = next(name for name in sorted(world.hosts) if name != holder)
     return world, history, other
 
@@ -116,17 +116,17 @@
     "confirmation": (
         _without_confirmation,
         play_primary_hidden_with_a_host,
-        session_items.LEASE_TTL_S,
+        store_items.LEASE_TTL_S,
     ),
     "whole fence": (
         _without_whole_fence,
         play_replica_behind,
-        session_items.LEASE_TTL_S,
+        store_items.LEASE_TTL_S,
     ),
     "positions": (
         _without_positions,
         play_replicas_late,
-        session_items.LEASE_TTL_S,
+        store_items.LEASE_TTL_S,
     ),
 }
 
@@ -136,7 +136,7 @@
     name: str, monkeypatch: pytest.MonkeyPatch
 ):
     _, play, lease_s = CASES[name]
-    monkeypatch.setattr(session_items, "LEASE_TTL_S", lease_s)
+    monkeypatch.setattr(store_items, "LEASE_TTL_S", lease_s)
     assert play(1) == []
 
 
@@ -145,6 +145,6 @@
     name: str, monkeypatch: pytest.MonkeyPatch
 ):
     remove, play, lease_s = CASES[name]
-    monkeypatch.setattr(session_items, "LEASE_TTL_S", lease_s)
+    monkeypatch.setattr(store_items, "LEASE_TTL_S", lease_s)
     remove(monkeypatch)
     assert play(1) != []
