--- /dev/null
+++ b/tests/lib/hosted_store.py
@@ -0,0 +1,44 @@
+"""Calls of hosts to the store in memory, and what they get for an answer."""
+
+from __future__ import annotations
+
+from fescueshunt.core import filters, store_items
+from fescueshunt_standins.hosted import kv
+
+
+def answer(
+    store: kv.KeyValues, effect: filters.Item, sent_at: float, now: float
+) -> filters.Item | None:
+    """Carries out a call; returns its answer, None for none."""
+    match effect:
+        case store_items.AskLease():
+            lease = store.grant(effect.ttl_s, now)
+            return store_items.LeaseGranted(now, lease, sent_at, effect.ttl_s)
+        case store_items.RenewLease():
+            if not store.renew(effect.lease, now):
+                return store_items.LeaseLost(now, effect.lease)
+            ttl_s = store.ttls[effect.lease]
+            return store_items.LeaseGranted(now, effect.lease, sent_at, ttl_s)
+        case store_items.EndLease():
+            store.end(effect.lease)
+        case store_items.WriteKey():
+            done, revision = store.write(effect)
+            return store_items.KeyWritten(now, effect.key, done, revision)
+        case store_items.ReadKey():
+            stored = store.keys.get(effect.key)
+            return store_items.KeyRead(now, effect.key, sent_at, True, stored)
+    return None
+
+
+def unanswered(effect: filters.Item, sent_at: float) -> filters.Item | None:
+    """Returns the news that a call had no answer, None for none."""
+    match effect:
+        case store_items.AskLease():
+            return store_items.LeaseUnanswered(0.0, 0)
+        case store_items.RenewLease():
+            return store_items.LeaseUnanswered(0.0, effect.lease)
+        case store_items.WriteKey():
+            return store_items.KeyWritten(0.0, effect.key, None, 0)
+        case store_items.ReadKey():
+            return store_items.KeyRead(0.0, effect.key, sent_at, False, None)
+    return None
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -26,6 +26,7 @@
 from fescueshunt.routing import items as routing_items
 from fescueshunt.sessions import items as pipe_items
 from fescueshunt_standins.hosted import kv, replicas, statements
+from lib import hosted_store
 
 TICK_S = 0.02
 HOP_S = 0.001
@@ -262,12 +263,14 @@
     def _ask_store(self, host: Host, effect: filters.Item) -> None:
         sent_at = self.now
         delay_s = STORE_S * self.chance.uniform(0.5, 2.0)
-        unanswered = _unanswered(effect, sent_at)
+        unanswered = hosted_store.unanswered(effect, sent_at)
 
         def arrive() -> None:
             answer = None
             if self.reaches(host.name, STORE):
-                answer = self._store_answer(effect, sent_at)
+                answer = hosted_store.answer(
+                    self.store, effect, sent_at, self.now
+                )
             lost = self.chance.random() < self.lose_store_answers
             if answer is None or lost:
                 wait_s = STORE_TIMEOUT_S
@@ -281,35 +284,6 @@
         if item is not None:
             self.feed(host, dataclasses.replace(item, at=self.now))
 
-    def _store_answer(
-        self, effect: filters.Item, sent_at: float
-    ) -> filters.Item | None:
-        store, now = self.store, self.now
-        match effect:
-            case store_items.AskLease():
-                lease = store.grant(effect.ttl_s, now)
-                return store_items.LeaseGranted(
-                    now, lease, sent_at, effect.ttl_s
-                )
-            case store_items.RenewLease():
-                if not store.renew(effect.lease, now):
-                    return store_items.LeaseLost(now, effect.lease)
-                ttl_s = store.ttls[effect.lease]
-                return store_items.LeaseGranted(
-                    now, effect.lease, sent_at, ttl_s
-                )
-            case store_items.EndLease():
-                store.end(effect.lease)
-            case store_items.WriteKey():
-                done, revision = store.write(effect)
-                return store_items.KeyWritten(now, effect.key, done, revision)
-            case store_items.ReadKey():
-                stored = store.keys.get(effect.key)
-                return store_items.KeyRead(
-                    now, effect.key, sent_at, True, stored
-                )
-        return None
-
     def _promote(self, host: Host, effect: store_items.CallPromotion) -> None:
         if self.lost_promotions:
             self.lost_promotions -= 1
@@ -456,16 +430,3 @@
         if host in self.hosts:
             self.feed(self.hosts[host], item)
         return got
-
-
-def _unanswered(effect: filters.Item, sent_at: float) -> filters.Item | None:
-    match effect:
-        case store_items.AskLease():
-            return store_items.LeaseUnanswered(0.0, 0)
-        case store_items.RenewLease():
-            return store_items.LeaseUnanswered(0.0, effect.lease)
-        case store_items.WriteKey():
-            return store_items.KeyWritten(0.0, effect.key, None, 0)
-        case store_items.ReadKey():
-            return store_items.KeyRead(0.0, effect.key, sent_at, False, None)
-    return None
