--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
-import itertools
 import random
 from collections.abc import Callable
 
@@ -18,7 +16,6 @@
     identity,
     position,
     replica_sets,
-    routes,
     session_items,
     sessions,
     store_items,
@@ -26,7 +23,7 @@
 from fescueshunt.routing import items as routing_items
 from fescueshunt.sessions import items as pipe_items
 from fescueshunt_standins.hosted import kv, replicas, statements
-from lib import hosted_store
+from lib import hosted_routes, hosted_store, timeline
 
 TICK_S = 0.02
 HOP_S = 0.001
@@ -34,7 +31,8 @@
 STORE_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 0.8
 PROMOTE_S = 0.3
-DATABASE = "db"
+DATABASE = hosted_routes.DATABASE
+ROUTES = hosted_routes.ROUTES
 STORE = "store"
 DUTY_KEY = store_items.DUTY_KEY
 ORIGIN = position.Position(position.Term(1), 0)
@@ -42,19 +40,6 @@
 LOST = errors.ConnectionLostError("cut")
 
 
-def route(
-    name: str, kind: routes.Consistency, max_age_s: float = 0.0
-) -> routes.Route:
-    return routes.Route(name, DATABASE, kind, 1.0, 0.2, 0, max_age_s)
-
-
-ROUTES = {
-    "strict": route("strict", routes.Consistency.PRIMARY),
-    "aged": route("aged", routes.Consistency.BOUNDED, 1.0),
-    "own": route("own", routes.Consistency.OWN_WRITES, 1.0),
-}
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Link:
     """A connection of a host to a member."""
@@ -84,11 +69,11 @@
     ready: bool = False
 
 
-class World:
+class World(timeline.Timeline):
     """Hosts, a store, a replica set of three, and the clock."""
 
     def __init__(self, seed: int = 0, hosts: int = 3) -> None:
-        self.now = 100.0
+        super().__init__()
         self.chance = random.Random(seed)
         self.store = kv.KeyValues()
         self.cut: set[frozenset[str]] = set()
@@ -96,8 +81,6 @@
         self.promotion_s = PROMOTE_S
         self.lose_store_answers = 0.0
         self.lost_promotions = 0
-        self._events: list = []
-        self._order = itertools.count()
         members = {
             f"u{n}": replicas.Member(
                 f"u{n}",
@@ -107,28 +90,17 @@
             )
             for n in range(3)
         }
-        self.replicas = replicas.ReplicaSet(members, self.reaches, self.later)
+        self.replicas = replicas.ReplicaSet(members, self.reaches, self.at)
         self.draining: set[str] = set()
         self.hosts: dict[str, Host] = {}
         for number in range(hosts):
             self.start_host(f"h{number}")
         self._tick()
 
-    # Clock.
-
-    def later(self, delay_s: float, call: Callable[[], None]) -> None:
-        when = self.now + delay_s
-        heapq.heappush(self._events, (when, next(self._order), call))
-
-    def run(self, seconds: float) -> None:
-        until = self.now + seconds
-        while self._events and self._events[0][0] <= until:
-            self.now, _, call = heapq.heappop(self._events)
-            call()
-        self.now = until
+    # Time and paths.
 
     def _tick(self) -> None:
-        self.later(TICK_S, self._tick)
+        self.at(TICK_S, self._tick)
         self.store.expire(self.now)
         self.replicas.ship()
         for host in list(self.hosts.values()):
@@ -161,7 +133,7 @@
     def freeze(self, name: str, seconds: float) -> None:
         host = self.hosts[name]
         host.frozen_until = self.now + seconds
-        self.later(seconds, lambda: self._thaw(host))
+        self.at(seconds, lambda: self._thaw(host))
 
     def _thaw(self, host: Host) -> None:
         held, host.held_back = host.held_back, []
@@ -193,13 +165,7 @@
         host.watched = self.store.revision
 
     def _list(self, host: Host) -> None:
-        offered = routes.RoutesView(
-            self.now,
-            1,
-            ROUTES,
-            {DATABASE: routes.ReplicaSetPolicy(DATABASE, 30, 1)},
-            3.0,
-        )
+        offered = hosted_routes.offered(self.now)
         self.feed(host, routing_items.RoutesRead(self.now, offered))
         self.feed(host, store_items.EntriesListed(self.now, self.entries()))
         keys = dict(self.store.keys)
@@ -244,7 +210,7 @@
             case session_items.AnswerSession():
                 answer = self.answers.pop((host.name, effect.client), None)
                 if answer is not None:
-                    self.later(HOP_S, lambda: answer(effect.answer))
+                    self.at(HOP_S, lambda: answer(effect.answer))
             case store_items.CallPromotion():
                 self._promote(host, effect)
             case session_items.Decided():
@@ -274,11 +240,11 @@
             lost = self.chance.random() < self.lose_store_answers
             if answer is None or lost:
                 wait_s = STORE_TIMEOUT_S
-                self.later(wait_s, lambda: self._give(host, unanswered))
+                self.at(wait_s, lambda: self._give(host, unanswered))
             else:
-                self.later(HOP_S, lambda: self._give(host, answer))
+                self.at(HOP_S, lambda: self._give(host, answer))
 
-        self.later(delay_s, arrive)
+        self.at(delay_s, arrive)
 
     def _give(self, host: Host, item: filters.Item | None) -> None:
         if item is not None:
@@ -290,7 +256,7 @@
             unknown = store_items.PromotionAnswered(
                 self.now, effect.database, effect.upstream, None, "lost"
             )
-            self.later(CALL_TIMEOUT_S, lambda: self._give(host, unknown))
+            self.at(CALL_TIMEOUT_S, lambda: self._give(host, unknown))
             return
         done = self.replicas.promote(
             effect.upstream, self.promotion_s, self.now, effect.token
@@ -298,7 +264,7 @@
         answer = store_items.PromotionAnswered(
             self.now, effect.database, effect.upstream, done, ""
         )
-        self.later(2 * HOP_S, lambda: self._give(host, answer))
+        self.at(2 * HOP_S, lambda: self._give(host, answer))
 
     # Upstreams.
 
@@ -318,7 +284,7 @@
             host.links[effect.link] = Link(host.name, session)
             self.feed(host, session_items.LinkOpened(self.now, effect.link))
 
-        self.later(0.005, arrive)
+        self.at(0.005, arrive)
 
     def crash(self, name: str) -> None:
         """Ends a member's process; its log stays."""
@@ -350,14 +316,14 @@
         link = host.links.get(effect.link)
         if link is None:
             return
-        self.later(HOP_S, lambda: self._arrive(host, effect, link))
+        self.at(HOP_S, lambda: self._arrive(host, effect, link))
 
     def _arrive(
         self, host: Host, effect: session_items.CallLink, link: Link
     ) -> None:
         if not self.reaches(host.name, link.member.name) or not link.open:
             return
-        self.later(
+        self.at(
             replicas.WORK_S,
             lambda: self._execute(host, effect, link),
         )
@@ -390,7 +356,7 @@
                     )
                     self.feed(host, item)
 
-            self.later(HOP_S, deliver)
+            self.at(HOP_S, deliver)
 
         statements.run(self.replicas, link.session, effect.call, reply)
 
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import itertools
 import random
 from collections.abc import Callable
@@ -23,7 +22,7 @@
     upstream,
 )
 from fescueshunt_wire import codec, records
-from lib import engines
+from lib import engines, timeline
 
 WALL_S = 1.8e9
 TICK_S = 0.02
@@ -90,7 +89,7 @@
     busy_until: float = 0.0
 
 
-class World:
+class World(timeline.Timeline):
     """Two or three proxies, three upstreams, callers and faults."""
 
     def __init__(
@@ -99,7 +98,7 @@
         proxies: int = 2,
         settings: document.Document = SETTINGS,
     ) -> None:
-        self.now = 100.0
+        super().__init__()
         self.chance = random.Random(seed)
         self.faults = Faults()
         self.meddle: Callable[[object], list[float] | None] = lambda _: None
@@ -109,8 +108,6 @@
         self.extra_answers = 0
         self.disturbed = 0
         self.counts: dict[str, int] = {}
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._starts = itertools.count(1)
         self._seqs = itertools.count(1)
         self._sessions: dict[tuple[int, int], Session] = {}
@@ -127,21 +124,6 @@
         self._replicate()
         self.run(START_S)
 
-    # The clock.
-
-    def at(self, delay_s: float, act: Callable[[], None]) -> None:
-        """Does `act` after `delay_s`."""
-        event = (self.now + delay_s, next(self._order), act)
-        heapq.heappush(self._events, event)
-
-    def run(self, seconds: float) -> None:
-        """Lets `seconds` pass."""
-        until = self.now + seconds
-        while self._events and self._events[0][0] <= until:
-            self.now, _, act = heapq.heappop(self._events)
-            act()
-        self.now = until
-
     # Proxies.
 
     def start(self, name: str) -> None:
