--- a/capacity/budget.py
+++ b/capacity/budget.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
-import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from capacity import slopes, target
+from capacity import figures, target
 from fescueshunt.health import track
 from fescueshunt.members import listed, probe
 from fescueshunt.settings import spread, watch
 from fescueshunt_proxy._internal import peers
 
 if TYPE_CHECKING:
-    import pathlib
     from collections.abc import Callable, Iterator
 
 PING_MESSAGES_PER_PERIOD = 4
@@ -53,56 +51,13 @@
         return "met" if self.needed <= self.allowed else "short"
 
 
-class Measured:
-    """The slopes of one run, by measurement and quantity."""
-
-    def __init__(self, found: dict[str, list[slopes.Slope]]) -> None:
-        self.found = found
-
-    def find(self, name: str, quantity: str) -> slopes.Slope:
-        """Returns one slope."""
-        for slope in self.found[name]:
-            if slope.quantity == quantity:
-                return slope
-        raise LookupError(f"{name}: {quantity}")
-
-    def slope(self, name: str, quantity: str) -> float:
-        """Returns what one more costs; negative noise counts as nothing."""
-        return max(self.find(name, quantity).slope, 0.0)
-
-    def at(self, name: str, quantity: str, size: float) -> float:
-        """Returns the value of the line at `size`."""
-        found = self.find(name, quantity)
-        return max(found.base, 0.0) + max(found.slope, 0.0) * size
-
-    def least(self, name: str, quantity: str) -> float:
-        """Returns the value at the smallest size that was measured."""
-        return self.find(name, quantity).points[0][1]
-
-
-def load(path: pathlib.Path) -> Measured:
-    """Returns the slopes in the JSON file at `path`."""
-    plain = json.loads(path.read_text(encoding="utf-8"))
-    return Measured(
-        {
-            name: [_slope(entry) for entry in rows]
-            for name, rows in plain.items()
-        }
-    )
-
-
-def _slope(entry: dict[str, Any]) -> slopes.Slope:
-    points = tuple((size, value) for size, value in entry["points"])
-    return slopes.Slope(**{**entry, "points": points})
-
-
-def work_out(measured: Measured) -> Iterator[Line]:
+def work_out(measured: figures.Measured) -> Iterator[Line]:
     """Yields every line, role by role."""
     for part in _PARTS:
         yield from part(measured)
 
 
-def _entry(m: Measured) -> Iterator[Line]:
+def _entry(m: figures.Measured) -> Iterator[Line]:
     held = target.CONNECTIONS_PER_NODE
     each_kb = m.slope("connections", "memory")
     yield Line(
@@ -137,11 +92,11 @@
     )
 
 
-def _home(m: Measured) -> Iterator[Line]:
+def _home(m: figures.Measured) -> Iterator[Line]:
     yield from _statements(m, "home")
 
 
-def _statements(m: Measured, role: str) -> Iterator[Line]:
+def _statements(m: figures.Measured, role: str) -> Iterator[Line]:
     for service, share in _SHARES:
         quantity = f"process, {role}, {service}, processor time a second"
         each_us = m.slope(f"{service}s", quantity)
@@ -157,7 +112,7 @@
         )
 
 
-def _watcher(m: Measured) -> Iterator[Line]:
+def _watcher(m: figures.Measured) -> Iterator[Line]:
     count = target.WATCHED_PER_NODE
     each_ms = m.slope("hosted", "processor time a second")
     yield _core_share(
@@ -190,7 +145,7 @@
     )
 
 
-def _member(m: Measured) -> Iterator[Line]:
+def _member(m: figures.Measured) -> Iterator[Line]:
     sent = PING_MESSAGES_PER_PERIOD / probe.PERIOD_S
     size = FRAME_BYTES + m.least("messages", "ping with 6 rumors, bytes")
     yield _bytes(
@@ -223,7 +178,7 @@
     yield from _list(m)
 
 
-def _links(m: Measured) -> Iterator[Line]:
+def _links(m: figures.Measured) -> Iterator[Line]:
     others = min(target.NODES - 1, int(MESSAGES_PER_S * peers.LINK_IDLE_S))
     each_kb = m.slope("proxies", "one process, memory")
     yield Line(
@@ -246,7 +201,7 @@
     )
 
 
-def _fleet(m: Measured) -> Iterator[Line]:
+def _fleet(m: figures.Measured) -> Iterator[Line]:
     rate = target.FLEET_CHANGES_PER_S
     quantity = "core, a fleet change, no database"
     change_s = m.at("members", quantity, target.NODES) / US
@@ -279,7 +234,7 @@
     )
 
 
-def _list(m: Measured) -> Iterator[Line]:
+def _list(m: figures.Measured) -> Iterator[Line]:
     size = m.at("host-list", "host list, bytes", target.NODES)
     yield _bytes(
         "member",
@@ -307,7 +262,7 @@
     )
 
 
-def _settings(m: Measured) -> Iterator[Line]:
+def _settings(m: figures.Measured) -> Iterator[Line]:
     count = target.DATABASES
     each_b = m.slope("document", "document, bytes")
     size = count * each_b
@@ -405,7 +360,7 @@
     )
 
 
-_PARTS: tuple[Callable[[Measured], Iterator[Line]], ...] = (
+_PARTS: tuple[Callable[[figures.Measured], Iterator[Line]], ...] = (
     _entry,
     _home,
     _watcher,
--- a/capacity/page.py
+++ b/capacity/page.py
@@ -10,7 +10,7 @@
 import re
 from typing import TYPE_CHECKING
 
-from capacity import budget
+from capacity import budget, figures
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -25,13 +25,13 @@
 def main() -> None:
     """Writes the page with the tables of the newest run."""
     text = PAGE.read_text(encoding="utf-8")
-    for name, table in tables(budget.load(MEASURED)).items():
+    for name, table in tables(figures.load(MEASURED)).items():
         section = SECTION.format(name, table)
         text = re.sub(_pattern(name), lambda _, new=section: new, text)
     PAGE.write_text(text, encoding="utf-8")
 
 
-def tables(measured: budget.Measured) -> dict[str, str]:
+def tables(measured: figures.Measured) -> dict[str, str]:
     """Returns the page's tables by the name of their section."""
     lines = list(budget.work_out(measured))
     return {
@@ -45,7 +45,7 @@
     return re.compile(f"{start}.*?{end}", re.DOTALL)
 
 
-def _slopes(measured: budget.Measured) -> Iterator[str]:
+def _slopes(measured: figures.Measured) -> Iterator[str]:
     yield (
         "| command `python -m capacity ...` | quantity | at size 0 "
         "| for one more | lowest to highest |"
--- a/tests/lib/removals.py
+++ b/tests/lib/removals.py
@@ -22,6 +22,7 @@
 PROOFS = (
     "tests/functional/test_replays.py",
     "tests/functional/test_request_promises.py",
+    "tests/functional/test_transaction_promises.py",
     "tests/functional/test_request_model.py",
 )
 FAILED = re.compile(r"^FAILED \S+::(\S+)", re.MULTILINE)
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -238,3 +238,29 @@
         planned_stop,
     )
 }
+
+
+def begin(played, proxy, conn=1):
+    begin_id = played.new_id()
+    req = inside(played, request.Kind.BEGIN, begin_id)
+    assert played.ask(proxy, req, conn).error is None
+    return begin_id
+
+
+def step(played, begin_id, tag):
+    return inside(played, request.Kind.STEP, begin_id, add(tag))
+
+
+def commit(played, begin_id, **fields):
+    return inside(played, request.Kind.COMMIT, begin_id, **fields)
+
+
+def outcome_of(played, request_id, **fields):
+    return request.Request(
+        played.new_id(),
+        "pay",
+        "db",
+        request.Kind.OUTCOME,
+        transaction=request_id,
+        **fields,
+    )
