Use the field's terms where names were metaphors

Read as a newcomer: Audience, Tidy, Hold, Verdict and Ruling, Departure, words, Standing (of two kinds), crowded and turns needed explaining. Now participants, repair, election, retry and Decision, shutdown, status, ReplicaStatus and permanent connections, limit and multiplexing.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -281,14 +281,14 @@
             self._detail,
             _STATES[word],
             decode_position(place),
-            _decode_standing(self._rows),
+            _decode_status(self._rows),
         )
         self.__init__()
         return reply
 
 
-def _decode_standing(rows: list[str]) -> sessions.Standing | None:
-    """Returns the standing in a status row, None where there is none."""
+def _decode_status(rows: list[str]) -> sessions.ReplicaStatus | None:
+    """Returns the status in a status row, None where there is none."""
     if len(rows) != 1:
         return None
     fields = rows[0].split(" ")
@@ -298,7 +298,7 @@
     if not all(number.isdecimal() for number in numbers):
         return None
     received = decode_position(fields[2]) or position.ORIGIN
-    return sessions.Standing(
+    return sessions.ReplicaStatus(
         role=_ROLES[fields[0]],
         term=int(fields[1]),
         received=received,
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -99,10 +99,10 @@
         def reply(
             failure: sessions.Failure | None = None,
             rows: tuple[str, ...] = (),
-            standing: sessions.Standing | None = None,
+            status: sessions.ReplicaStatus | None = None,
         ) -> None:
-            if standing is not None:
-                rows = (_status(standing),)
+            if status is not None:
+                rows = (_status(status),)
             if not done.done():
                 done.set_result((failure, rows))
 
@@ -171,11 +171,11 @@
     return sessions.Statement(statement_id, verb, text, argument=argument)
 
 
-def _status(standing: sessions.Standing) -> str:
+def _status(status: sessions.ReplicaStatus) -> str:
     return (
-        f"{standing.role.value} {standing.term} "
-        f"{_place(standing.received)} {standing.held_term} 0 0 "
-        f"{standing.connections}"
+        f"{status.role.value} {status.term} "
+        f"{_place(status.received)} {status.held_term} 0 0 "
+        f"{status.connections}"
     )
 
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
@@ -59,9 +59,9 @@
         """Tells whether it has applied the entry at `wanted`."""
         return self.applied_position() >= wanted
 
-    def standing(self) -> sessions.Standing:
+    def status(self) -> sessions.ReplicaStatus:
         """Returns what a status call tells."""
-        return sessions.Standing(
+        return sessions.ReplicaStatus(
             self.role, self.term, self.received(), self.held_term, 0.0, 0, 1
         )
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/statements.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/statements.py
@@ -50,20 +50,20 @@
     call: sessions.UpstreamCall,
     reply: Reply,
 ) -> None:
-    """Runs `call`; `reply(failure, rows, standing)` is called once."""
+    """Runs `call`; `reply(failure, rows, status)` is called once."""
     member = session.member
     match call:
         case sessions.AskStatus():
-            reply(standing=member.standing())
+            reply(status=member.status())
         case sessions.Pause():
             group.pause(member, call.term)
-            reply(standing=member.standing())
+            reply(status=member.status())
         case sessions.Resume():
             member.held_term = 0
-            reply(standing=member.standing())
+            reply(status=member.status())
         case sessions.StepDown():
             group.step_down(member, call.term)
-            reply(standing=member.standing())
+            reply(status=member.status())
         case sessions.SetValue():
             session.values[call.name] = call.value
             reply()
--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -44,14 +44,14 @@
     """A member of a replica set.
 
     Attributes:
-      standing: its last word, or None.
+      status: its last word, or None.
       asked_at: when that was asked for; seconds, this host's clock.
       failing_since: the first of the calls in a row that failed, or None.
       stalled_since: since when a write is unanswered, or None.
     """
 
     entry: Entry
-    standing: sessions.Standing | None
+    status: sessions.ReplicaStatus | None
     asked_at: float
     failing_since: float | None
     stalled_since: float | None = None
--- a/packages/fescueshunt/src/fescueshunt/core/sessions.py
+++ b/packages/fescueshunt/src/fescueshunt/core/sessions.py
@@ -163,7 +163,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskStatus(UpstreamCall):
-    """Asks for the upstream's standing in its replica set."""
+    """Asks for the upstream's place in its replica set."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,7 +196,7 @@
       detail: the upstream's text about the failure.
       state: the state of the connection after the call.
       applied: the log position that the upstream had applied, or None.
-      standing: the standing, for calls that return it.
+      status: the upstream's place in its replica set, if the call tells it.
     """
 
     rows: tuple[str, ...]
@@ -205,7 +205,7 @@
     detail: str
     state: TransactionState
     applied: position.Position | None
-    standing: Standing | None = None
+    status: ReplicaStatus | None = None
 
 
 class ReplicaRole(enum.Enum):
@@ -217,7 +217,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Standing:
+class ReplicaStatus:
     """An upstream's own word on its place in its replica set.
 
     Attributes:
--- a/packages/fescueshunt/src/fescueshunt/replicas/lead.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/lead.py
@@ -25,7 +25,7 @@
     """A member: its entry and its last word."""
 
     entry: replica_sets.Entry
-    standing: sessions.Standing | None = None
+    status: sessions.ReplicaStatus | None = None
     asked_at: float = replica_sets.NEVER
     failing_since: float | None = None
     stalled_since: float | None = None
@@ -68,13 +68,13 @@
     return Lead(leading[0], 0, lease_until)
 
 
-def by_words(members: Iterable[Tracked]) -> Lead:
+def by_status(members: Iterable[Tracked]) -> Lead:
     """Returns who leads by what the members say themselves."""
-    heard = [member for member in members if member.standing is not None]
+    heard = [member for member in members if member.status is not None]
     leading = [
-        (member.standing.term, member.entry.upstream)
+        (member.status.term, member.entry.upstream)
         for member in heard
-        if member.standing.role is sessions.ReplicaRole.PRIMARY
+        if member.status.role is sessions.ReplicaRole.PRIMARY
     ]
     if not leading:
         return NOBODY
@@ -82,7 +82,7 @@
     times = sorted(
         member.asked_at
         for member in heard
-        if member.standing.term <= term and member.standing.held_term <= term
+        if member.status.term <= term and member.status.held_term <= term
     )
     if len(times) < CONFIRMING_MEMBERS:
         return Lead(primary, term, replica_sets.NEVER)
--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -1,4 +1,4 @@
-"""Asks members for their standing, where there is doubt.
+"""Asks members for their status, where there is doubt.
 
 Ordinary replies tell most. A status call goes to a member that is suspected,
 and to two members of a set whose primary must be confirmed without the store.
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -163,11 +163,11 @@
             member.failing_since = None
         elif item.sent:
             member.failing_since = member.failing_since or item.asked_at
-        standing = item.reply.standing if item.reply is not None else None
-        if standing is not None and item.asked_at > member.asked_at:
-            member.standing = standing
+        status = item.reply.status if item.reply is not None else None
+        if status is not None and item.asked_at > member.asked_at:
+            member.status = status
             member.asked_at = item.asked_at
-            found.term = max(found.term, standing.term)
+            found.term = max(found.term, status.term)
             _sample_quorum(found)
         yield from self._publish(database, found, item.at)
 
@@ -183,7 +183,7 @@
                 "primary": found.last.primary,
                 "previous": before.primary,
                 "term": found.term,
-                "by": "record" if now < self._lease_until else "words",
+                "by": "record" if now < self._lease_until else "status",
             }
             yield session_items.Decided(now, "primary_changed", "", details)
         yield _view(database, found, now)
@@ -192,7 +192,7 @@
         members = found.members.values()
         if now < self._lease_until:
             return lead.by_record(found.record, members, self._lease_until)
-        spoken = lead.by_words(members)
+        spoken = lead.by_status(members)
         if spoken.primary and spoken.term >= found.term:
             return spoken
         return dataclasses.replace(found.last, until=replica_sets.NEVER)
@@ -214,7 +214,7 @@
         (
             member
             for member in found.members.values()
-            if member.standing is not None
+            if member.status is not None
         ),
         key=lambda member: member.asked_at,
         reverse=True,
@@ -222,7 +222,7 @@
     needed = max(len(found.members) - 1, 1)
     if len(heard) >= needed:
         newest = heard[:needed]
-        end = max(member.standing.received for member in newest)
+        end = max(member.status.received for member in newest)
         _add_sample(found, newest[-1].asked_at, end)
 
 
@@ -240,7 +240,7 @@
     members = tuple(
         replica_sets.MemberView(
             member.entry,
-            member.standing,
+            member.status,
             member.asked_at,
             member.failing_since,
             member.stalled_since,
--- a/packages/fescueshunt/src/fescueshunt/sessions/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/choose.py
@@ -43,7 +43,9 @@
         """Returns the upstreams that may run `work` now, the best first."""
 
     @abc.abstractmethod
-    def standing(self, view: replica_sets.ReplicaSetView) -> Mapping[str, bool]:
+    def permanent(
+        self, view: replica_sets.ReplicaSetView
+    ) -> Mapping[str, bool]:
         """Tells of each member whether a connection to it is always kept."""
 
 
@@ -59,7 +61,9 @@
         self._me = me.name
         self._zone = me.zone
 
-    def standing(self, view: replica_sets.ReplicaSetView) -> Mapping[str, bool]:
+    def permanent(
+        self, view: replica_sets.ReplicaSetView
+    ) -> Mapping[str, bool]:
         """Tells of each member whether a connection to it is always kept."""
         near = [
             member.upstream
--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -18,7 +18,7 @@
     session_items,
     sessions,
 )
-from fescueshunt.sessions import departure, items, readiness, steps
+from fescueshunt.sessions import items, readiness, shutdown, steps
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -65,7 +65,7 @@
     def __init__(self, grace_s: float) -> None:
         self._sessions: dict[int, Session] = {}
         self._routes: routes.RoutesView | None = None
-        self._departure = departure.Departure(grace_s)
+        self._shutdown = shutdown.Shutdown(grace_s)
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers, and work for upstreams."""
@@ -88,10 +88,10 @@
                 yield item
             case items.ReadinessView():
                 cut_off = item.reason == readiness.CUT_OFF
-                self._departure.set_cut_off(cut_off, item.at)
+                self._shutdown.set_cut_off(cut_off, item.at)
                 yield item
             case process.StopAsked():
-                self._departure.begin(item.at)
+                self._shutdown.begin(item.at)
                 yield item
             case _:
                 yield item
@@ -329,18 +329,18 @@
         return self._routes.routes.get(session.route)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
-        if self._departure.is_idle:
+        if self._shutdown.is_idle:
             return
         for session in list(self._sessions.values()):
             idle = session.work is None
-            if self._departure.should_close(
+            if self._shutdown.should_close(
                 now, idle, session.state is not IDLE
             ):
                 del self._sessions[session.client]
                 yield session_items.CloseSession(now, session.client)
                 if session.is_upstream:
                     yield items.EndTransaction(now, session.client)
-        if self._departure.is_over(now, len(self._sessions)):
+        if self._shutdown.is_over(now, len(self._sessions)):
             yield process.Stopped(now)
 
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -24,8 +24,8 @@
     pools,
     queue,
     reports,
+    retry,
     steps,
-    verdict,
     watchdog,
 )
 
@@ -38,7 +38,7 @@
 
 BUSY_PAUSE_S = 0.01
 REPORT_EVERY_S = 2.0
-CROWDED = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
+AT_LIMIT = frozenset({sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY})
 
 
 class Dispatch(filters.Filter):
@@ -97,7 +97,7 @@
             yield from self._start(start.link, start.work, start.since, now)
         if len(self._queue):
             yield from self._queue.open_missing(now)
-            yield from self._queue.want_words(now)
+            yield from self._queue.request_status(now)
 
     def _start(
         self,
@@ -176,8 +176,8 @@
             yield items.WorkDone(item.at, work, reply, None, "", link.upstream)
             return
         is_final = steps.is_final(call)
-        ruling = verdict.on_reply(work, reply, is_final, item.at)
-        yield from self._rule(work, ruling, reply, link, item.at)
+        decision = retry.on_reply(work, reply, is_final, item.at)
+        yield from self._retry_or_fail(work, decision, reply, link, item.at)
 
     def _settle(
         self,
@@ -200,21 +200,26 @@
         else:
             yield from self._roll_back(link, now)
 
-    def _rule(
+    def _retry_or_fail(
         self,
         work: items.Work,
-        ruling: verdict.Ruling,
+        decision: retry.Decision,
         reply: sessions.UpstreamReply | None,
         link: pool.Link,
         now: float,
     ) -> Iterator[filters.Item]:
         """Tries again, or ends the work."""
-        if ruling.failure is not None:
+        if decision.failure is not None:
             yield items.WorkDone(
-                now, work, reply, ruling.failure, ruling.detail, link.upstream
+                now,
+                work,
+                reply,
+                decision.failure,
+                decision.detail,
+                link.upstream,
             )
             return
-        if ruling.avoid:
+        if decision.avoid:
             work.avoid.add(link.upstream)
         else:
             work.not_before = now + BUSY_PAUSE_S
@@ -277,14 +282,14 @@
             return
         kept = self._pools.by_upstream[link.upstream]
         kept.refused = item.refusal is sessions.Failure.WRONG_UPSTREAM
-        is_crowded = item.refusal in CROWDED
-        if is_crowded:
-            self._pools.crowded(link, item.at)
+        is_at_limit = item.refusal in AT_LIMIT
+        if is_at_limit:
+            self._pools.reached_limit(link, item.at)
         elif link.state is pool.LinkState.OPENING:
             self._pools.failed(link, item.at)
             yield from asks.fail(kept, item.at)
         yield reports.link_failed(kept, link, item)
-        if not is_crowded:
+        if not is_at_limit:
             yield session_items.UpstreamSuspected(
                 item.at, link.upstream, item.error.code
             )
@@ -309,8 +314,8 @@
             yield asks.unanswered(link.ask, link.sent_at, now)
         if link.work is not None:
             work, link.work = link.work, None
-            ruling = verdict.on_loss(work, detail, now)
-            yield from self._rule(work, ruling, None, link, now)
+            decision = retry.on_loss(work, detail, now)
+            yield from self._retry_or_fail(work, decision, None, link, now)
         yield from self._pump(now)
 
     # Calls of our own.
@@ -352,7 +357,7 @@
         self._queue.see(view)
         for link in list(self._pools.set_members(view)):
             yield from self._drop(link, "upstream is gone", view.at)
-        self._pools.set_standing(self._placement.standing(view))
+        self._pools.set_permanent(self._placement.permanent(view))
         yield from self._pump(view.at)
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
@@ -388,7 +393,7 @@
 
     def _expire_waiting(self, now: float) -> Iterator[filters.Item]:
         for work, why in self._queue.overdue(now):
-            ruling = verdict.on_refusal(why)
+            decision = retry.on_refusal(why)
             yield items.WorkDone(
-                now, work, None, ruling.failure, ruling.detail, ""
+                now, work, None, decision.failure, decision.detail, ""
             )
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -19,10 +19,10 @@
 # The part of the connections beyond all shares that one host may take.
 BORROWED_SHARE = 1 / 3
 # After the upstream had no connection left, nothing is borrowed for this long.
-CROWDED_S = 0.5
+LIMITED_S = 0.5
 # Connections that hosts take turns with come free every few milliseconds.
-CROWDED_BACKOFF_S = 0.02
-TURN_S = 0.02
+LIMIT_BACKOFF_S = 0.02
+MULTIPLEXED_LINGER_S = 0.02
 LINGER_S = 1.5
 TELL_EVERY_S = 0.05
 # With more connections than this of its own a host need not take turns.
@@ -81,7 +81,7 @@
     Attributes:
       share: how many this host may always open.
       most: how many this host may open while others leave room.
-      is_standing: whether one connection is always kept.
+      is_permanent: whether one connection is always kept.
       asks: calls of our own that wait for a connection.
       failures: how many opens failed in a row.
       open_after: no connection is opened before.
@@ -93,8 +93,8 @@
     entry: replica_sets.Entry
     share: int = 1
     most: int = 1
-    crowded_until: float = 0.0
-    is_standing: bool = False
+    limited_until: float = 0.0
+    is_permanent: bool = False
     links: dict[int, Link] = dataclasses.field(default_factory=dict)
     asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
         default_factory=collections.deque
@@ -130,7 +130,7 @@
             return False
         if len(self.links) < self.share:
             return True
-        return len(self.links) < self.most and now >= self.crowded_until
+        return len(self.links) < self.most and now >= self.limited_until
 
     def opened(self) -> None:
         """Notes that a connection was opened."""
@@ -145,11 +145,11 @@
         self.told_at = now
         return True
 
-    def crowded(self, now: float, chance: random.Random) -> None:
+    def reached_limit(self, now: float, chance: random.Random) -> None:
         """Notes that the upstream had no connection left."""
-        self.crowded_until = now + CROWDED_S
+        self.limited_until = now + LIMITED_S
         self.heard_at = now
-        self.open_after = now + CROWDED_BACKOFF_S * chance.uniform(0.4, 1.0)
+        self.open_after = now + LIMIT_BACKOFF_S * chance.uniform(0.4, 1.0)
 
     def open_failed(self, now: float, chance: random.Random) -> None:
         """Puts off the next open, longer for each failure in a row."""
@@ -162,15 +162,15 @@
         opening = self.count(LinkState.OPENING)
         return len(self.links) > opening
 
-    def surplus(self, now: float, taking_turns: bool) -> list[Link]:
+    def surplus(self, now: float, multiplexing: bool) -> list[Link]:
         """Returns idle connections that nothing needed for a while.
 
         While hosts take turns, an idle connection goes back at once.
         """
         kept, linger_s = self.share, LINGER_S
-        if taking_turns and self.share <= SCARCE_SHARE:
-            kept, linger_s = 0, TURN_S
-        elif not self.is_standing:
+        if multiplexing and self.share <= SCARCE_SHARE:
+            kept, linger_s = 0, MULTIPLEXED_LINGER_S
+        elif not self.is_permanent:
             kept = 0
         unused = [
             link for link in self.idle_links() if now - link.since > linger_s
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -16,7 +16,7 @@
 
 OPEN_TIMEOUT_S = 1.0
 # After an upstream had no connection left, hosts take turns for this long.
-TURNS_S = 1.0
+MULTIPLEXING_S = 1.0
 
 
 class Pools:
@@ -29,7 +29,7 @@
         self._numbers = itertools.count(1)
         self._hosts = 1
         self._policies: dict[str, routes.ReplicaSetPolicy] = {}
-        self._turns_until = 0.0
+        self._multiplexing_until = 0.0
 
     def set_hosts(self, count: int) -> None:
         """Shares connections out between `count` hosts."""
@@ -61,11 +61,11 @@
                 yield from list(kept.links.values())
                 del self.by_upstream[upstream]
 
-    def set_standing(self, standing: Mapping[str, bool]) -> None:
+    def set_permanent(self, permanent: Mapping[str, bool]) -> None:
         """Takes over to which upstreams a connection is always kept."""
-        for upstream, is_standing in standing.items():
+        for upstream, is_permanent in permanent.items():
             if upstream in self.by_upstream:
-                self.by_upstream[upstream].is_standing = is_standing
+                self.by_upstream[upstream].is_permanent = is_permanent
 
     def open(self, kept: pool.Pool, now: float) -> filters.Item:
         """Begins to open a link."""
@@ -92,35 +92,35 @@
         if kept is not None:
             kept.open_failed(now, self._chance)
 
-    def crowded(self, link: pool.Link, now: float) -> None:
+    def reached_limit(self, link: pool.Link, now: float) -> None:
         """Notes that an upstream had no connection left for a link."""
-        self._turns_until = now + TURNS_S
+        self._multiplexing_until = now + MULTIPLEXING_S
         kept = self.by_upstream.get(link.upstream)
         if kept is not None:
-            kept.crowded(now, self._chance)
+            kept.reached_limit(now, self._chance)
 
     def upkeep(self, now: float) -> Iterator[filters.Item]:
-        """Opens the standing links that are missing, unless hosts take turns.
+        """Opens the permanent links that are missing, unless hosts take turns.
 
         Right after many hosts have started, the upstreams still count the
         connections of their former lives.
         """
-        taking_turns = now < self._turns_until
+        multiplexing = now < self._multiplexing_until
         for kept in self.by_upstream.values():
-            if taking_turns and kept.share <= pool.SCARCE_SHARE:
+            if multiplexing and kept.share <= pool.SCARCE_SHARE:
                 continue
             leaving = kept.entry.draining or not kept.entry.listed
-            missing = kept.is_standing and not kept.links and not leaving
+            missing = kept.is_permanent and not kept.links and not leaving
             if missing and kept.may_open(now):
                 yield self.open(kept, now)
 
     def surplus(self, now: float) -> list[pool.Link]:
         """Returns the idle links to close."""
-        taking_turns = now < self._turns_until
+        multiplexing = now < self._multiplexing_until
         return [
             link
             for kept in self.by_upstream.values()
-            for link in kept.surplus(now, taking_turns)
+            for link in kept.surplus(now, multiplexing)
         ]
 
     def overdue(self, now: float) -> list[pool.Link]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -83,12 +83,12 @@
             if opening < count and kept.may_open(now):
                 yield self._pools.open(kept, now)
 
-    def want_words(self, now: float) -> Iterator[filters.Item]:
-        """Asks for the members' words where a statement waits for them."""
+    def request_status(self, now: float) -> Iterator[filters.Item]:
+        """Asks for the members' status where a statement waits for them."""
         for work in self._works:
             database = work.route.database
             asked_at = self._wanted_at.get(database, 0.0)
-            if now - asked_at >= WANT_EVERY_S and self._lacks_word(work, now):
+            if now - asked_at >= WANT_EVERY_S and self._needs_status(work, now):
                 self._wanted_at[database] = now
                 yield session_items.ConfirmationWanted(now, database)
 
@@ -109,13 +109,13 @@
         by_upstream = self._pools.by_upstream
         return self._placement.choices(work, view, by_upstream, now)
 
-    def _lacks_word(self, work: items.Work, now: float) -> bool:
+    def _needs_status(self, work: items.Work, now: float) -> bool:
         view = self._views.get(work.route.database)
         if view is None:
             return False
         primary = self._pools.by_upstream.get(view.primary)
         has_link = primary is not None and primary.has_open_link()
-        return waiting.lacks_word(work, view, has_link, now)
+        return waiting.needs_status(work, view, has_link, now)
 
     def _why(self, work: items.Work, now: float) -> str:
         view = self._views.get(work.route.database)
--- a/packages/fescueshunt/src/fescueshunt/sessions/verdict.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/retry.py
@@ -21,7 +21,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ruling:
+class Decision:
     """What follows.
 
     Attributes:
@@ -39,39 +39,39 @@
     reply: sessions.UpstreamReply,
     is_final: bool,
     now: float,
-) -> Ruling:
-    """Rules on a reply that is no success.
+) -> Decision:
+    """Decides on a reply that is no success.
 
     `is_final` tells whether it is to the client's statement itself.
     """
     not_run = not is_final or reply.failure in sessions.NOT_RUN
     if not_run and _may_move(work) and _has_time(work, now):
         is_busy = reply.failure is sessions.Failure.BUSY
-        return Ruling(None, avoid=not is_busy)
+        return Decision(None, avoid=not is_busy)
     failure = reply.failure
     if not is_final:
         failure = sessions.Failure.BUSY
     if work.in_transaction and failure is sessions.Failure.NO_STATEMENT:
         failure = sessions.Failure.ABORTED
-    return Ruling(failure, reply.detail)
+    return Decision(failure, reply.detail)
 
 
-def on_loss(work: items.Work, detail: str, now: float) -> Ruling:
-    """Rules on a connection that was lost with `work` on it."""
+def on_loss(work: items.Work, detail: str, now: float) -> Decision:
+    """Decides on a connection that was lost with `work` on it."""
     if work.sent and steps.commits(work):
-        return Ruling(sessions.Failure.IN_DOUBT, detail)
+        return Decision(sessions.Failure.IN_DOUBT, detail)
     if _may_move(work) and _has_time(work, now):
-        return Ruling(None)
+        return Decision(None)
     if work.in_transaction:
-        return Ruling(sessions.Failure.ABORTED, detail)
+        return Decision(sessions.Failure.ABORTED, detail)
     if now > work.expire_at:
-        return Ruling(sessions.Failure.TIMEOUT, detail)
-    return Ruling(sessions.Failure.BUSY, detail)
+        return Decision(sessions.Failure.TIMEOUT, detail)
+    return Decision(sessions.Failure.BUSY, detail)
 
 
-def on_refusal(why: str) -> Ruling:
-    """Rules on work that could not be sent in time, for the reason `why`."""
-    return Ruling(sessions.Failure.BUSY, why)
+def on_refusal(why: str) -> Decision:
+    """Decides on work that could not be sent in time, for the reason `why`."""
+    return Decision(sessions.Failure.BUSY, why)
 
 
 def _may_move(work: items.Work) -> bool:
--- a/packages/fescueshunt/src/fescueshunt/sessions/departure.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -8,7 +8,7 @@
 END_MARGIN_S = 0.7
 
 
-class Departure:
+class Shutdown:
     """A graceful stop: who may still finish what, until when."""
 
     def __init__(self, grace_s: float) -> None:
--- a/packages/fescueshunt/src/fescueshunt/sessions/waiting.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/waiting.py
@@ -11,7 +11,7 @@
     from fescueshunt.sessions import items
 
 
-def lacks_word(
+def needs_status(
     work: items.Work,
     view: replica_sets.ReplicaSetView,
     has_link: bool,
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fescueshunt.takeover import audience, items
+    from fescueshunt.takeover import items, participants
 
 FENCE_TIMEOUT_S = 2.0
 CALL_TIMEOUT_S = 0.5
@@ -36,7 +36,7 @@
 CLOCK_MARGIN_S = 0.05
 # A host that has not acknowledged by then loses its lease.
 PATIENCE_S = 0.5
-AUDIENCE_TIMEOUT_S = 6.0
+ACKNOWLEDGE_TIMEOUT_S = 6.0
 # The promotion must be sent this soon after the check of the duty was sent.
 CHECK_VALID_S = 0.3
 LEAD_TIMEOUT_S = 3.0
@@ -104,7 +104,7 @@
         self,
         item: filters.Item,
         duty: items.DutyView,
-        hosts: audience.Audience,
+        hosts: participants.Participants,
     ) -> Iterator[filters.Item]:
         """Takes the attempt on with a reply, a change or the time."""
         match item:
@@ -171,33 +171,33 @@
     ) -> Iterator[filters.Item]:
         if item.upstream not in self._members or item.reply is None:
             return
-        standing = item.reply.standing
-        if standing is None:
+        status = item.reply.status
+        if status is None:
             return
         if self._step is Step.FOLLOWING:
-            yield from self._look_for_leader(item.upstream, standing, item.at)
+            yield from self._look_for_leader(item.upstream, status, item.at)
         elif self._is_fence_reply(item):
-            yield from self._take_fence(item.upstream, standing, item.at)
+            yield from self._take_fence(item.upstream, status, item.at)
 
     def _is_fence_reply(self, item: session_items.UpstreamAnswered) -> bool:
         is_fencing = self._step in (Step.FENCING, Step.WAITING)
         return is_fencing and item.call == self._call_for(item.upstream)
 
     def _take_fence(
-        self, upstream: str, standing: sessions.Standing, now: float
+        self, upstream: str, status: sessions.ReplicaStatus, now: float
     ) -> Iterator[filters.Item]:
-        is_primary = standing.role is sessions.ReplicaRole.PRIMARY
+        is_primary = status.role is sessions.ReplicaRole.PRIMARY
         if is_primary and upstream != self.old_primary:
             self.target = upstream
-            yield from self._lead_seen(upstream, standing.term, now)
+            yield from self._lead_seen(upstream, status.term, now)
             return
-        highest = max(standing.term, standing.held_term)
+        highest = max(status.term, status.held_term)
         stepped_down = upstream == self.old_primary and not is_primary
-        if not stepped_down and standing.held_term != self._term:
+        if not stepped_down and status.held_term != self._term:
             yield from self._raise_term(highest, now)
             return
         self._stepped_down = self._stepped_down or stepped_down
-        self._ends[upstream] = standing.received
+        self._ends[upstream] = status.received
         if self._step is Step.FENCING and self._has_fence():
             self._fenced_at = now
             self._enter(Step.WAITING, now)
@@ -234,7 +234,7 @@
         )
 
     def _tick(
-        self, now: float, hosts: audience.Audience
+        self, now: float, hosts: participants.Participants
     ) -> Iterator[filters.Item]:
         waited_s = now - self._entered_at
         match self._step:
@@ -266,14 +266,14 @@
             yield from self._give_up("no fence", now)
 
     def _tick_waiting(
-        self, now: float, waited_s: float, hosts: audience.Audience
+        self, now: float, waited_s: float, hosts: participants.Participants
     ) -> Iterator[filters.Item]:
         missing = hosts.missing(self._database, self._record_revision)
         if missing and waited_s > PATIENCE_S and not self._evicted:
             self._evicted = True
             for lease in missing.values():
                 yield store_items.EndLease(now, lease)
-        if waited_s > AUDIENCE_TIMEOUT_S:
+        if waited_s > ACKNOWLEDGE_TIMEOUT_S:
             yield from self._give_up("hosts did not acknowledge", now)
             return
         fence_s = now - self._fenced_at
@@ -354,11 +354,11 @@
             )
 
     def _look_for_leader(
-        self, upstream: str, standing: sessions.Standing, now: float
+        self, upstream: str, status: sessions.ReplicaStatus, now: float
     ) -> Iterator[filters.Item]:
-        leads = standing.role is sessions.ReplicaRole.PRIMARY
+        leads = status.role is sessions.ReplicaRole.PRIMARY
         if upstream == self.target and leads:
-            yield from self._lead_seen(upstream, standing.term, now)
+            yield from self._lead_seen(upstream, status.term, now)
 
     def _lead_seen(
         self, upstream: str, term: int, now: float
--- a/packages/fescueshunt/src/fescueshunt/takeover/hold.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/election.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class HoldState:
+class ElectionState:
     """The duty as this host knows it.
 
     Attributes:
@@ -54,12 +54,12 @@
     stopping: bool = False
 
 
-class Hold(filters.Filter):
+class Election(filters.Filter):
     """Takes the duty when it is free and this host's turn has come."""
 
     def __init__(self, me: str) -> None:
         self._me = me
-        self._state = HoldState()
+        self._state = ElectionState()
         self._hosts: frozenset[str] = frozenset((me,))
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
 
--- a/packages/fescueshunt/src/fescueshunt/takeover/audience.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/participants.py
@@ -10,7 +10,7 @@
     from collections.abc import Mapping
 
 
-class Audience:
+class Participants:
     """Live hosts with their leases, hosts that went, acknowledgements.
 
     A host that went may have lost its key while it believes in its lease for
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -10,7 +10,7 @@
     session_items,
     store_items,
 )
-from fescueshunt.takeover import acknowledge, hold, replace, vote
+from fescueshunt.takeover import acknowledge, election, replace, vote
 
 ACCEPTS = (
     filters.Tick,
@@ -30,7 +30,7 @@
 def build(me: identity.Identity) -> filters.Pipe:
     """Returns the takeover pipe of the host `me`."""
     stages = (
-        hold.Hold(me.name),
+        election.Election(me.name),
         acknowledge.Acknowledge(me.name),
         vote.Vote(me.name),
         replace.Replace(me.name),
--- a/packages/fescueshunt/src/fescueshunt/takeover/tidy.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/repair.py
@@ -17,7 +17,7 @@
 LOOK_FOR_S = 15.0
 
 
-class Tidy:
+class Repair:
     """Looks after each database whose primary changed, for a while."""
 
     def __init__(self) -> None:
@@ -25,12 +25,12 @@
         self._until: dict[str, float] = {}
         self._seen: dict[str, tuple[str, bool]] = {}
         self._in_order: dict[str, set[str]] = {}
-        self._standings: dict[str, sessions.Standing] = {}
+        self._statuses: dict[str, sessions.ReplicaStatus] = {}
 
     def hear(self, item: session_items.UpstreamAnswered) -> None:
-        """Notes a member's standing."""
-        if item.reply is not None and item.reply.standing is not None:
-            self._standings[item.upstream] = item.reply.standing
+        """Notes a member's status."""
+        if item.reply is not None and item.reply.status is not None:
+            self._statuses[item.upstream] = item.reply.status
 
     def tick(
         self,
@@ -49,7 +49,7 @@
                 self._until[database] = now + LOOK_FOR_S
                 self._in_order[database] = set()
                 for member in view.members:
-                    self._standings.pop(member.upstream, None)
+                    self._statuses.pop(member.upstream, None)
             moving = view.is_moving or database in busy or not view.primary
             if not moving and now < self._until[database] and view.term:
                 yield from self._look(view, now)
@@ -62,8 +62,8 @@
             name = member.upstream
             if name == view.primary or name in in_order:
                 continue
-            standing = self._standings.pop(name, None)
-            call = _call_for(standing, view.term)
+            status = self._statuses.pop(name, None)
+            call = _call_for(status, view.term)
             if call is None:
                 in_order.add(name)
                 continue
@@ -73,13 +73,13 @@
 
 
 def _call_for(
-    standing: sessions.Standing | None, term: int
+    status: sessions.ReplicaStatus | None, term: int
 ) -> sessions.UpstreamCall | None:
     """Returns what to send to a replica, None if it is in order."""
-    if standing is None:
+    if status is None:
         return sessions.AskStatus()
-    if standing.role is sessions.ReplicaRole.PRIMARY:
+    if status.role is sessions.ReplicaRole.PRIMARY:
         return sessions.StepDown(term)
-    if standing.held_term:
+    if status.held_term:
         return sessions.Resume()
     return None
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -17,7 +17,7 @@
     session_items,
     store_items,
 )
-from fescueshunt.takeover import attempt, audience, cause, items, tidy
+from fescueshunt.takeover import attempt, cause, items, participants, repair
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -35,14 +35,14 @@
     def __init__(self, me: str) -> None:
         self._me = me
         self._duty = items.DutyView(0.0, 0, 0.0, 0.0)
-        self._audience = audience.Audience()
+        self._participants = participants.Participants()
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
         self._records: dict[str, leadership.Record] = {}
         self._findings: dict[str, items.FindingsView] = {}
         self._observers: dict[str, cause.Observer] = {}
         self._attempts: dict[str, attempt.Attempt] = {}
         self._after: dict[str, float] = {}
-        self._tidy = tidy.Tidy()
+        self._repair = repair.Repair()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the calls of attempts under way."""
@@ -54,11 +54,11 @@
             ):
                 self._note(item)
             case store_items.KeysListed():
-                self._audience.list(item)
+                self._participants.list(item)
                 for key, stored in item.keys.items():
                     self._note_record(key, stored)
             case store_items.KeyChanged():
-                self._audience.change(item)
+                self._participants.change(item)
                 if item.stored is not None:
                     self._note_record(item.key, item.stored)
                 yield from self._drive_all(item)
@@ -66,7 +66,7 @@
                 self._views[item.database] = item
                 yield from self._drive(item.database, item)
             case session_items.UpstreamAnswered():
-                self._tidy.hear(item)
+                self._repair.hear(item)
                 yield from self._drive_all(item)
             case store_items.PromotionAnswered():
                 yield from self._drive(item.database, item)
@@ -84,7 +84,7 @@
             case items.FindingsView():
                 self._findings[item.database] = item
             case store_items.LeaseView():
-                self._audience.ttl_s = item.ttl_s
+                self._participants.ttl_s = item.ttl_s
 
     def _note_record(self, key: str, stored: store_items.StoredKey) -> None:
         found = leadership.record_in(key, stored)
@@ -104,7 +104,7 @@
                 yield from self._consider(view, item.at)
         if item.at - self._duty.held_since > SETTLE_S:
             busy = self._attempts.keys()
-            yield from self._tidy.tick(self._views, busy, item.at)
+            yield from self._repair.tick(self._views, busy, item.at)
 
     def _consider(
         self, view: replica_sets.ReplicaSetView, now: float
@@ -143,7 +143,7 @@
         if not self._duty.is_held(item.at):
             yield from self._end(database, "duty lost", item.at)
             return
-        effects = current.handle(item, self._duty, self._audience)
+        effects = current.handle(item, self._duty, self._participants)
         yield from self._follow(database, effects, item.at)
 
     def _follow(
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -337,7 +337,7 @@
         def reply(
             failure: sessions.Failure | None = None,
             rows: tuple[str, ...] = (),
-            standing: sessions.Standing | None = None,
+            status: sessions.ReplicaStatus | None = None,
         ) -> None:
             answer = sessions.UpstreamReply(
                 rows,
@@ -346,7 +346,7 @@
                 "",
                 link.session.state,
                 link.member.applied_position(),
-                standing,
+                status,
             )
 
             def deliver() -> None:
--- a/tests/unit/test_lines.py
+++ b/tests/unit/test_lines.py
@@ -58,8 +58,8 @@
     assert decoder.feed("COMPLETE -") is None
     reply = decoder.feed("READY I 3.1204")
     assert reply.applied == position.Position(position.Term(3), 1204)
-    assert reply.standing.held_term == 4
-    assert reply.standing.connections == 17
+    assert reply.status.held_term == 4
+    assert reply.status.connections == 17
     with pytest.raises(errors.FrameError):
         decoder.feed("HELLO")
     with pytest.raises(errors.FrameError):
--- a/tests/unit/test_takeover_removals.py
+++ b/tests/unit/test_takeover_removals.py
@@ -10,7 +10,7 @@
 
 from fescueshunt.core import replica_sets, sessions, store_items
 from fescueshunt.sessions import choose
-from fescueshunt.takeover import attempt, audience
+from fescueshunt.takeover import attempt, participants
 from lib import hosted_clients, hosted_world
 
 WARM_S = 1.0
@@ -86,8 +86,8 @@
 
 
 def _without_acknowledgements(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(audience.Audience, "missing", lambda *_: {})
-    patch.setattr(audience.Audience, "is_over", lambda *_: True)
+    patch.setattr(participants.Participants, "missing", lambda *_: {})
+    patch.setattr(participants.Participants, "is_over", lambda *_: True)
 
 
 def _without_confirmation(patch: pytest.MonkeyPatch) -> None:
