--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/links.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/links.py
@@ -42,7 +42,7 @@
         listener = _Listener(self._joined, item.link, self._forget)
         try:
             link = await self._upstreams.connect(item.entry, listener)
-        except ports.RefusedError as exc:
+        except errors.RefusedError as exc:
             listener.lost(exc, exc.failure)
         except errors.FescueshuntError as exc:
             listener.lost(exc, None)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -6,12 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt import errors
-
 if TYPE_CHECKING:
     import contextlib
     from collections.abc import Callable, Mapping, Sequence
 
+    from fescueshunt import errors
     from fescueshunt.core import (
         replica_sets,
         routes,
@@ -20,18 +19,6 @@
     )
 
 
-class HistoryGoneError(errors.StoreUnavailableError):
-    """The store no longer knows the changes since the given revision."""
-
-    code = "history_gone"
-
-
-class LeaseEndedError(errors.StoreUnavailableError):
-    """The lease has ended."""
-
-    code = "lease_ended"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostSettings:
     """What a host is told at its start.
@@ -220,16 +207,6 @@
         """
 
 
-class RefusedError(errors.FescueshuntError):
-    """An upstream turned a connection away; `failure` says why."""
-
-    code = "connection_refused"
-
-    def __init__(self, failure: sessions.Failure, detail: str = "") -> None:
-        super().__init__(detail)
-        self.failure = failure
-
-
 class ClientConnection(abc.ABC):
     """A client's connection."""
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
@@ -55,7 +55,7 @@
         while True:
             try:
                 changes = await self._store.watch(revision, WATCH_WAIT_S)
-            except ports.HistoryGoneError:
+            except errors.HistoryGoneError:
                 self._logger.info("history_gone", revision=revision)
                 return
             except errors.StoreUnavailableError as exc:
@@ -160,7 +160,7 @@
         sent_at = self._joined.now()
         try:
             ttl_s = await self._store.renew_lease(item.lease)
-        except ports.LeaseEndedError:
+        except errors.LeaseEndedError:
             return store_items.LeaseLost(self._joined.now(), item.lease)
         except errors.StoreUnavailableError:
             now = self._joined.now()
@@ -184,7 +184,7 @@
                 item.key, item.value, item.lease, item.expected
             )
             done, revision = written is not None, written or 0
-        except ports.LeaseEndedError:
+        except errors.LeaseEndedError:
             done = False
         except errors.StoreUnavailableError:
             done = None
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -67,7 +67,7 @@
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
         if response.status == GONE:
-            raise ports.HistoryGoneError
+            raise errors.HistoryGoneError
         events = _decode(documents.Events, response)
         now = self._now()
         decoded = (documents.decode_change(e, now) for e in events.events)
@@ -102,7 +102,7 @@
         if response.status == CONDITION_FAILED:
             return None
         if response.status == NOT_FOUND:
-            raise ports.LeaseEndedError
+            raise errors.LeaseEndedError
         return _decode(documents.Written, response).revision
 
     async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
@@ -116,7 +116,7 @@
         """Renews a lease."""
         response = await self._send(self._client, "POST", f"/kv-keep/{lease}")
         if response.status == NOT_FOUND:
-            raise ports.LeaseEndedError
+            raise errors.LeaseEndedError
         return _decode(documents.Lease, response).ttl_ms / MS_PER_S
 
     async def end_lease(self, lease: int) -> None:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -94,7 +94,7 @@
         elif reply is not None:
             self._started.set_result(None)
         elif self._decoder.failure is not None:
-            refused = ports.RefusedError(
+            refused = errors.RefusedError(
                 self._decoder.failure, self._decoder.detail
             )
             self._started.set_exception(refused)
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import enum
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from fescueshunt.core import sessions
 
 
 class Outcome(enum.StrEnum):
@@ -215,6 +218,28 @@
     code = "statement_syntax"
 
 
+class HistoryGoneError(StoreUnavailableError):
+    """The store no longer knows the changes since the given revision."""
+
+    code = "history_gone"
+
+
+class LeaseEndedError(StoreUnavailableError):
+    """The lease has ended."""
+
+    code = "lease_ended"
+
+
+class RefusedError(FescueshuntError):
+    """An upstream turned a connection away; `failure` says why."""
+
+    code = "connection_refused"
+
+    def __init__(self, failure: sessions.Failure, detail: str = "") -> None:
+        super().__init__(detail)
+        self.failure = failure
+
+
 def by_code(code: str) -> type[FescueshuntError]:
     """Returns the error class of `code`, or the base for an unknown one."""
     return _BY_CODE.get(code, FescueshuntError)
