--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/plan.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/plan.py
@@ -10,6 +10,7 @@
 
 import pydantic
 
+from fescueshunt import errors
 from fescueshunt.core import request
 from fescueshunt_wire import ini
 
@@ -83,14 +84,16 @@
     Raises:
       InvalidSettingsError: with every invalid setting at once.
     """
-    problems: list[ini.Problem] = []
+    problems: list[errors.SettingProblem] = []
     found: dict[str, dict[str, Any]] = {"site": {}, "stream": {}, "phase": {}}
     models = {"site": SiteModel, "stream": StreamModel, "phase": PhaseModel}
     for header, values in ini.read_sections(path).items():
         kind, _, name = header.partition(" ")
         if kind not in models:
             problems.append(
-                ini.Problem(str(path), header, "", "", "expected a known kind")
+                errors.SettingProblem(
+                    str(path), header, "", "", "expected a known kind"
+                )
             )
             continue
         full: dict[str, Any] = dict(values)
@@ -102,5 +105,5 @@
         problems.extend(invalid)
         found[kind][name] = model
     if problems:
-        raise ini.InvalidSettingsError(problems)
+        raise errors.InvalidSettingsError(problems)
     return Plan(found["site"][""], found["stream"], found["phase"])
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from fescueshunt import errors
 from fescueshunt.core import document, validation
 from fescueshunt_wire import ini
 from fescueshunt_wire.models import base, documents
@@ -35,7 +36,7 @@
         reader.read(header, values)
     reader.join()
     if reader.problems:
-        raise ini.InvalidSettingsError(reader.problems)
+        raise errors.InvalidSettingsError(reader.problems)
     return reader.document()
 
 
@@ -47,7 +48,7 @@
         self._found: dict[str, dict[str, Any]] = {k: {} for k in _KINDS}
         self._databases: dict[str, tuple[str, dict[str, str]]] = {}
         self._joined: list[document.Database] = []
-        self.problems: list[ini.Problem] = []
+        self.problems: list[errors.SettingProblem] = []
 
     def read(self, header: str, values: ini.Section) -> None:
         """Reads one section."""
@@ -109,5 +110,7 @@
 
     def _add(self, header: str, key: str, value: str, expected: str) -> None:
         self.problems.append(
-            ini.Problem(self._file, header, key, value, f"expected {expected}")
+            errors.SettingProblem(
+                self._file, header, key, value, f"expected {expected}"
+            )
         )
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/access.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/access.py
@@ -107,31 +107,35 @@
     if not path:
         return Tokens(())
     operators: list[Operator] = []
-    problems: list[ini.Problem] = []
+    problems: list[errors.SettingProblem] = []
     for header, values in _sections(path).items():
         kind, _, name = header.partition(" ")
         if kind != KIND or not name:
             expected = f"expected [{KIND} NAME]"
-            problems.append(ini.Problem(path, header, "", "", expected))
+            problems.append(
+                errors.SettingProblem(path, header, "", "", expected)
+            )
             continue
         cfg, invalid = ini.validate(OperatorSettings, path, header, values)
         problems.extend(_hide(problem) for problem in invalid)
         if cfg is not None:
             operators.append(Operator(name, cfg.role, _digest_of(cfg)))
     if problems:
-        raise ini.InvalidSettingsError(problems)
+        raise errors.InvalidSettingsError(problems)
     return Tokens(tuple(operators))
 
 
 def _sections(path: str) -> dict[str, ini.Section]:
     try:
         return ini.read_sections(pathlib.Path(path))
-    except ini.InvalidSettingsError:
-        problem = ini.Problem(path, "", "", "(hidden)", "expected an INI file")
-    raise ini.InvalidSettingsError([problem])
+    except errors.InvalidSettingsError:
+        problem = errors.SettingProblem(
+            path, "", "", "(hidden)", "expected an INI file"
+        )
+    raise errors.InvalidSettingsError([problem])
 
 
-def _hide(problem: ini.Problem) -> ini.Problem:
+def _hide(problem: errors.SettingProblem) -> errors.SettingProblem:
     """Returns the problem without the value, which may be a secret."""
     return dataclasses.replace(problem, value="(hidden)")
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/daemon.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/daemon.py
@@ -8,8 +8,8 @@
 
 import defopt
 
+from fescueshunt import errors
 from fescueshunt_proxy._internal import access, root, settings
-from fescueshunt_wire import ini
 
 SUCCESS = 0
 FAILURE = 1
@@ -26,7 +26,7 @@
     try:
         cfg = settings.load(path)
         access.load(cfg.tokens_file)
-    except ini.InvalidSettingsError as exc:
+    except errors.InvalidSettingsError as exc:
         print(exc.detail, file=sys.stderr)
         return SETTINGS_INVALID
     if check_settings:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/daemon.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/daemon.py
@@ -6,9 +6,9 @@
 import pathlib
 import sys
 
+from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import root
 from fescueshunt_proxy.platform import settings
-from fescueshunt_wire import ini
 
 SUCCESS = 0
 SETTINGS_INVALID = 2
@@ -28,7 +28,7 @@
         return SETTINGS_INVALID
     try:
         cfg = settings.load(path)
-    except ini.InvalidSettingsError as exc:
+    except errors.InvalidSettingsError as exc:
         print(exc.detail, file=sys.stderr)
         return SETTINGS_INVALID
     if CHECK_SETTINGS in argv:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from fescueshunt import errors
 from fescueshunt_wire import ini
 
 if TYPE_CHECKING:
@@ -79,7 +80,9 @@
     """
     sections = ini.read_sections(path)
     problems = [
-        ini.Problem(str(path), name, "", "", f"expected only [{SECTION}]")
+        errors.SettingProblem(
+            str(path), name, "", "", f"expected only [{SECTION}]"
+        )
         for name in sections
         if name != SECTION
     ]
@@ -88,5 +91,5 @@
         values["seeds"] = ini.split(values["seeds"])
     cfg, invalid = ini.validate(ProxySettings, str(path), SECTION, values)
     if cfg is None or problems:
-        raise ini.InvalidSettingsError(problems + invalid)
+        raise errors.InvalidSettingsError(problems + invalid)
     return cfg
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
@@ -4,10 +4,11 @@
 
 import base64
 import binascii
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
-import pydantic
+import msgspec
 
+from fescueshunt import errors
 from fescueshunt.core import (
     replica_sets,
     routes,
@@ -20,9 +21,13 @@
 ENTRIES_PREFIX = "servers/"
 MS_PER_S = 1000
 
-Name = Annotated[str, pydantic.Field(min_length=1, max_length=200)]
-Count = Annotated[int, pydantic.Field(ge=0, strict=True)]
-Milliseconds = Annotated[float, pydantic.Field(ge=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+
+DocumentT = TypeVar("DocumentT")
 
 _CONSISTENCIES = {
     "primary": routes.Consistency.PRIMARY,
@@ -35,11 +40,7 @@
 }
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
-
-
-class _Route(_Model):
+class _Route(msgspec.Struct, frozen=True):
     # `db_name` is what clients start a session with; `service` is the replica
     # set that serves it.
     db_name: Name
@@ -51,40 +52,52 @@
     max_staleness_ms: Milliseconds = 0
 
 
-class _Service(_Model):
+class _Service(msgspec.Struct, frozen=True):
     name: Name
-    max_conns: Annotated[int, pydantic.Field(ge=1)]
+    max_conns: Positive
     sync_replicas: Count = 0
 
 
-class _Limits(_Model):
+class _Limits(msgspec.Struct, frozen=True):
     tx_idle_ms: Milliseconds = 3000
 
 
-class _Document(_Model):
+class _Document(msgspec.Struct, frozen=True):
     version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
 
 
-class _Beat(_Model):
+class _Beat(msgspec.Struct, frozen=True):
     service: Name
-    address: Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: Address
     zone: Name
-    slots: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    slots: Positive
     state: Literal["ready", "draining"]
     db_role: Literal["primary", "replica"]
-    born: Annotated[int, pydantic.Field(strict=True)] = 0
+    born: int = 0
+
+
+def decode(model: type[DocumentT], data: bytes) -> DocumentT:
+    """Returns what `data`, JSON, holds; fields that are not known are ignored.
+
+    Raises:
+      DocumentUnreadableError: if it is no valid `model`.
+    """
+    try:
+        return msgspec.json.decode(data, type=model)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise errors.DocumentUnreadableError(str(exc)) from exc
 
 
 def decode_routes(data: bytes, now: float) -> routes.RoutesView:
     """Returns the operator's document.
 
     Raises:
-      ValueError: if it can't be read.
+      DocumentUnreadableError: if it can't be read.
     """
-    document = _Document.model_validate_json(data)
+    document = decode(_Document, data)
     return routes.RoutesView(
         now,
         document.version,
@@ -115,9 +128,10 @@
     """Returns an upstream's entry.
 
     Raises:
-      ValueError: if another writer left something that names no upstream.
+      DocumentUnreadableError: if another writer left something that names no
+        upstream.
     """
-    beat = _Beat.model_validate_json(data)
+    beat = decode(_Beat, data)
     return replica_sets.Entry(
         upstream=upstream,
         database=beat.service,
@@ -130,7 +144,7 @@
     )
 
 
-class Item(_Model):
+class Item(msgspec.Struct, frozen=True, kw_only=True):
     """An item of the store, or the news that it was removed.
 
     Attributes:
@@ -152,7 +166,7 @@
             return b""
 
 
-class Range(_Model):
+class Range(msgspec.Struct, frozen=True, kw_only=True):
     """A page of items."""
 
     items: list[Item]
@@ -160,32 +174,68 @@
     as_of: int
 
 
-class Events(_Model):
+class Events(msgspec.Struct, frozen=True):
     """Changes since a revision."""
 
     events: list[Item]
     as_of: int
 
 
-class OneItem(Item):
+class OneItem(Item, frozen=True, kw_only=True):
     """The answer to a read of one key."""
 
     as_of: int
 
 
-class Lease(_Model):
+class Lease(msgspec.Struct, frozen=True, kw_only=True):
     """A lease, as granted or renewed."""
 
     lease_id: int = 0
     ttl_ms: float
 
 
-class Written(_Model):
+class Written(msgspec.Struct, frozen=True):
     """The answer to a change that was made."""
 
     revision: int
 
 
+class Expected(msgspec.Struct, frozen=True):
+    """A condition of a change; revision 0: there is no such key."""
+
+    key: str
+    revision: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """A key to write; `value` is base64, `lease_id` 0 means no lease."""
+
+    key: str
+    value: str
+    lease_id: int
+
+
+class Transaction(msgspec.Struct, frozen=True):
+    """A change that is made as a whole, or not at all."""
+
+    expected: list[Expected]
+    writes: list[Write]
+    remove: list[str]
+
+
+class LeaseRequest(msgspec.Struct, frozen=True):
+    """Asks for a lease."""
+
+    ttl_ms: int
+
+
+class Promotion(msgspec.Struct, frozen=True):
+    """Names the upstream `id` that is to lead `service`."""
+
+    service: str
+    id: str
+
+
 def encode_value(value: str) -> str:
     """Returns a value as the store takes it."""
     return base64.b64encode(value.encode()).decode()
@@ -212,8 +262,8 @@
 def _routes_change(item: Item, now: float) -> ports.Change:
     try:
         return ports.RoutesChange(decode_routes(item.data(), now))
-    except ValueError as exc:
-        return ports.RoutesChange(None, str(exc))
+    except errors.DocumentUnreadableError as exc:
+        return ports.RoutesChange(None, exc.detail)
 
 
 def _entry_change(item: Item) -> ports.Change:
@@ -222,5 +272,5 @@
         return ports.EntryChange(upstream, None)
     try:
         return ports.EntryChange(upstream, decode_entry(upstream, item.data()))
-    except ValueError:
+    except errors.DocumentUnreadableError:
         return ports.EntryChange(upstream, None, readable=False)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/duty.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
+import msgspec
 
 from fescueshunt_proxy._internal.hosted import ports
+from fescueshunt_proxy.platform import documents
 from fescueshunt_wire import http
 
 CALL_TIMEOUT_S = 0.8
@@ -21,7 +22,7 @@
         self, database: str, upstream: str, holder: str, token: int
     ) -> str:
         """Promotes; returns "" if it was done, else why not."""
-        body = json.dumps({"service": database, "id": upstream}).encode()
+        body = msgspec.json.encode(documents.Promotion(database, upstream))
         headers = {"Duty-Holder": holder, "Fencing-Token": str(token)}
         response = await self._client.call(
             "POST", "/promotion", CALL_TIMEOUT_S, body, headers
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/settings.py
@@ -6,33 +6,30 @@
 import pathlib
 from typing import Annotated
 
-import pydantic
+import msgspec
 
+from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
-from fescueshunt_wire import ini
+from fescueshunt_proxy.platform import documents
+from fescueshunt_wire import structs
 
 VARIABLE = "FESCUESHUNT_BOOT"
-Address = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+class _Listen(msgspec.Struct, frozen=True):
+    front: documents.Address
+    ready: documents.Address
 
 
-class _Listen(_Model):
-    front: Address
-    ready: Address
+class _Called(msgspec.Struct, frozen=True):
+    address: documents.Address
 
 
-class _Called(_Model):
-    address: Address
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: Annotated[float, msgspec.Meta(gt=0)]
 
 
-class _Bounds(_Model):
-    grace_s: float = pydantic.Field(gt=0)
-
-
-class Boot(_Model):
+class Boot(msgspec.Struct, frozen=True):
     """The fields that this program needs; others are ignored.
 
     Attributes:
@@ -40,14 +37,16 @@
       listen: `front` is where clients connect, `ready` where the balancer asks.
       platform: the platform's store.
       cloud_api: where promotions are ordered.
+      ip: this host's address, without a port.
     """
 
-    node_name: str = pydantic.Field(min_length=1)
-    zone: str = pydantic.Field(min_length=1)
+    node_name: documents.Name
+    zone: documents.Name
     listen: _Listen
     platform: _Called
     cloud_api: _Called
     bounds: _Bounds
+    ip: str = ""
 
 
 def path() -> pathlib.Path | None:
@@ -63,22 +62,11 @@
       InvalidSettingsError: with every problem at once.
     """
     try:
-        boot = Boot.model_validate_json(file.read_bytes())
-    except OSError as exc:
-        problem = ini.Problem(str(file), "", "", "", str(exc))
-        raise ini.InvalidSettingsError([problem]) from exc
-    except pydantic.ValidationError as exc:
-        problems = [
-            ini.Problem(
-                str(file),
-                "",
-                ".".join(map(str, error["loc"])),
-                "",
-                error["msg"],
-            )
-            for error in exc.errors()
-        ]
-        raise ini.InvalidSettingsError(problems) from exc
+        raw = documents.decode(dict[str, object], file.read_bytes())
+    except (OSError, errors.DocumentUnreadableError) as exc:
+        problem = errors.SettingProblem(str(file), "", "", "", str(exc))
+        raise errors.InvalidSettingsError([problem]) from exc
+    boot = structs.convert(Boot, raw, str(file))
     return ports.HostSettings(
         name=boot.node_name,
         zone=boot.zone,
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import urllib.parse
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING
 
-import pydantic
+import msgspec
 
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
@@ -28,8 +27,6 @@
 GONE = 410
 CONDITION_FAILED = 412
 
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
-
 
 class HttpStore(ports.Store):
     """One client for all calls; a waiting watch has a connection of its own."""
@@ -86,18 +83,14 @@
         self, key: str, value: str | None, lease: int, expected: int | None
     ) -> int | None:
         """Writes or removes a key."""
-        body: dict[str, Any] = {"expected": [], "writes": [], "remove": []}
+        body = documents.Transaction([], [], [])
         if expected is not None:
-            body["expected"] = [{"key": key, "revision": expected}]
+            body.expected.append(documents.Expected(key, expected))
         if value is None:
-            body["remove"] = [key]
+            body.remove.append(key)
         else:
-            written = {
-                "key": key,
-                "value": documents.encode_value(value),
-                "lease_id": lease,
-            }
-            body["writes"] = [written]
+            data = documents.encode_value(value)
+            body.writes.append(documents.Write(key, data, lease))
         response = await self._send(self._client, "POST", "/kv-txn", body)
         if response.status == CONDITION_FAILED:
             return None
@@ -107,7 +100,7 @@
 
     async def grant_lease(self, ttl_s: float) -> tuple[int, float]:
         """Returns a new lease and how long it holds."""
-        body = {"ttl_ms": int(ttl_s * MS_PER_S)}
+        body = documents.LeaseRequest(int(ttl_s * MS_PER_S))
         response = await self._send(self._client, "POST", "/kv-lease", body)
         lease = _decode(documents.Lease, response)
         return lease.lease_id, lease.ttl_ms / MS_PER_S
@@ -135,10 +128,10 @@
         client: http.Client,
         method: str,
         target: str,
-        body: dict[str, Any] | None = None,
+        body: msgspec.Struct | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> http.Response:
-        data = json.dumps(body).encode() if body is not None else b""
+        data = msgspec.json.encode(body) if body is not None else b""
         try:
             return await client.call(method, target, timeout_s, data)
         except errors.ConnectionLostError as exc:
@@ -164,7 +157,9 @@
         )
 
 
-def _decode(model: type[ModelT], response: http.Response) -> ModelT:
+def _decode(
+    model: type[documents.DocumentT], response: http.Response
+) -> documents.DocumentT:
     """Returns the body of a success.
 
     Raises:
@@ -173,6 +168,6 @@
     if response.status != OK:
         raise errors.StoreUnavailableError(f"status {response.status}")
     try:
-        return model.model_validate_json(response.body)
-    except ValueError as exc:
+        return documents.decode(model, response.body)
+    except errors.DocumentUnreadableError as exc:
         raise errors.StoreUnavailableError("unreadable answer") from exc
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/process.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/process.py
@@ -11,6 +11,7 @@
 
 import defopt
 
+from fescueshunt import errors
 from fescueshunt_wire import ini
 
 SETTINGS_EXIT_CODE = 2
@@ -27,8 +28,8 @@
         values = ini.read_sections(path).get(section, {})
         cfg, problems = ini.validate(model, str(path), section, values)
         if problems:
-            raise ini.InvalidSettingsError(problems)
-    except ini.InvalidSettingsError as exc:
+            raise errors.InvalidSettingsError(problems)
+    except errors.InvalidSettingsError as exc:
         print(exc.detail, file=sys.stderr)
         sys.exit(SETTINGS_EXIT_CODE)
     asyncio.run(_serve(running, cfg))
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/ini.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/ini.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import configparser
-import dataclasses
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import pydantic
@@ -17,35 +16,6 @@
 M = TypeVar("M", bound=pydantic.BaseModel)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """One invalid setting."""
-
-    file: str
-    section: str
-    key: str
-    value: str
-    expected: str
-
-    def __str__(self) -> str:
-        return (
-            f"{self.file}: [{self.section}] {self.key} = {self.value!r}: "
-            f"{self.expected}"
-        )
-
-
-class InvalidSettingsError(errors.SettingsError):
-    """A settings file has one or more invalid settings.
-
-    Attributes:
-      problems: all of them, in the order of the file.
-    """
-
-    def __init__(self, problems: list[Problem]) -> None:
-        super().__init__("\n".join(str(problem) for problem in problems))
-        self.problems = problems
-
-
 def read_sections(path: pathlib.Path) -> dict[str, Section]:
     """Returns the sections of the INI file at `path`.
 
@@ -57,14 +27,14 @@
         with path.open(encoding="utf-8") as stream:
             parser.read_file(stream, str(path))
     except (OSError, UnicodeDecodeError, configparser.Error) as exc:
-        problem = Problem(str(path), "", "", "", str(exc))
-        raise InvalidSettingsError([problem]) from exc
+        problem = errors.SettingProblem(str(path), "", "", "", str(exc))
+        raise errors.InvalidSettingsError([problem]) from exc
     return {name: dict(parser[name]) for name in parser.sections()}
 
 
 def validate(
     model: type[M], file: str, section: str, values: dict[str, Any]
-) -> tuple[M | None, list[Problem]]:
+) -> tuple[M | None, list[errors.SettingProblem]]:
     """Returns the model of one section, or the problems it has."""
     try:
         return model.model_validate(values), []
@@ -81,8 +51,8 @@
 
 def _problem(
     file: str, section: str, values: dict[str, Any], found: Any
-) -> Problem:
+) -> errors.SettingProblem:
     key = ".".join(str(part) for part in found["loc"]) or "(section)"
     first = str(found["loc"][0]) if found["loc"] else ""
     value = str(values.get(first, ""))
-    return Problem(file, section, key, value, found["msg"])
+    return errors.SettingProblem(file, section, key, value, found["msg"])
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 from typing import TYPE_CHECKING, ClassVar
 
@@ -94,6 +95,35 @@
     code = "settings_invalid"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingProblem:
+    """One invalid setting: where it stands, and what was expected there."""
+
+    file: str
+    section: str
+    key: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return (
+            f"{self.file}: [{self.section}] {self.key} = {self.value!r}: "
+            f"{self.expected}"
+        )
+
+
+class InvalidSettingsError(SettingsError):
+    """A settings file has one or more invalid settings.
+
+    Attributes:
+      problems: all of them, in the order of the file.
+    """
+
+    def __init__(self, problems: list[SettingProblem]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
 class RequestInvalidError(FescueshuntError):
     """A request names an unknown service or database, or is incomplete."""
 
@@ -218,6 +248,12 @@
     code = "statement_syntax"
 
 
+class DocumentUnreadableError(FescueshuntError):
+    """What another program wrote can't be read."""
+
+    code = "document_unreadable"
+
+
 class HistoryGoneError(StoreUnavailableError):
     """The store no longer knows the changes since the given revision."""
 
--- a/tests/unit/test_bench.py
+++ b/tests/unit/test_bench.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from fescueshunt import errors
 from fescueshunt_cli._internal.bench import arrivals, plan, samples
-from fescueshunt_wire import ini
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -22,7 +22,7 @@
 def test_every_invalid_setting_of_a_plan_is_told(tmp_path):
     path = tmp_path / "plan.ini"
     path.write_text("[site]\nstatement_ms = -1\n[phase calm]\nspeed = 3\n")
-    with pytest.raises(ini.InvalidSettingsError) as caught:
+    with pytest.raises(errors.InvalidSettingsError) as caught:
         plan.load(path)
     for key in ("statement_ms", "deployment", "speed"):
         assert key in caught.value.detail
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -8,12 +8,12 @@
 
 import pytest
 
+from fescueshunt import errors
 from fescueshunt.core import routes, sessions
 from fescueshunt.routing import adopt
 from fescueshunt.routing import items as routing_items
 from fescueshunt_proxy._internal.hosted import daemon, ports
 from fescueshunt_proxy.platform import documents, settings
-from fescueshunt_wire import ini
 
 ENTRY = {
     "service": "db1",
@@ -127,7 +127,7 @@
     broken = BOOT | {"zone": 3, "bounds": {"grace_s": -1}}
     del broken["listen"]
     file.write_text(json.dumps(broken))
-    with pytest.raises(ini.InvalidSettingsError) as caught:
+    with pytest.raises(errors.InvalidSettingsError) as caught:
         settings.load(file)
     keys = {problem.key for problem in caught.value.problems}
     assert keys == {"zone", "listen", "bounds.grace_s"}
--- a/tests/unit/test_settings_reference.py
+++ b/tests/unit/test_settings_reference.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from fescueshunt import errors
 from fescueshunt_cli._internal import deployment
 from fescueshunt_proxy._internal import access, daemon, settings
-from fescueshunt_wire import ini
 from fescueshunt_wire.models import documents
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -102,7 +102,7 @@
     text = text.replace("zone = Asia/Muscat", "zone = Asia/Nowhere")
     text = text.replace("rank = gate", "rank = gone")
     path = write(tmp_path / "d.ini", text)
-    with pytest.raises(ini.InvalidSettingsError) as caught:
+    with pytest.raises(errors.InvalidSettingsError) as caught:
         deployment.load(path)
     assert [problem.key for problem in caught.value.problems] == [
         "floor",
