Move the schedule of ranks into the core, for both front ends

Change: schedule, ranked and lane stand in core and order any Job, an abstract base class that the work of requests derives from; put_back and waiting are new.

--- a/packages/fescueshunt/src/fescueshunt/request/lane.py
+++ b/packages/fescueshunt/src/fescueshunt/core/lane.py
@@ -1,4 +1,4 @@
-"""The queue of one rank at one upstream: callers take turns."""
+"""The queue of one rank: callers take turns."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
-    from fescueshunt.request import items
+    from fescueshunt.core import schedule
 
 PACE_WEIGHT = 0.2
 
@@ -28,10 +28,10 @@
       started_at: the last start if work waited since, else None.
     """
 
-    callers: collections.OrderedDict[str, collections.deque[items.Work]] = (
+    callers: collections.OrderedDict[str, collections.deque[schedule.Job]] = (
         dataclasses.field(default_factory=collections.OrderedDict)
     )
-    late: list[items.Work] = dataclasses.field(default_factory=list)
+    late: list[schedule.Job] = dataclasses.field(default_factory=list)
     count: int = 0
     credit_s: float = 0.0
     interval_s: float = 0.0
@@ -40,13 +40,13 @@
     def __len__(self) -> int:
         return self.count + len(self.late)
 
-    def push(self, work: items.Work) -> None:
+    def push(self, work: schedule.Job) -> None:
         """Adds work that can meet its target."""
-        own = self.callers.setdefault(work.req.caller, collections.deque())
+        own = self.callers.setdefault(work.caller, collections.deque())
         own.append(work)
         self.count += 1
 
-    def pop(self) -> items.Work:
+    def pop(self) -> schedule.Job:
         """Takes the next work, of the caller whose turn it is."""
         if not self.callers:
             return self.late.pop()
@@ -57,6 +57,19 @@
         self.count -= 1
         return work
 
+    def put_back(self, work: schedule.Job) -> None:
+        """Returns work that was taken; its caller's turn comes first again."""
+        own = self.callers.setdefault(work.caller, collections.deque())
+        own.appendleft(work)
+        self.callers.move_to_end(work.caller, last=False)
+        self.count += 1
+
+    def waiting(self) -> Iterator[schedule.Job]:
+        """Yields all work that waits."""
+        for own in self.callers.values():
+            yield from own
+        yield from self.late
+
     def ahead_of(self, caller: str) -> int:
         """Returns how much work starts before the next of `caller`."""
         turns = len(self.callers.get(caller, ())) + 1
@@ -80,7 +93,9 @@
             self.interval_s += weight * (seen_s - self.interval_s)
         self.started_at = now if len(self) else None
 
-    def take(self, is_over: Callable[[items.Work], bool]) -> list[items.Work]:
+    def take(
+        self, is_over: Callable[[schedule.Job], bool]
+    ) -> list[schedule.Job]:
         """Takes out all work of which `is_over` is true."""
         taken = [work for work in self.late if is_over(work)]
         self.late = [work for work in self.late if not is_over(work)]
--- a/packages/fescueshunt/src/fescueshunt/request/ranked.py
+++ b/packages/fescueshunt/src/fescueshunt/core/ranked.py
@@ -16,19 +16,18 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.request import lane, schedule
+from fescueshunt.core import lane, schedule
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     from fescueshunt.core import document
-    from fescueshunt.request import items
 
 MIN_CEILING_SLOTS = 1
 
 
 class Ranked(schedule.Schedule):
-    """The queues of all ranks at one upstream."""
+    """The queues of all ranks."""
 
     def __init__(self) -> None:
         self._lanes: dict[int, lane.Lane] = {}
@@ -42,7 +41,7 @@
         return sum(len(queue) for queue in self._lanes.values())
 
     def offer(
-        self, work: items.Work, now: float, slots: schedule.Slots
+        self, work: schedule.Job, now: float, slots: schedule.Slots
     ) -> float | None:
         """Queues `work` if it can meet its goal."""
         order = work.rank.order
@@ -50,7 +49,7 @@
         queue = self._lanes.setdefault(order, lane.Lane())
         service_s = self._times.of(work)
         wait_s = self._wait_s(work, queue, slots)
-        goal = goal_of(work)
+        goal = work.goal
         if work.in_doubt or now + service_s > goal:
             return self._offer_late(work, queue, now, wait_s)
         if wait_s > 0 and now + wait_s + service_s > goal:
@@ -59,7 +58,7 @@
         return None
 
     def _offer_late(
-        self, work: items.Work, queue: lane.Lane, now: float, wait_s: float
+        self, work: schedule.Job, queue: lane.Lane, now: float, wait_s: float
     ) -> float | None:
         if not work.in_doubt and now + wait_s > work.deadline:
             return wait_s
@@ -67,13 +66,13 @@
         return None
 
     def _wait_s(
-        self, work: items.Work, queue: lane.Lane, slots: schedule.Slots
+        self, work: schedule.Job, queue: lane.Lane, slots: schedule.Slots
     ) -> float:
         """Returns the wait to expect; seconds."""
         if slots.busy < slots.total and not len(self):
             return 0.0
         order = work.rank.order
-        ahead = queue.ahead_of(work.req.caller) + len(queue.late)
+        ahead = queue.ahead_of(work.caller) + len(queue.late)
         own_s = (ahead + 1) * self._mean(order)
         urgent_s = 0.0
         owed = 0.0
@@ -91,9 +90,9 @@
 
     def pop(
         self, now: float, slots: schedule.Slots
-    ) -> tuple[items.Work | None, list[items.Work]]:
+    ) -> tuple[schedule.Job | None, list[schedule.Job]]:
         """Returns the work to start; refuses what would be late for sure."""
-        refused: list[items.Work] = []
+        refused: list[schedule.Job] = []
         order = self._choose(slots)
         if order is None:
             return None, refused
@@ -121,8 +120,8 @@
         share = int(slots.total * self._ranks[order].ceiling)
         return slots.running.get(order, 0) < max(share, MIN_CEILING_SLOTS)
 
-    def _is_hopeless(self, work: items.Work, now: float) -> bool:
-        return not work.in_doubt and now + self._times.of(work) > goal_of(work)
+    def _is_hopeless(self, work: schedule.Job, now: float) -> bool:
+        return not work.in_doubt and now + self._times.of(work) > work.goal
 
     def _charge(self, started: int, cost_s: float) -> None:
         for order, queue in self._lanes.items():
@@ -134,23 +133,30 @@
             if not len(waiting):
                 waiting.credit_s = min(waiting.credit_s, 0.0)
 
-    def cut(self, now: float) -> list[items.Work]:
-        """Takes out the work whose deadline has passed."""
-        return [
-            work
-            for queue in self._lanes.values()
-            for work in queue.take(lambda found: found.deadline <= now)
-        ]
-
-    def clear(self) -> list[items.Work]:
-        """Takes out all work."""
+    def put_back(self, work: schedule.Job) -> None:
+        """Returns popped work that could not start, and its charge."""
+        order = work.rank.order
+        cost_s = self._times.of(work)
+        queue = self._lanes[order]
+        queue.credit_s += cost_s * (1 - self._floor(order))
+        queue.put_back(work)
+
+    def waiting(self) -> Iterator[schedule.Job]:
+        """Yields all work that waits."""
+        for queue in self._lanes.values():
+            yield from queue.waiting()
+
+    def take(
+        self, is_over: Callable[[schedule.Job], bool]
+    ) -> list[schedule.Job]:
+        """Takes out the work of which `is_over` is true."""
         return [
             work
             for queue in self._lanes.values()
-            for work in queue.take(lambda _: True)
+            for work in queue.take(is_over)
         ]
 
-    def released(self, work: items.Work, held_s: float) -> None:
+    def released(self, work: schedule.Job, held_s: float) -> None:
         """Learns how long the work of a rank holds its slot."""
         self._times.note(work, held_s)
         order = work.rank.order
@@ -168,9 +174,3 @@
 
     def _mean(self, order: int) -> float:
         return self._mean_s.get(order, schedule.FIRST_SERVICE_S)
-
-
-def goal_of(work: items.Work) -> float:
-    """Returns when `work` must be answered to be worth its full value."""
-    came_at = work.deadline - work.req.timeout_s
-    return min(came_at + work.rank.target_s, work.deadline)
--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -6,7 +6,14 @@
 import enum
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, filters, peer, position, request
+from fescueshunt.core import (
+    document,
+    filters,
+    peer,
+    position,
+    request,
+    schedule,
+)
 
 if TYPE_CHECKING:
     from fescueshunt import errors
@@ -37,7 +44,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work(filters.Item):
+class Work(filters.Item, schedule.Job):
     """An admitted request on its way through the pipe.
 
     Attributes:
@@ -64,6 +71,21 @@
     in_doubt: bool = False
     error: errors.FescueshuntError | None = None
 
+    @property
+    def caller(self) -> str:
+        """The caller as it names itself."""
+        return self.req.caller
+
+    @property
+    def kind(self) -> tuple[str, request.Kind]:
+        """Its service, and whether it reads or writes."""
+        return self.service.name, self.req.kind
+
+    @property
+    def came_at(self) -> float:
+        """When it arrived; local clock, seconds."""
+        return self.deadline - self.req.timeout_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrived(filters.Item):
--- a/packages/fescueshunt/src/fescueshunt/request/policies.py
+++ b/packages/fescueshunt/src/fescueshunt/request/policies.py
@@ -5,8 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import homes
-from fescueshunt.request import choose, ranked, schedule
+from fescueshunt.core import homes, ranked, schedule
+from fescueshunt.request import choose
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/packages/fescueshunt/src/fescueshunt/request/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pool.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.request import schedule
+from fescueshunt.core import schedule
 
 if TYPE_CHECKING:
     import random
--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -28,7 +28,7 @@
     import random
     from collections.abc import Callable, Iterable, Iterator
 
-    from fescueshunt.request import schedule
+    from fescueshunt.core import schedule
 
 MIN_RETRY_AFTER_S = 0.05
 
--- a/tests/lib/works.py
+++ b/tests/lib/works.py
@@ -7,8 +7,8 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, request
-from fescueshunt.request import items, schedule
+from fescueshunt.core import document, request, schedule
+from fescueshunt.request import items
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/unit/test_pools.py
+++ b/tests/unit/test_pools.py
@@ -5,9 +5,9 @@
 import pytest
 
 from fescueshunt import errors
-from fescueshunt.core import document, filters, homes, identity, views
+from fescueshunt.core import document, filters, homes, identity, ranked, views
 from fescueshunt.core import items as core_items
-from fescueshunt.request import items, queue, ranked, surge
+from fescueshunt.request import items, queue, surge
 from lib import works
 
 GROUP = document.Group("g", slots=2, connections=16)
--- a/tests/unit/test_ranked.py
+++ b/tests/unit/test_ranked.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fescueshunt.request import ranked
+from fescueshunt.core import ranked
 from lib import works
 
 SERVICE_S = 0.04
