Order the statements of sessions by the one schedule of ranks

Cause: the front end of sessions had a list of its own, sorted by priority: no floors, no refusal on arrival, and a statement waited half of its objective for a primary whose replacement takes longer than its time.

Change: the statements for a primary and those for any member wait in a line each, ordered by core.ranked; client accounts take turns; what can't be answered within its objective is refused on arrival. A schedule is charged when work starts, not when it is popped, so that what can't be placed costs its rank nothing.

--- a/bench/summary.py
+++ b/bench/summary.py
@@ -8,7 +8,7 @@
 
 from hdrh import histogram
 
-from fescueshunt.core import request
+from fescueshunt.core import ranks, request
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -101,7 +101,7 @@
     found: list[samples.Sample],
     planned: plan.Plan,
     declared: document.Document,
-    rank: document.Rank,
+    rank: ranks.Rank,
     seconds: float,
 ) -> RankFigures:
     figures = RankFigures()
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterator
 
     from bench import summary
-    from fescueshunt.core import document
+    from fescueshunt.core import document, ranks
 
 FLOODS = ("flood-low", "flood-urgent", "flood-both")
 PEAKS = {
@@ -79,7 +79,7 @@
 
 
 def _floors(
-    phases: Phases, lower: list[document.Rank], capacity: float
+    phases: Phases, lower: list[ranks.Rank], capacity: float
 ) -> Iterator[Verdict]:
     for phase in FLOODS:
         if phase not in phases:
--- a/capacity/declared.py
+++ b/capacity/declared.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from fescueshunt.core import document, identity, items, request
+from fescueshunt.core import document, identity, items, ranks, request
 
 ZONES = tuple(f"zone-{number:02}" for number in range(1, 24))
 UPSTREAMS = 3
@@ -23,7 +23,7 @@
 
 NO_DATABASES = document.Document(
     revision=1,
-    ranks=(document.Rank(RANK, 0, 0.25, 20.0, 0.4),),
+    ranks=(ranks.Rank(RANK, 0, 0.25, 20.0, 0.4),),
     groups=(document.Group(GROUP, SLOTS, CONNECTIONS),),
     services=(
         document.Service(READ, GROUP, RANK),
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
@@ -67,9 +67,11 @@
         self._joined = joined
         self._number = number
 
-    def started(self, route: str) -> None:
+    def started(self, route: str, account: str) -> None:
         now = self._joined.now()
-        self._joined.feed(session_items.SessionOpened(now, self._number, route))
+        self._joined.feed(
+            session_items.SessionOpened(now, self._number, route, account)
+        )
 
     def received(self, statement: sessions.Statement) -> None:
         now = self._joined.now()
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -231,8 +231,8 @@
     """Hears what a client sends."""
 
     @abc.abstractmethod
-    def started(self, route: str) -> None:
-        """Takes the start of a session."""
+    def started(self, route: str, account: str) -> None:
+        """Takes the start of a session on `route` by a client account."""
 
     @abc.abstractmethod
     def received(self, statement: sessions.Statement) -> None:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front.py
@@ -93,7 +93,7 @@
             return
         if not self._started:
             self._started = True
-            self._listener.started(lines.decode_start(line))
+            self._listener.started(*lines.decode_start(line))
             return
         statement = lines.decode_statement(line)
         if statement is None:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -86,17 +86,17 @@
     return " ".join(fields).encode(ENCODING, "replace") + END
 
 
-def decode_start(line: str) -> str:
-    """Returns the name that a client starts its session with.
+def decode_start(line: str) -> tuple[str, str]:
+    """Returns the route that a client names, and its account.
 
     Raises:
       FrameError: if the line is no start of a session.
     """
     word, _, rest = line.partition(" ")
-    name = rest.split(" ", 1)[0]
+    name, _, account = rest.partition(" ")
     if word != "START" or not name:
         raise errors.FrameError("expected the start of a session")
-    return name
+    return name, account
 
 
 def decode_statement(line: str) -> sessions.Statement | None:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import position, sessions
@@ -66,6 +67,19 @@
         )
 
 
+def _common(one: list[Commit], other: list[Commit]) -> int:
+    """Returns how many entries two logs share from their beginning."""
+    if other[: len(one)] == one:
+        return len(one)
+    pairs = zip(one, other, strict=False)
+    return sum(1 for _ in itertools.takewhile(lambda p: p[0] == p[1], pairs))
+
+
+def _has(log: list[Commit], entry: Commit) -> bool:
+    """Tells whether a log holds `entry`; the index of the first one is 1."""
+    return len(log) >= entry.index and log[entry.index - 1] == entry
+
+
 def _position(log: list[Commit]) -> position.Position:
     if not log:
         return position.Position(position.Term(1), 0)
@@ -130,11 +144,7 @@
         other.term = leader.term
         if other.log == leader.log:
             return
-        same = 0
-        for mine, theirs in zip(other.log, leader.log, strict=False):
-            if mine != theirs:
-                break
-            same += 1
+        same = _common(other.log, leader.log)
         other.log = list(leader.log)
         other.applied = min(other.applied, same)
         size = len(other.log)
@@ -148,7 +158,7 @@
         still = []
         for leader, entry, done in self.waiting:
             held = any(
-                entry in other.log
+                _has(other.log, entry)
                 for other in self.members.values()
                 if other is not leader
             )
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/models/documents.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/models/documents.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from fescueshunt.core import document
+from fescueshunt.core import document, ranks
 from fescueshunt_wire.models import base
 
 MAX_REVISIONS = 256
@@ -23,7 +23,7 @@
 class RankModel(base.Model):
     """A rank of work."""
 
-    of = document.Rank
+    of = ranks.Rank
     name: base.Name
     order: base.Count
     target_s: base.Seconds
--- a/packages/fescueshunt/src/fescueshunt/core/document.py
+++ b/packages/fescueshunt/src/fescueshunt/core/document.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fescueshunt.core import ranks
 
 HISTORY_ENTRIES = 32
 
@@ -28,26 +32,6 @@
     WITHDRAWN = "withdrawn"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rank:
-    """One rank of work.
-
-    Attributes:
-      order: 0 is the most urgent.
-      target_s: the latency within which an answer is worth its full value.
-      worth: the relative worth of an answer in time.
-      floor: the share of an upstream's slots that the rank keeps in a flood.
-      ceiling: the share of the slots that the rank may hold at most.
-    """
-
-    name: str
-    order: int
-    target_s: float
-    worth: float
-    floor: float
-    ceiling: float = 1.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """One kind of work on the databases of a group.
@@ -163,7 +147,7 @@
     operation: bytes = b""
     author: str = ""
     reason: str = ""
-    ranks: tuple[Rank, ...] = ()
+    ranks: tuple[ranks.Rank, ...] = ()
     groups: tuple[Group, ...] = ()
     databases: tuple[Database, ...] = ()
     services: tuple[Service, ...] = ()
@@ -171,7 +155,7 @@
     draining_hosts: tuple[str, ...] = ()
     history: tuple[Revision, ...] = ()
 
-    def rank(self, name: str) -> Rank | None:
+    def rank(self, name: str) -> ranks.Rank | None:
         """Returns the rank called `name`."""
         return _named(self.ranks, name)
 
--- a/packages/fescueshunt/src/fescueshunt/core/ranked.py
+++ b/packages/fescueshunt/src/fescueshunt/core/ranked.py
@@ -16,12 +16,11 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import lane, schedule
+from fescueshunt.core import lane, ranks, schedule
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
 
-    from fescueshunt.core import document
 
 MIN_CEILING_SLOTS = 1
 
@@ -31,7 +30,7 @@
 
     def __init__(self) -> None:
         self._lanes: dict[int, lane.Lane] = {}
-        self._ranks: dict[int, document.Rank] = {}
+        self._ranks: dict[int, ranks.Rank] = {}
         self._floors: Mapping[str, float] = {}
         self._times = schedule.ServiceTimes()
         self._mean_s: dict[int, float] = {}
@@ -101,10 +100,14 @@
         while queue.count and self._is_hopeless(work, now):
             refused.append(work)
             work = queue.pop()
-        self._charge(order, self._times.of(work))
-        queue.note_start(now)
         return work, refused
 
+    def started(self, work: schedule.Job, now: float) -> None:
+        """Charges the rank of `work` for its slot time."""
+        order = work.rank.order
+        self._charge(order, self._times.of(work))
+        self._lanes[order].note_start(now)
+
     def _choose(self, slots: schedule.Slots) -> int | None:
         ready = [
             order
@@ -134,12 +137,8 @@
                 waiting.credit_s = min(waiting.credit_s, 0.0)
 
     def put_back(self, work: schedule.Job) -> None:
-        """Returns popped work that could not start, and its charge."""
-        order = work.rank.order
-        cost_s = self._times.of(work)
-        queue = self._lanes[order]
-        queue.credit_s += cost_s * (1 - self._floor(order))
-        queue.put_back(work)
+        """Returns popped work that could not start."""
+        self._lanes[work.rank.order].put_back(work)
 
     def waiting(self) -> Iterator[schedule.Job]:
         """Yields all work that waits."""
--- a/packages/fescueshunt/src/fescueshunt/core/routes.py
+++ b/packages/fescueshunt/src/fescueshunt/core/routes.py
@@ -4,14 +4,20 @@
 
 import dataclasses
 import enum
+import functools
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters
+from fescueshunt.core import filters, ranks
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 
+# The share of the slots that each rank below the most urgent keeps in a flood;
+# the operator's document declares none.
+FLOOR = 0.1
+
+
 class Consistency(enum.Enum):
     """How fresh the reads of a route are.
 
@@ -47,6 +53,19 @@
     priority: int
     max_age_s: float
 
+    @property
+    def rank(self) -> ranks.Rank:
+        """The rank of its work."""
+        return _rank(self.priority, self.target_s)
+
+
+@functools.lru_cache(maxsize=1024)
+def _rank(priority: int, target_s: float) -> ranks.Rank:
+    floor = FLOOR if priority else 0.0
+    return ranks.Rank(
+        f"priority-{priority}", priority, target_s, worth=1.0, floor=floor
+    )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaSetPolicy:
--- a/packages/fescueshunt/src/fescueshunt/core/schedule.py
+++ b/packages/fescueshunt/src/fescueshunt/core/schedule.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable, Iterator, Mapping
 
-    from fescueshunt.core import document
+    from fescueshunt.core import ranks
 
 FIRST_SERVICE_S = 0.01
 SERVICE_WEIGHT = 0.1
@@ -32,7 +32,7 @@
 
     __slots__ = ()
 
-    rank: document.Rank
+    rank: ranks.Rank
     deadline: float
     in_doubt: bool
 
@@ -105,6 +105,10 @@
     def pop(self, now: float, slots: Slots) -> tuple[Job | None, list[Job]]:
         """Returns the work to start, if any, and work to refuse instead."""
 
+    @abc.abstractmethod
+    def started(self, work: Job, now: float) -> None:
+        """Learns that `work`, which was popped, holds a slot now."""
+
     @abc.abstractmethod
     def put_back(self, work: Job) -> None:
         """Returns popped work that could not start; it goes first again."""
@@ -152,6 +156,9 @@
         """Returns the oldest work."""
         return (self._queue.popleft() if self._queue else None), []
 
+    def started(self, work: Job, now: float) -> None:
+        """Charges nothing."""
+
     def put_back(self, work: Job) -> None:
         """Returns popped work to the head."""
         self._queue.appendleft(work)
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -17,10 +17,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionOpened(filters.Item):
-    """Client connection `client` starts a session under the name `route`."""
+    """Client connection `client` starts a session under the name `route`.
+
+    `account` is the client account as it names itself.
+    """
 
     client: int
     route: str
+    account: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/operators/actions.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/actions.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING, Any
 
 from fescueshunt import errors
-from fescueshunt.core import document, statements
+from fescueshunt.core import document, ranks, statements
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 _KINDS: dict[statements.Kind, tuple[str, type]] = {
-    statements.Kind.RANK: ("ranks", document.Rank),
+    statements.Kind.RANK: ("ranks", ranks.Rank),
     statements.Kind.SERVICE: ("services", document.Service),
     statements.Kind.GROUP: ("groups", document.Group),
     statements.Kind.DAY: ("calendar", document.CalendarDay),
--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -11,6 +11,7 @@
     filters,
     peer,
     position,
+    ranks,
     request,
     schedule,
 )
@@ -62,7 +63,7 @@
     origin: Origin
     req: request.Request
     service: document.Service
-    rank: document.Rank
+    rank: ranks.Rank
     deadline: float
     upstream: str = ""
     attempts: int = 0
--- a/packages/fescueshunt/src/fescueshunt/request/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pool.py
@@ -89,6 +89,7 @@
         self.running[conn] = Running(work, now)
         order = work.rank.order
         self.by_rank[order] = self.by_rank.get(order, 0) + 1
+        self.queue.started(work, now)
 
     def stop(self, conn: int, now: float, ran: bool = True) -> None:
         """Frees the slot of what ran on `conn`.
--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -45,6 +45,7 @@
 
     client: int
     route: str
+    account: str = ""
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[str, sessions.Prepared] = dataclasses.field(
         default_factory=dict
@@ -104,7 +105,7 @@
         elif item.route not in self._routes.routes:
             failure = sessions.Failure.NO_DATABASE
         else:
-            session = Session(item.client, item.route)
+            session = Session(item.client, item.route, item.account)
             self._sessions[item.client] = session
             yield session_items.WelcomeSession(item.at, item.client)
             return
@@ -244,8 +245,10 @@
         own = route.consistency is routes.Consistency.OWN_WRITES
         return items.Work(
             client=session.client,
+            account=session.account,
             statement=statement,
             route=route,
+            rank=route.rank,
             settings=sessions.SessionSettings(session.values, session.prepared),
             prepared=prepared,
             arrived_at=now,
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -88,13 +88,22 @@
         if link is not None:
             yield from self._start(link, work, None, now)
             return
-        self._queue.add(work)
+        refusal = self._queue.add(work, now)
+        if refusal is not None:
+            yield _refused(refusal, now)
+            return
         yield from self._pump(now)
 
     def _pump(self, now: float) -> Iterator[filters.Item]:
         """Starts what can start; opens connections for what can't."""
-        for start in self._queue.startable(now):
-            yield from self._start(start.link, start.work, start.since, now)
+        for found in self._queue.startable(now):
+            match found:
+                case queue.Start():
+                    yield from self._start(
+                        found.link, found.work, found.since, now
+                    )
+                case queue.Refusal():
+                    yield _refused(found, now)
         if len(self._queue):
             yield from self._queue.open_missing(now)
             yield from self._queue.request_status(now)
@@ -171,6 +180,7 @@
             return
         link.work = None
         link.steps.clear()
+        self._queue.ended(work, item.at, ran=reply.failure is None)
         yield from self._settle(link, work, reply, item.at)
         if reply.failure is None:
             yield items.WorkDone(item.at, work, reply, None, "", link.upstream)
@@ -224,7 +234,7 @@
         else:
             work.not_before = now + BUSY_PAUSE_S
         work.refuse_at = min(now + work.wait_s, work.expire_at)
-        self._queue.add(work)
+        self._queue.add_again(work)
         yield from self._pump(now)
 
     # Connections.
@@ -314,6 +324,7 @@
             yield asks.unanswered(link.ask, link.sent_at, now)
         if link.work is not None:
             work, link.work = link.work, None
+            self._queue.ended(work, now, ran=False)
             decision = retry.on_loss(work, detail, now)
             yield from self._retry_or_fail(work, decision, None, link, now)
         yield from self._pump(now)
@@ -392,8 +403,12 @@
             yield from self._end(items.EndTransaction(now, client))
 
     def _expire_waiting(self, now: float) -> Iterator[filters.Item]:
-        for work, why in self._queue.overdue(now):
-            decision = retry.on_refusal(why)
-            yield items.WorkDone(
-                now, work, None, decision.failure, decision.detail, ""
-            )
+        for refusal in self._queue.overdue(now):
+            yield _refused(refusal, now)
+
+
+def _refused(refusal: queue.Refusal, now: float) -> items.WorkDone:
+    decision = retry.on_refusal(refusal.why)
+    return items.WorkDone(
+        now, refusal.work, None, decision.failure, decision.detail, ""
+    )
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -4,14 +4,22 @@
 
 import dataclasses
 
-from fescueshunt.core import filters, position, routes, sessions
+from fescueshunt.core import (
+    filters,
+    position,
+    ranks,
+    routes,
+    schedule,
+    sessions,
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Work:
+class Work(schedule.Job):
     """One statement of a client on its way to an upstream and back.
 
     Attributes:
+      account: the client account that it is of.
       since_at: commits acknowledged by then concern it: when its first byte
         came, or that of its transaction.
       wait_s: how long it may wait to be sent, at each try.
@@ -27,8 +35,10 @@
     """
 
     client: int
+    account: str
     statement: sessions.Statement
     route: routes.Route
+    rank: ranks.Rank
     settings: sessions.SessionSettings
     prepared: sessions.Prepared | None
     arrived_at: float
@@ -47,6 +57,36 @@
     tries: int = 0
     sent: bool = False
 
+    @property
+    def caller(self) -> str:
+        """Client accounts take turns."""
+        return self.account
+
+    @property
+    def kind(self) -> tuple[str, bool, bool]:
+        """Work of a database that reads, writes or begins takes as long."""
+        return self.route.database, self.writes, self.opens
+
+    @property
+    def came_at(self) -> float:
+        """When it arrived."""
+        return self.arrived_at
+
+    @property
+    def deadline(self) -> float:
+        """Until when it may wait."""
+        return self.refuse_at
+
+    @property
+    def goal(self) -> float:
+        """When it must be answered to be worth its full value."""
+        return self.arrived_at + self.rank.target_s
+
+    @property
+    def in_doubt(self) -> bool:
+        """Never: what may have run does not wait again."""
+        return False
+
     @property
     def opens(self) -> bool:
         """Whether it is the first of a transaction."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -157,10 +157,13 @@
         self.failures += 1
         self.open_after = now + limit_s * chance.uniform(0.5, 1.0)
 
-    def has_open_link(self) -> bool:
-        """Tells whether a connection is open."""
-        opening = self.count(LinkState.OPENING)
-        return len(self.links) > opening
+    def has_idle(self) -> bool:
+        """Tells whether a connection is idle."""
+        return any(link.state is LinkState.IDLE for link in self.links.values())
+
+    def open_links(self) -> int:
+        """Returns how many connections are open."""
+        return len(self.links) - self.count(LinkState.OPENING)
 
     def surplus(self, now: float, multiplexing: bool) -> list[Link]:
         """Returns idle connections that nothing needed for a while.
--- a/tests/lib/deployments.py
+++ b/tests/lib/deployments.py
@@ -7,7 +7,7 @@
 import json
 from collections.abc import AsyncIterator
 
-from fescueshunt.core import document, position, request, upstream
+from fescueshunt.core import document, position, ranks, request, upstream
 from fescueshunt_cli import caller
 from fescueshunt_cli._internal.bench import writers
 from fescueshunt_standins import fleet as fleets
@@ -29,7 +29,7 @@
         for letter, zone in zip("abc", ZONES, strict=True)
     )
     return document.Document(
-        ranks=(document.Rank("urgent", 0, 0.3, 20.0, 0.4),),
+        ranks=(ranks.Rank("urgent", 0, 0.3, 20.0, 0.4),),
         groups=(document.Group("renew-core", 5, 55),),
         databases=(document.Database(DATABASE, "renew-core", members),),
         services=(
--- a/tests/lib/works.py
+++ b/tests/lib/works.py
@@ -7,22 +7,22 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import document, request, schedule
+from fescueshunt.core import document, ranks, request, schedule
 from fescueshunt.request import items
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-URGENT = document.Rank("urgent", 0, 0.3, 20, 0.4)
-GATE = document.Rank("gate", 1, 0.5, 5, 0.2)
-HISTORY = document.Rank("history", 2, 3.0, 1, 0.1)
+URGENT = ranks.Rank("urgent", 0, 0.3, 20, 0.4)
+GATE = ranks.Rank("gate", 1, 0.5, 5, 0.2)
+HISTORY = ranks.Rank("history", 2, 3.0, 1, 0.1)
 RANKS = (URGENT, GATE, HISTORY)
 KEYS = itertools.count(1)
 
 
 def work(
     at: float = 0.0,
-    rank: document.Rank = URGENT,
+    rank: ranks.Rank = URGENT,
     caller: str = "c",
     timeout_s: float = 5.0,
     **changes: object,
@@ -90,7 +90,7 @@
             self._serve()
         self._advance(until)
 
-    def served(self, rank: document.Rank, start: float, end: float) -> int:
+    def served(self, rank: ranks.Rank, start: float, end: float) -> int:
         """Returns how much work of `rank` started in a stretch of time."""
         return sum(
             start <= at < end and found.rank == rank
@@ -112,6 +112,7 @@
             if found is None:
                 return
             self.started.append((self.now, found))
+            self.queue.started(found, self.now)
             order = found.rank.order
             self.by_rank[order] = self.by_rank.get(order, 0) + 1
             entry = (self.now + self.service_s, found.key, found)
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -18,6 +18,7 @@
     identity,
     items,
     process,
+    ranks,
     request,
     upstream,
 )
@@ -35,8 +36,8 @@
 SETTINGS = document.Document(
     revision=1,
     ranks=(
-        document.Rank("urgent", 0, 0.5, 10.0, 0.5),
-        document.Rank("bulk", 1, 2.0, 1.0, 0.1),
+        ranks.Rank("urgent", 0, 0.5, 10.0, 0.5),
+        ranks.Rank("bulk", 1, 2.0, 1.0, 0.1),
     ),
     groups=(document.Group("group", slots=4, connections=30),),
     databases=(
--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -11,7 +11,7 @@
 from capacity import figures, page
 
 from fescueshunt import errors
-from fescueshunt.core import document
+from fescueshunt.core import document, ranks
 from fescueshunt_cli._internal import main
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -130,7 +130,7 @@
 def test_glossary_has_the_kinds_of_the_settings():
     text = (DOCS / "GLOSSARY.md").read_text()
     for kind in (
-        document.Rank,
+        ranks.Rank,
         document.Upstream,
         document.Database,
         document.Group,
