--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -136,7 +136,8 @@
         document.Group,
         document.CalendarDay,
     ):
-        assert f"core.document.{kind.__name__}`" in text
+        module = kind.__module__.removeprefix("fescueshunt.")
+        assert f"`{module}.{kind.__name__}`" in text
 
 
 def test_capacity_page_is_worked_out_from_the_figures():
