Serve metrics of hosts, read them and the logs from the command line

Change: counters, latency histograms (hdrhistogram) by rank, route type, outcome, upstream and platform call, ages of routes, positions and lease, as text in the exposition format; settings of our own in an INI file, checked with all problems at once; fescueshunt host and fescueshunt explain.

Tests: exposition and its escapes, settings, explanations from logs, and the real program read under load (tests/functional/test_hosted_path.py).

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/plan.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/plan.py
@@ -12,7 +12,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import request
-from fescueshunt_wire import ini
+from fescueshunt_wire import ini, sections
 
 if TYPE_CHECKING:
     import pathlib
@@ -87,7 +87,7 @@
     problems: list[errors.SettingProblem] = []
     found: dict[str, dict[str, Any]] = {"site": {}, "stream": {}, "phase": {}}
     models = {"site": SiteModel, "stream": StreamModel, "phase": PhaseModel}
-    for header, values in ini.read_sections(path).items():
+    for header, values in sections.read_sections(path).items():
         kind, _, name = header.partition(" ")
         if kind not in models:
             problems.append(
@@ -99,7 +99,8 @@
         full: dict[str, Any] = dict(values)
         if "rates" in values:
             full["rates"] = tuple(
-                tuple(part.split(":", 1)) for part in ini.split(values["rates"])
+                tuple(part.split(":", 1))
+                for part in sections.split(values["rates"])
             )
         model, invalid = ini.validate(models[kind], str(path), header, full)
         problems.extend(invalid)
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/deployment.py
@@ -10,7 +10,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import document, validation
-from fescueshunt_wire import ini
+from fescueshunt_wire import ini, sections
 from fescueshunt_wire.models import base, documents
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
       InvalidSettingsError: with every invalid setting at once.
     """
     reader = _Reader(str(path))
-    for header, values in ini.read_sections(path).items():
+    for header, values in sections.read_sections(path).items():
         reader.read(header, values)
     reader.join()
     if reader.problems:
@@ -50,7 +50,7 @@
         self._joined: list[document.Database] = []
         self.problems: list[errors.SettingProblem] = []
 
-    def read(self, header: str, values: ini.Section) -> None:
+    def read(self, header: str, values: sections.Section) -> None:
         """Reads one section."""
         kind, _, name = header.partition(" ")
         if kind == "database" and name:
@@ -61,13 +61,13 @@
             self._add(header, "", "", "a known section kind and name")
 
     def _read_model(
-        self, header: str, kind: str, name: str, values: ini.Section
+        self, header: str, kind: str, name: str, values: sections.Section
     ) -> None:
         full: dict[str, Any] = {**values, "name": name}
         if kind == "day" and "floors" in values:
             full["floors"] = tuple(
                 tuple(part.split(":", 1))
-                for part in ini.split(values["floors"])
+                for part in sections.split(values["floors"])
             )
         model, problems = ini.validate(_KINDS[kind], self._file, header, full)
         self.problems.extend(problems)
@@ -82,10 +82,10 @@
             self._add(found.entry, found.field, found.found, found.expected)
 
     def _join_database(
-        self, name: str, header: str, values: ini.Section
+        self, name: str, header: str, values: sections.Section
     ) -> None:
         group = values.get("group", "")
-        names = ini.split(values.get("upstreams", ""))
+        names = sections.split(values.get("upstreams", ""))
         for upstream in names:
             self._check(header, "upstreams", upstream, self._found["upstream"])
         known = [n for n in names if n in self._found["upstream"]]
--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/main.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/main.py
@@ -8,6 +8,8 @@
     ask,
     bench,
     bootstrap,
+    explain,
+    host,
     load,
     metrics,
     outcome,
@@ -27,6 +29,8 @@
     outcome.OutcomeCommand(),
     load.LoadCommand(),
     trace.TraceCommand(),
+    explain.ExplainCommand(),
+    host.HostCommand(),
     bench.BenchCommand(),
 )
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/access.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/access.py
@@ -16,7 +16,7 @@
 import pydantic
 
 from fescueshunt import errors
-from fescueshunt_wire import ini
+from fescueshunt_wire import ini, sections
 
 KIND = "operator"
 MIN_TOKEN_CHARS = 16
@@ -125,9 +125,9 @@
     return Tokens(tuple(operators))
 
 
-def _sections(path: str) -> dict[str, ini.Section]:
+def _sections(path: str) -> dict[str, sections.Section]:
     try:
-        return ini.read_sections(pathlib.Path(path))
+        return sections.read_sections(pathlib.Path(path))
     except errors.InvalidSettingsError:
         problem = errors.SettingProblem(
             path, "", "", "(hidden)", "expected an INI file"
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/daemon.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/daemon.py
@@ -2,36 +2,54 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import pathlib
 import sys
 
 from fescueshunt import errors
-from fescueshunt_proxy._internal.hosted import root
+from fescueshunt_proxy._internal.hosted import own_settings, root
 from fescueshunt_proxy.platform import settings
 
 SUCCESS = 0
 SETTINGS_INVALID = 2
-CHECK_SETTINGS = "--check-settings"
-USAGE = "usage: fescueshuntd hosted [--check-settings] [FILE]"
 
 
 def main(argv: list[str]) -> int:
-    """Runs a host until SIGTERM; returns the exit code.
-
-    The file is by default the one that the platform names.
-    """
-    names = [word for word in argv if word != CHECK_SETTINGS]
-    path = pathlib.Path(names[0]) if names else settings.path()
-    if path is None or len(names) > 1 or str(path).startswith("-"):
-        print(USAGE, file=sys.stderr)
+    """Runs a host until SIGTERM; returns the exit code."""
+    args = _parser().parse_args(argv)
+    path = args.file or settings.path()
+    if path is None:
+        print("no settings file is named", file=sys.stderr)
         return SETTINGS_INVALID
     try:
         cfg = settings.load(path)
+        own = own_settings.load(args.settings)
     except errors.InvalidSettingsError as exc:
         print(exc.detail, file=sys.stderr)
         return SETTINGS_INVALID
-    if CHECK_SETTINGS in argv:
+    if args.check_settings:
         print(f"{path}: valid")
         return SUCCESS
-    return asyncio.run(root.run(cfg))
+    return asyncio.run(root.run(cfg, own))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="fescueshuntd hosted")
+    parser.add_argument(
+        "file",
+        nargs="?",
+        type=pathlib.Path,
+        help="the platform's settings; by default the file that it names",
+    )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        help="an INI file with the settings of this product",
+    )
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    return parser
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
@@ -10,12 +10,8 @@
 import structlog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from fescueshunt.core import identity, session_items
-
-LINES_PER_S = 20.0
-BURST_LINES = 60.0
+    from fescueshunt_proxy._internal.hosted import own_settings
 
 
 class LineSink:
@@ -75,18 +71,18 @@
     """Lines of one kind that may still be written.
 
     Attributes:
-      lines: how many, growing with time up to BURST_LINES.
+      lines: how many, growing with time.
       left_out: how many were not written since the last one that was.
     """
 
     at: float
-    lines: float = BURST_LINES
+    lines: float
     left_out: int = 0
 
-    def take(self, now: float) -> bool:
+    def take(self, now: float, cfg: own_settings.OwnSettings) -> bool:
         """Tells whether a line may be written, and counts it."""
-        grown = self.lines + (now - self.at) * LINES_PER_S
-        self.lines = min(grown, BURST_LINES)
+        grown = self.lines + (now - self.at) * cfg.log_lines_per_s
+        self.lines = min(grown, cfg.log_burst_lines)
         self.at = now
         if self.lines < 1:
             self.left_out += 1
@@ -98,15 +94,18 @@
 class DecisionLog:
     """Writes one line for each decision, and counts what it leaves out."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        self._now = now
+    def __init__(self, cfg: own_settings.OwnSettings) -> None:
+        self._cfg = cfg
         self._logger = structlog.get_logger(__name__)
         self._budgets: dict[str, Budget] = {}
 
     def decided(self, item: session_items.Decided) -> None:
         """Writes a decision if the budget of its kind allows."""
-        budget = self._budgets.setdefault(item.event, Budget(item.at))
-        if not budget.take(item.at):
+        budget = self._budgets.get(item.event)
+        if budget is None:
+            budget = Budget(item.at, self._cfg.log_burst_lines)
+            self._budgets[item.event] = budget
+        if not budget.take(item.at, self._cfg):
             return
         fields = dict(item.details)
         if item.statement_id:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -14,7 +14,14 @@
 from fescueshunt.core import identity, process, session_items
 from fescueshunt.sessions import items as session_pipe_items
 from fescueshunt_proxy._internal import clock, runtime
-from fescueshunt_proxy._internal.hosted import decisions, front, links, stores
+from fescueshunt_proxy._internal.hosted import (
+    decisions,
+    front,
+    links,
+    measures,
+    scrape,
+    stores,
+)
 from fescueshunt_proxy.platform import (
     duty,
     readiness,
@@ -26,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from fescueshunt_proxy._internal.hosted import ports
+    from fescueshunt_proxy._internal.hosted import own_settings, ports
 
 TICK_S = 0.02
 FLUSH_S = 0.05
@@ -34,7 +41,7 @@
 SUCCESS = 0
 
 
-async def run(cfg: ports.HostSettings) -> int:
+async def run(cfg: ports.HostSettings, own: own_settings.OwnSettings) -> int:
     """Runs a host until it is asked to stop; returns the exit code."""
     me = identity.Identity(
         cfg.name, cfg.zone, cfg.sessions, int(time.time() * MS_PER_S)
@@ -45,9 +52,15 @@
     joined = runtime.Runtime(core, clock.since_boot)
     stopped = asyncio.Event()
     joined.subscribe(process.Stopped, lambda _: stopped.set())
-    log = decisions.DecisionLog(joined.now)
+    log = decisions.DecisionLog(own)
     joined.subscribe(session_items.Decided, log.decided)
-    async with runtime.background() as tasks, _border(cfg, joined, tasks):
+    measured = measures.Measures(joined)
+    scraped = _metrics_address(cfg, own)
+    async with (
+        runtime.background() as tasks,
+        scrape.serving(scraped, measured.render),
+        _border(cfg, joined, tasks, measured),
+    ):
         logger.info("started", incarnation=me.incarnation)
         _catch_signals(joined)
         await stopped.wait()
@@ -61,23 +74,34 @@
     cfg: ports.HostSettings,
     joined: runtime.Runtime,
     tasks: asyncio.TaskGroup,
+    measured: measures.Measures,
 ) -> AsyncIterator[None]:
     """Builds sources and sinks and serves while the block runs."""
     ready = _ReadyFlag(joined)
     links.Links(joined, upstreams.LineUpstreams(), tasks)
     kept = store.HttpStore(cfg.store, joined.now)
     promotions = duty.HttpPromotions(cfg.promotions)
-    stores.StoreCalls(joined, kept, promotions, tasks)
+    stores.StoreCalls(joined, kept, promotions, tasks, measured)
     clients = front.Clients(joined)
     async with (
         readiness.HttpReadiness().serving(cfg.readiness, ready.is_ready),
         clients.serving(line_front.LineFront(), cfg.sessions),
     ):
-        tasks.create_task(stores.Watcher(joined, kept).run())
+        tasks.create_task(stores.Watcher(joined, kept, measured).run())
         tasks.create_task(clock.tick(joined, TICK_S))
         yield
 
 
+def _metrics_address(
+    cfg: ports.HostSettings, own: own_settings.OwnSettings
+) -> str:
+    """Returns where metrics are served, "" for nowhere."""
+    if not own.metrics_port:
+        return ""
+    host, _, _ = cfg.sessions.rpartition(":")
+    return f"{host}:{own.metrics_port}"
+
+
 class _ReadyFlag:
     """Remembers the newest readiness view."""
 
--- /dev/null
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/scrape.py
@@ -0,0 +1,34 @@
+"""The address at which scrapers read the metrics of this host."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+from fescueshunt_wire import http
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+TARGET = "/metrics"
+OK = 200
+NOT_FOUND = 404
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    address: str, render: Callable[[], str]
+) -> AsyncIterator[None]:
+    """Serves while the block runs; an empty address means no listener."""
+    if not address:
+        yield
+        return
+
+    async def respond(request: http.Request) -> http.Response:
+        path = request.target.partition("?")[0]
+        if request.method != "GET" or path != TARGET:
+            return http.Response(NOT_FOUND, b"")
+        return http.Response(OK, render().encode())
+
+    async with http.serving(address, respond):
+        yield
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/stores.py
@@ -16,6 +16,7 @@
     from collections.abc import Coroutine
 
     from fescueshunt_proxy._internal import runtime
+    from fescueshunt_proxy._internal.hosted import measures
 
 WATCH_WAIT_S = 2.5
 # News often comes in groups; a short wait takes several with one call.
@@ -27,9 +28,15 @@
 class Watcher:
     """Follows the store's changes for as long as it runs."""
 
-    def __init__(self, joined: runtime.Runtime, store: ports.Store) -> None:
+    def __init__(
+        self,
+        joined: runtime.Runtime,
+        store: ports.Store,
+        measured: measures.Measures,
+    ) -> None:
         self._joined = joined
         self._store = store
+        self._measured = measured
         self._logger = structlog.get_logger(__name__)
         self._pause_s = FIRST_PAUSE_S
         self._lost = False
@@ -71,6 +78,7 @@
     async def _wait(self, exc: errors.FescueshuntError) -> None:
         if not self._lost:
             self._lost = True
+            self._measured.count("store_losses")
             self._logger.info("store_lost", error=str(exc))
         await asyncio.sleep(self._pause_s)
         self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
@@ -87,6 +95,7 @@
             problem = snapshot.routes_problem
             self._feed(ports.RoutesChange(snapshot.routes, problem))
         if snapshot.unreadable:
+            self._measured.count("entries_unreadable", snapshot.unreadable)
             self._logger.info("entries_unreadable", count=snapshot.unreadable)
         self._joined.feed(store_items.EntriesListed(now, snapshot.entries))
         self._joined.feed(
@@ -104,6 +113,7 @@
                 item = store_items.EntryChanged(now, change.entry)
             case ports.EntryChange():
                 if not change.readable:
+                    self._measured.count("entries_unreadable")
                     self._logger.info(
                         "entry_unreadable", upstream=change.upstream
                     )
@@ -124,11 +134,13 @@
         store: ports.Store,
         promotions: ports.Promotions,
         tasks: asyncio.TaskGroup,
+        measured: measures.Measures,
     ) -> None:
         self._joined = joined
         self._store = store
         self._promotions = promotions
         self._tasks = tasks
+        self._measured = measured
         joined.subscribe(store_items.AskLease, self._on(self._ask))
         joined.subscribe(store_items.RenewLease, self._on(self._renew))
         joined.subscribe(store_items.EndLease, self._on(self._end))
@@ -138,12 +150,18 @@
 
     def _on(self, call: object) -> object:
         def start(item: object) -> None:
-            self._tasks.create_task(self._carry_out(call(item)))
+            kind = type(item).__name__
+            self._tasks.create_task(self._carry_out(kind, call(item)))
 
         return start
 
-    async def _carry_out(self, call: Coroutine[None, None, object]) -> None:
+    async def _carry_out(
+        self, kind: str, call: Coroutine[None, None, object]
+    ) -> None:
+        sent_at = self._joined.now()
         answer = await call
+        took_s = self._joined.now() - sent_at
+        self._measured.record("platform_call", took_s, call=kind)
         if answer is not None:
             self._joined.feed(answer)
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/metrics.py
@@ -34,11 +34,17 @@
         self.counters[f"requests.{name}"] += 1
         if item.answer.error is not None:
             self.counters[f"errors.{item.answer.error.code}"] += 1
+        self.record(name, item.latency_s)
+
+    def record(self, name: str, latency_s: float) -> None:
+        """Records a latency; what is beyond the bounds counts as the bound."""
         if name not in self.latencies:
             self.latencies[name] = histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, DIGITS
             )
-        self.latencies[name].record_value(int(item.latency_s * US_PER_S) or 1)
+        latency_us = int(latency_s * US_PER_S)
+        bounded_us = min(max(latency_us, LOWEST_US), HIGHEST_US)
+        self.latencies[name].record_value(bounded_us)
 
     def item_failed(self, item: process.ItemFailed) -> None:
         """Counts an item that was dropped."""
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/settings.py
@@ -8,7 +8,7 @@
 import pydantic
 
 from fescueshunt import errors
-from fescueshunt_wire import ini
+from fescueshunt_wire import ini, sections
 
 if TYPE_CHECKING:
     import pathlib
@@ -78,17 +78,17 @@
     Raises:
       InvalidSettingsError: with every invalid setting at once.
     """
-    sections = ini.read_sections(path)
+    found = sections.read_sections(path)
     problems = [
         errors.SettingProblem(
             str(path), name, "", "", f"expected only [{SECTION}]"
         )
-        for name in sections
+        for name in found
         if name != SECTION
     ]
-    values: dict[str, Any] = dict(sections.get(SECTION, {}))
+    values: dict[str, Any] = dict(found.get(SECTION, {}))
     if "seeds" in values:
-        values["seeds"] = ini.split(values["seeds"])
+        values["seeds"] = sections.split(values["seeds"])
     cfg, invalid = ini.validate(ProxySettings, str(path), SECTION, values)
     if cfg is None or problems:
         raise errors.InvalidSettingsError(problems + invalid)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -33,6 +33,7 @@
     popen: subprocess.Popen
     sessions: str
     readiness: str
+    metrics: str
     log: pathlib.Path
 
 
@@ -99,6 +100,7 @@
 ) -> HostProcess:
     sessions = fleet.free_address()
     readiness = fleet.free_address()
+    metrics = fleet.free_address()
     settings = {
         "node_name": f"edge-{number}",
         "zone": "z",
@@ -110,10 +112,13 @@
     file = folder / f"boot-{number}.json"
     file.write_text(json.dumps(settings))
     env = dict(os.environ, FESCUESHUNT_BOOT=str(file))
+    own = folder / f"host-{number}.ini"
+    own.write_text(f"[host]\nmetrics_port = {metrics.rpartition(':')[2]}\n")
     args = [sys.executable, "-m", "fescueshunt_proxy", "hosted"]
+    args += ["--settings", str(own)]
     log = folder / f"host-{number}.log"
     popen = stack.enter_context(_running(args, log, env))
-    return HostProcess(popen, sessions, readiness, log)
+    return HostProcess(popen, sessions, readiness, metrics, log)
 
 
 async def is_ready(host: HostProcess) -> bool:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/process.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/process.py
@@ -12,7 +12,7 @@
 import defopt
 
 from fescueshunt import errors
-from fescueshunt_wire import ini
+from fescueshunt_wire import ini, sections
 
 SETTINGS_EXIT_CODE = 2
 
@@ -25,7 +25,7 @@
     Prints the bound address as the first line of standard output.
     """
     try:
-        values = ini.read_sections(path).get(section, {})
+        values = sections.read_sections(path).get(section, {})
         cfg, problems = ini.validate(model, str(path), section, values)
         if problems:
             raise errors.InvalidSettingsError(problems)
--- a/tests/functional/test_hosted_path.py
+++ b/tests/functional/test_hosted_path.py
@@ -5,7 +5,9 @@
 import asyncio
 import signal
 
+from fescueshunt_cli._internal.commands import host as host_command
 from fescueshunt_standins.hosted import deployment
+from fescueshunt_wire import http
 
 WRITE_GAP_S = 8.0
 STOP_S = 6.0
@@ -108,3 +110,45 @@
             assert code == 0
 
     asyncio.run(run())
+
+
+async def _metrics(host: deployment.HostProcess) -> dict[str, str]:
+    client = http.Client(host.metrics)
+    response = await client.call("GET", "/metrics", 5.0)
+    assert response.status == 200
+    return dict(host_command.read(response.body.decode()))
+
+
+def test_metrics_are_read_while_the_host_is_under_load():
+    async def load(address: str, number: int) -> None:
+        async with deployment.session(address, "agent-history") as client:
+            for turn in range(20):
+                await client.ask(f"WRITE a{number} {turn}")
+                await client.ask(f"READ a{number}")
+
+    async def run() -> None:
+        async with deployment.running(1) as deployed:
+            (host,) = deployed.hosts
+            async with asyncio.TaskGroup() as tasks:
+                for number in range(8):
+                    tasks.create_task(load(host.sessions, number))
+                while (await _metrics(host)).get("fescueshunt_ready") != "1":
+                    await asyncio.sleep(0.05)
+                during = await _metrics(host)
+            after = await _metrics(host)
+        statements = sum(
+            int(value)
+            for name, value in after.items()
+            if name.startswith("fescueshunt_statements_total")
+        )
+        assert statements == 8 * 40
+        assert "fescueshunt_live_hosts" in during
+        assert float(after["fescueshunt_lease_left_seconds"]) > 0
+        confirmed = [
+            value
+            for name, value in after.items()
+            if name.startswith("fescueshunt_primary_confirmed")
+        ]
+        assert confirmed == ["1"]
+
+    asyncio.run(run())
--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -7,7 +7,7 @@
 import structlog
 
 from fescueshunt.core import session_items
-from fescueshunt_proxy._internal.hosted import decisions
+from fescueshunt_proxy._internal.hosted import decisions, own_settings
 
 
 def test_a_reader_that_stops_reading_holds_nobody_up():
@@ -29,7 +29,8 @@
 
 def test_a_kind_of_decision_keeps_to_its_budget_and_counts_the_rest():
     now = 10.0
-    log = decisions.DecisionLog(lambda: now)
+    cfg = own_settings.OwnSettings()
+    log = decisions.DecisionLog(cfg)
     with structlog.testing.capture_logs() as lines:
         for number in range(1000):
             log.decided(
@@ -41,6 +42,6 @@
         later = now + 1.0
         log.decided(session_items.Decided(later, "statement_failed", "s", {}))
     failed = [line for line in lines if line["event"] == "statement_failed"]
-    assert len(failed) == decisions.BURST_LINES + 1
-    assert failed[-1]["left_out"] == 1000 - decisions.BURST_LINES
+    assert len(failed) == cfg.log_burst_lines + 1
+    assert failed[-1]["left_out"] == 1000 - cfg.log_burst_lines
     assert any(line["event"] == "duty_taken" for line in lines)
