--- a/tests/unit/test_host_metrics.py
+++ b/tests/unit/test_host_metrics.py
@@ -17,10 +17,8 @@
     own_settings,
 )
 
-LABELS = r"\{[a-z_]+=\"[^\"]*\"(,[a-z_]+=\"[^\"]*\")*\}"
+LABELS = r'\{[a-z_]+="[^"]*"(,[a-z_]+="[^"]*")*\}'
 SAMPLE = re.compile(rf"^[a-z_]+({LABELS})? \S+$")
-    r"^[a-z_]+(\{[a-z_]+=\"[^\"]*\"(,[a-z_]+=\"[^\"]*\")*\})? \S+$"
-)
 
 
 class _Nothing(filters.Filter):
