--- a/tests/unit/test_takeover_spec.py
+++ b/tests/unit/test_takeover_spec.py
@@ -5,6 +5,7 @@
 import pytest
 from spec.takeover import model, removals
 
+from fescueshunt.core import store_items
 from fescueshunt.takeover import check
 from lib import takeover_replayer
 
@@ -61,11 +62,11 @@
 def test_without_confirmed_fences_a_replica_that_restarted_loses_a_commit(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    def believe(self, item):
-        self.confirmed[item.upstream] = item.reply.status.received
-        return check.Finding.UNKNOWN
+    def begin(self, ends):
+        self.confirmed = dict(ends)
+        yield store_items.ReadKey(self.begun_at, store_items.DUTY_KEY)
 
-    monkeypatch.setattr(check.Check, "see_status", believe)
+    monkeypatch.setattr(check.Check, "begin", begin)
     assert _replay("fence_holds") == ["lost first"]
 
 
