--- a/packages/fescueshunt/src/fescueshunt/replicas/entries.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/entries.py
@@ -1,8 +1,9 @@
 """Which upstreams exist, from what they write into the platform's store.
 
 An entry that is gone may belong to an upstream that only lost the store. It
-could still acknowledge commits, so it stays a member until it is known to be
-away, or has said nothing for FORGET_AFTER_S.
+could still acknowledge commits, so it is asked, and stays a member until it is
+known to be away or has said nothing for FORGET_AFTER_S. An entry of a replica
+set that no operator has named is another program's and names no upstream.
 """
 
 from __future__ import annotations
@@ -10,13 +11,21 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, session_items, store_items
+from fescueshunt.core import (
+    filters,
+    replica_sets,
+    routes,
+    session_items,
+    store_items,
+)
 from fescueshunt.replicas import items
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-FORGET_AFTER_S = 10.0
+FORGET_AFTER_S = 4.0
+ASK_EVERY_S = 1.0
+NOT_LISTED = "not listed"
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,10 +36,12 @@
       unlisted_at: when its entry went, or None.
       heard_at: when it last answered.
       leaving_at: when it was first seen to be leaving, or None.
+      ask_at: when it is asked next whether it is there, while not listed.
     """
 
     entry: replica_sets.Entry
     unlisted_at: float | None = None
+    ask_at: float = 0.0
     heard_at: float = replica_sets.NEVER
     leaving_at: float | None = None
 
@@ -40,10 +51,13 @@
 
     def __init__(self) -> None:
         self._known: dict[str, Known] = {}
+        self._databases: frozenset[str] = frozenset()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the members of a database when they change."""
         match item:
+            case routes.RoutesView():
+                yield from self._name(item)
             case store_items.EntriesListed():
                 yield from self._list(item)
             case store_items.EntryChanged():
@@ -58,11 +72,20 @@
                     self._known[item.upstream].heard_at = item.at
                 yield item
             case filters.Tick():
+                yield from self._ask(item.at)
                 yield from self._forget(item.at)
                 yield item
             case _:
                 yield item
 
+    def _name(self, item: routes.RoutesView) -> Iterator[filters.Item]:
+        """Takes over the replica sets' names; one once named stays."""
+        added = frozenset(item.databases) - self._databases
+        self._databases |= added
+        known = {one.entry.database for one in self._known.values()}
+        for database in sorted(added & known):
+            yield from self._members_of(database, item.at)
+
     def _list(self, item: store_items.EntriesListed) -> Iterator[filters.Item]:
         listed = {entry.upstream for entry in item.entries}
         for upstream in self._known.keys() - listed:
@@ -77,7 +100,7 @@
         if known is not None and known.entry == entry:
             if known.unlisted_at is not None:
                 known.unlisted_at = None
-                yield self._members_of(entry.database, now)
+                yield from self._members_of(entry.database, now)
             return
         leaving_at = known.leaving_at if known is not None else None
         if not entry.draining:
@@ -85,14 +108,15 @@
         elif leaving_at is None:
             leaving_at = now
         self._known[entry.upstream] = Known(entry, leaving_at=leaving_at)
-        yield self._members_of(entry.database, now)
+        yield from self._members_of(entry.database, now)
 
     def _remove(self, upstream: str, now: float) -> Iterator[filters.Item]:
         known = self._known.get(upstream)
         if known is None or known.unlisted_at is not None:
             return
         known.unlisted_at = now
-        yield self._members_of(known.entry.database, now)
+        known.ask_at = now + ASK_EVERY_S
+        yield from self._members_of(known.entry.database, now)
 
     def _hear(
         self, item: session_items.UpstreamAnswered
@@ -105,6 +129,12 @@
         if item.refused and known.unlisted_at is not None:
             yield from self._drop(item.upstream, item.at)
 
+    def _ask(self, now: float) -> Iterator[filters.Item]:
+        for upstream, known in self._known.items():
+            if known.unlisted_at is not None and now >= known.ask_at:
+                known.ask_at = now + ASK_EVERY_S
+                yield session_items.UpstreamSuspected(now, upstream, NOT_LISTED)
+
     def _forget(self, now: float) -> Iterator[filters.Item]:
         silent = [
             upstream
@@ -117,9 +147,11 @@
 
     def _drop(self, upstream: str, now: float) -> Iterator[filters.Item]:
         gone = self._known.pop(upstream)
-        yield self._members_of(gone.entry.database, now)
+        yield from self._members_of(gone.entry.database, now)
 
-    def _members_of(self, database: str, now: float) -> items.MembersChanged:
+    def _members_of(self, database: str, now: float) -> Iterator[filters.Item]:
+        if database not in self._databases:
+            return
         members = tuple(
             dataclasses.replace(
                 known.entry,
@@ -129,4 +161,4 @@
             for known in self._known.values()
             if known.entry.database == database
         )
-        return items.MembersChanged(now, database, members)
+        yield items.MembersChanged(now, database, members)
--- a/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, session_items, store_items
+from fescueshunt.core import filters, routes, session_items, store_items
 from fescueshunt.replicas import entries, poll, track
 
 if TYPE_CHECKING:
     import random
 
 ACCEPTS = (
+    routes.RoutesView,
     filters.Tick,
     store_items.EntriesListed,
     store_items.EntryChanged,
--- a/packages/fescueshunt/src/fescueshunt/sessions/moves.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/moves.py
@@ -25,14 +25,17 @@
     begun_at: dict[str, float] = dataclasses.field(default_factory=dict)
     expected_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
-    def see(self, view: replica_sets.ReplicaSetView) -> None:
-        """Notes the beginning and the end of moves."""
+    def see(self, view: replica_sets.ReplicaSetView) -> bool:
+        """Notes the beginning and the end of moves; tells of an end."""
         begun_at = self.begun_at.get(view.database)
         if view.is_moving and begun_at is None:
             self.begun_at[view.database] = view.at
-        elif not view.is_moving and begun_at is not None:
+            return False
+        if not view.is_moving and begun_at is not None:
             del self.begun_at[view.database]
             self.expected_s[view.database] = view.at - begun_at
+            return True
+        return False
 
     def ends_at(self, database: str, now: float) -> float | None:
         """Returns when the move is expected to end.
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -83,9 +83,17 @@
         return sum(len(line.schedule) for line in self._lines.values())
 
     def see(self, view: replica_sets.ReplicaSetView) -> None:
-        """Takes over the newest view of a database."""
+        """Takes over the newest view of a database.
+
+        What waited for a primary that was replaced has its wait anew: those
+        that waited go one after the other.
+        """
         self._views[view.database] = view
-        self._moves.see(view)
+        if self._moves.see(view):
+            line = self._line(Place(view.database, at_primary=True))
+            for work in line.schedule.waiting():
+                wait_until = view.at + work.wait_s
+                work.refuse_at = min(wait_until, work.expire_at)
 
     def add(self, work: items.Work, now: float) -> Refusal | None:
         """Adds a statement, or returns why it isn't worth waiting."""
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -95,8 +95,13 @@
 
     @property
     def needed(self) -> int:
-        """How many members have to be fenced."""
-        return max(len(self._members) - 1, 1)
+        """How many members have to be fenced.
+
+        An old primary that is not among them any more may still be alive
+        somewhere, so then no replica may be missing.
+        """
+        spared = 1 if self._old_primary in self._members else 0
+        return max(len(self._members) - spared, 1)
 
     def narrow(self) -> None:
         """Keeps the old primary only: it has every commit by itself."""
