--- a/packages/fescueshunt/src/fescueshunt/sessions/converse.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/converse.py
@@ -354,6 +354,7 @@
         "outcome": item.failure.value,
         "why": item.detail,
         "route": work.route.name,
+        "database": work.route.database,
         "verb": work.statement.verb.value,
         "in_transaction": work.in_transaction,
         "upstream": item.upstream,
--- a/tests/unit/test_settings_reference.py
+++ b/tests/unit/test_settings_reference.py
@@ -4,11 +4,13 @@
 import pathlib
 import re
 
+import msgspec
 import pytest
 
 from fescueshunt import errors
 from fescueshunt_cli._internal import deployment
 from fescueshunt_proxy._internal import access, daemon, settings
+from fescueshunt_proxy._internal.hosted import own_settings
 from fescueshunt_wire.models import documents
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -44,6 +46,14 @@
     assert dict(ROW.findall(text)) == expected
 
 
+def test_the_reference_has_the_settings_of_a_host():
+    parts = re.split(r"^## .*?(\[[^]]+\])$", REFERENCE.read_text(), flags=re.M)
+    text = parts[parts.index("[host]") + 1]
+    fields = msgspec.structs.fields(own_settings.OwnSettings)
+    expected = {field.name: f"`{field.default}`" for field in fields}
+    assert dict(ROW.findall(text)) == expected
+
+
 def write(path: pathlib.Path, text: str) -> pathlib.Path:
     path.write_text(text)
     return path
