--- a/packages/fescueshunt/src/fescueshunt/request/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pool.py
@@ -5,11 +5,9 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import schedule
+from fescueshunt.core import reconnect, schedule
 
 if TYPE_CHECKING:
-    import random
-
     from fescueshunt.request import items
 
 MAX_OPENING = 3
@@ -36,8 +34,7 @@
       idle: open connections with the time since when they have no work.
       opening: connections that are being opened.
       running: what holds a slot, by connection.
-      failures: how many opens failed in a row.
-      open_after: no connection is opened before.
+      reconnect: when the next connection may be opened.
     """
 
     database: str
@@ -51,8 +48,11 @@
     opening: set[int] = dataclasses.field(default_factory=set)
     running: dict[int, Running] = dataclasses.field(default_factory=dict)
     by_rank: dict[int, int] = dataclasses.field(default_factory=dict)
-    failures: int = 0
-    open_after: float = 0.0
+    reconnect: reconnect.Reconnect = dataclasses.field(
+        default_factory=lambda: reconnect.Reconnect(
+            FIRST_BACKOFF_S, MAX_BACKOFF_S
+        )
+    )
 
     @property
     def size(self) -> int:
@@ -65,7 +65,8 @@
 
     def is_unreachable(self, now: float) -> bool:
         """Tells whether the last open failed and the next is not due."""
-        return self.failures > 0 and not self.size and now < self.open_after
+        put_off = self.reconnect.failures and not self.reconnect.is_due(now)
+        return bool(put_off) and not self.size
 
     def seen_slots(self) -> schedule.Slots:
         """Returns what the schedule has to know of the slots."""
@@ -73,7 +74,7 @@
 
     def wanted(self, now: float) -> int:
         """Returns how many connections to open now."""
-        if now < self.open_after:
+        if not self.reconnect.is_due(now):
             return 0
         ready = len(self.idle) + len(self.opening)
         work = min(len(self.queue), self.slots - len(self.running))
@@ -103,12 +104,6 @@
         if ran:
             self.queue.released(running.work, now - running.since)
 
-    def open_failed(self, now: float, chance: random.Random) -> None:
-        """Puts off the next open, longer for each failure in a row."""
-        limit_s = min(FIRST_BACKOFF_S * 2**self.failures, MAX_BACKOFF_S)
-        self.failures += 1
-        self.open_after = now + limit_s * chance.uniform(0.5, 1.0)
-
     def surplus(self, now: float) -> list[int]:
         """Returns idle connections to close: more than warm, and unused."""
         unused = [
--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -169,7 +169,7 @@
     ) -> Iterator[filters.Item]:
         found = self._state.owners[item.conn]
         found.opening.discard(item.conn)
-        found.failures = 0
+        found.reconnect.succeeded()
         found.idle[item.conn] = item.at
         yield from self._serve(found, item.at)
 
@@ -200,7 +200,7 @@
         if item.conn not in found.opening:
             return
         found.opening.discard(item.conn)
-        found.open_failed(item.at, self._chance)
+        found.reconnect.failed(item.at, self._chance)
         if not found.size:
             for work in found.queue.clear():
                 yield _return(item.at, work, found, item.error)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -7,6 +7,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from fescueshunt.core import reconnect
+
 if TYPE_CHECKING:
     import random
 
@@ -83,8 +85,7 @@
       most: how many this host may open while others leave room.
       is_permanent: whether one connection is always kept.
       asks: calls of our own that wait for a connection.
-      failures: how many opens failed in a row.
-      open_after: no connection is opened before.
+      reconnect: when the next connection may be opened.
       heard_at: when the upstream last said anything.
       told_at: when the core was last told of that.
       refused: whether it last turned a connection away as not itself.
@@ -99,8 +100,11 @@
     asks: collections.deque[session_items.AskUpstream] = dataclasses.field(
         default_factory=collections.deque
     )
-    failures: int = 0
-    open_after: float = 0.0
+    reconnect: reconnect.Reconnect = dataclasses.field(
+        default_factory=lambda: reconnect.Reconnect(
+            FIRST_BACKOFF_S, MAX_BACKOFF_S
+        )
+    )
     heard_at: float = 0.0
     told_at: float = 0.0
     refused: bool = False
@@ -123,10 +127,10 @@
 
     def may_open(self, now: float) -> bool:
         """Tells whether one more connection may be opened now."""
-        if now < self.open_after:
+        if not self.reconnect.is_due(now):
             return False
         opening = self.count(LinkState.OPENING)
-        if opening >= MAX_OPENING or (self.failures and opening):
+        if opening >= MAX_OPENING or (self.reconnect.failures and opening):
             return False
         if len(self.links) < self.share:
             return True
@@ -134,7 +138,7 @@
 
     def opened(self) -> None:
         """Notes that a connection was opened."""
-        self.failures = 0
+        self.reconnect.succeeded()
         self.refused = False
 
     def is_news(self, now: float) -> bool:
@@ -149,13 +153,8 @@
         """Notes that the upstream had no connection left."""
         self.limited_until = now + LIMITED_S
         self.heard_at = now
-        self.open_after = now + LIMIT_BACKOFF_S * chance.uniform(0.4, 1.0)
-
-    def open_failed(self, now: float, chance: random.Random) -> None:
-        """Puts off the next open, longer for each failure in a row."""
-        limit_s = min(FIRST_BACKOFF_S * 2**self.failures, MAX_BACKOFF_S)
-        self.failures += 1
-        self.open_after = now + limit_s * chance.uniform(0.5, 1.0)
+        wait_s = LIMIT_BACKOFF_S * chance.uniform(0.4, 1.0)
+        self.reconnect.open_after = now + wait_s
 
     def has_idle(self) -> bool:
         """Tells whether a connection is idle."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -29,6 +29,6 @@
         "error": item.error.code,
         "refusal": item.refusal.value if item.refusal else "",
         "links": len(kept.links),
-        "failures": kept.failures,
+        "failures": kept.reconnect.failures,
     }
     return session_items.Decided(item.at, "link_failed", "", details)
