--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -70,8 +70,16 @@
 
 
 @contextlib.asynccontextmanager
-async def running(count: int = 2) -> AsyncIterator[Deployment]:
-    """Starts a stand-in and `count` hosts; ends them, and only them."""
+async def running(
+    count: int = 2, sources: pathlib.Path | None = None
+) -> AsyncIterator[Deployment]:
+    """Starts a stand-in and `count` hosts; ends them, and only them.
+
+    Args:
+      count: how many hosts.
+      sources: a tree whose packages the hosts run, such as an earlier
+        version's; by default those that are installed.
+    """
     with contextlib.ExitStack() as stack:
         folder = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
@@ -81,7 +89,7 @@
         env = dict(os.environ)
         stack.enter_context(_running(args, folder / "platform.log", env))
         hosts = [
-            _start_host(stack, folder, platform, number)
+            _start_host(stack, folder, platform, number, sources)
             for number in range(count)
         ]
         deployed = Deployment(platform, hosts)
@@ -97,6 +105,7 @@
     folder: pathlib.Path,
     platform: str,
     number: int,
+    sources: pathlib.Path | None,
 ) -> HostProcess:
     sessions = fleet.free_address()
     readiness = fleet.free_address()
@@ -112,10 +121,15 @@
     file = folder / f"boot-{number}.json"
     file.write_text(json.dumps(settings))
     env = dict(os.environ, FESCUESHUNT_BOOT=str(file))
-    own = folder / f"host-{number}.ini"
-    own.write_text(f"[host]\nmetrics_port = {metrics.rpartition(':')[2]}\n")
     args = [sys.executable, "-m", "fescueshunt_proxy", "hosted"]
-    args += ["--settings", str(own)]
+    if sources is None:
+        own = folder / f"host-{number}.ini"
+        port = metrics.rpartition(":")[2]
+        own.write_text(f"[host]\nmetrics_port = {port}\n")
+        args += ["--settings", str(own)]
+    else:
+        trees = sorted(sources.glob("packages/*/src"))
+        env["PYTHONPATH"] = os.pathsep.join(map(str, trees))
     log = folder / f"host-{number}.log"
     popen = stack.enter_context(_running(args, log, env))
     return HostProcess(popen, sessions, readiness, metrics, log)
