Give open transactions half of the grace, and late sessions time to speak

Reading on: open transactions were closed after 0.45 of the grace, not after its half. Third: the time that work takes was learned for all ranks of a database together, so slow reads of a low rank made urgent ones seem late.

Ruled out: keeping sessions open until their first statement (some never say one).

Change: 2.5 s instead of 2.2 s, 0.52 instead of 0.45, times by rank.

--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -63,9 +63,10 @@
         return self.account
 
     @property
-    def kind(self) -> tuple[str, bool, bool]:
-        """Work of a database that reads, writes or begins takes as long."""
-        return self.route.database, self.writes, self.opens
+    def kind(self) -> tuple[str, int, bool, bool]:
+        """Work of a rank that reads, writes or begins takes about as long."""
+        database, order = self.route.database, self.rank.order
+        return database, order, self.writes, self.opens
 
     @property
     def came_at(self) -> float:
--- a/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-# The balancer asks once a second and needs two misses.
-OUT_OF_ROTATION_S = 2.2
-TRANSACTION_SHARE = 0.45
+# The balancer asks once a second and needs two misses; a client that it still
+# sent here then opens its session and says what it wants.
+OUT_OF_ROTATION_S = 2.5
+# An open transaction has the first half of the grace to end.
+TRANSACTION_SHARE = 0.52
 END_MARGIN_S = 0.7
 
 
