--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/measures.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/measures.py
@@ -64,7 +64,7 @@
         work = item.work
         labels = {
             "rank": work.rank.order,
-            "route_type": work.route.consistency.value,
+            "consistency": work.route.consistency.value,
             "outcome": item.failure.value if item.failure else DONE,
         }
         self.count("statements", **labels)
