Split the session's state and its plain answers out of the session handler

Ruled out: a change of behaviour; code moved only. Change: session.py, answers.py; the log event of a failed statement joins reports.py. Conclusion: nothing else changes.

--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/answers.py
@@ -0,0 +1,36 @@
+"""Builds the answers to statements that need no upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import session_items, sessions
+
+if TYPE_CHECKING:
+    from fescueshunt.core import filters
+    from fescueshunt.sessions import session as client_session
+
+
+def success(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> filters.Item:
+    """Returns the answer to a statement that succeeded."""
+    answer = sessions.SessionAnswer(receipt="", state=session.state)
+    return session_items.SendSessionAnswer(
+        now, session.client, statement.statement_id, answer
+    )
+
+
+def failure(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    reason: sessions.Failure,
+    now: float,
+) -> filters.Item:
+    """Returns the answer to a statement that failed for `reason`."""
+    answer = sessions.SessionAnswer(failure=reason, state=session.state)
+    return session_items.SendSessionAnswer(
+        now, session.client, statement.statement_id, answer
+    )
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -1,4 +1,4 @@
-"""Builds the log events about connections."""
+"""Builds the log events about connections, statements and the stop."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from fescueshunt.core import session_items
 
 if TYPE_CHECKING:
-    from fescueshunt.sessions import pool, pools
+    from fescueshunt.sessions import items, pool, pools
 
 
 def pool_sizes(
@@ -37,3 +37,23 @@
         "failures": conn_pool.reconnect.failures,
     }
     return session_items.LogDecision(item.at, "link_failed", "", details)
+
+
+def statement_failed(item: items.JobFinished) -> session_items.LogDecision:
+    """Returns the event of a statement that failed."""
+    job = item.job
+    details = {
+        "outcome": item.failure.value,
+        "why": item.detail,
+        "route": job.route.name,
+        "database": job.route.database,
+        "verb": job.statement.verb.value,
+        "in_transaction": job.in_transaction,
+        "upstream": item.upstream,
+        "tries": job.attempts,
+        "sent": job.statement_sent,
+        "took_s": round(item.at - job.arrived_at, 4),
+    }
+    return session_items.LogDecision(
+        item.at, "statement_failed", job.statement.statement_id, details
+    )
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session.py
@@ -0,0 +1,44 @@
+"""The state of one client's session."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import sessions
+
+if TYPE_CHECKING:
+    from fescueshunt.core import position, routes
+    from fescueshunt.sessions import items
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """A client's session.
+
+    Attributes:
+      route: the name of the route that the client asked for.
+      values: the session values by name; a value is never removed.
+      begin_statement: the statement that began the transaction.
+      began_at: when that statement arrived; local clock, seconds.
+      transaction_route: the route in force when the transaction began.
+      begun_upstream: whether the transaction has begun at an upstream.
+      last_commit: the log position of the last commit, or None.
+      job: the statement in flight, or None.
+    """
+
+    client: int
+    route: str
+    account: str = ""
+    values: dict[str, str] = dataclasses.field(default_factory=dict)
+    prepared: dict[str, sessions.Prepared] = dataclasses.field(
+        default_factory=dict
+    )
+    state: sessions.TransactionState = sessions.TransactionState.IDLE
+    begin_statement: sessions.Statement | None = None
+    began_at: float = 0.0
+    transaction_route: routes.Route | None = None
+    read_only: bool = False
+    begun_upstream: bool = False
+    last_commit: position.Position | None = None
+    job: items.StatementJob | None = None
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -8,18 +8,24 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
     filters,
-    position,
     process,
     routes,
     session_items,
     sessions,
 )
-from fescueshunt.sessions import items, readiness, shutdown, steps
+from fescueshunt.sessions import (
+    answers,
+    items,
+    readiness,
+    reports,
+    shutdown,
+    steps,
+)
+from fescueshunt.sessions import session as client_session
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,43 +37,11 @@
 FAILED = sessions.TransactionState.FAILED
 
 
-@dataclasses.dataclass(slots=True)
-class Session:
-    """A client's session.
-
-    Attributes:
-      route: the name of the route that the client asked for.
-      values: the session values by name; a value is never removed.
-      begin_statement: the statement that began the transaction.
-      began_at: when that statement arrived; local clock, seconds.
-      transaction_route: the route in force when the transaction began.
-      begun_upstream: whether the transaction has begun at an upstream.
-      last_commit: the log position of the last commit, or None.
-      job: the statement in flight, or None.
-    """
-
-    client: int
-    route: str
-    account: str = ""
-    values: dict[str, str] = dataclasses.field(default_factory=dict)
-    prepared: dict[str, sessions.Prepared] = dataclasses.field(
-        default_factory=dict
-    )
-    state: sessions.TransactionState = IDLE
-    begin_statement: sessions.Statement | None = None
-    began_at: float = 0.0
-    transaction_route: routes.Route | None = None
-    read_only: bool = False
-    begun_upstream: bool = False
-    last_commit: position.Position | None = None
-    job: items.StatementJob | None = None
-
-
 class SessionHandler(filters.Filter):
     """Answers statements that need no upstream; submits the others as jobs."""
 
     def __init__(self, grace_s: float) -> None:
-        self._sessions: dict[int, Session] = {}
+        self._sessions: dict[int, client_session.Session] = {}
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
 
@@ -108,7 +82,9 @@
         elif item.route not in self._routes.routes:
             failure = sessions.Failure.NO_DATABASE
         else:
-            session = Session(item.client, item.route, item.account)
+            session = client_session.Session(
+                item.client, item.route, item.account
+            )
             self._sessions[item.client] = session
             yield session_items.AcceptSession(item.at, item.client)
             return
@@ -145,47 +121,53 @@
                 yield from self._roll_back(session, statement, item.at)
             case sessions.Verb.SET_VALUE:
                 session.values[statement.name] = statement.argument
-                yield _success_answer(session, statement, item.at)
+                yield answers.success(session, statement, item.at)
             case sessions.Verb.PREPARE:
                 prepared = sessions.Prepared(statement.writes, statement.shape)
                 session.prepared[statement.name] = prepared
-                yield _success_answer(session, statement, item.at)
+                yield answers.success(session, statement, item.at)
             case sessions.Verb.DEALLOCATE:
                 yield self._deallocate(session, statement, item.at)
             case sessions.Verb.COMMIT if session.state is IDLE:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
                 )
             case sessions.Verb.INVALID:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
                 )
             case _:
                 yield from self._submit_statement(session, statement, item.at)
 
     def _receive_in_failed_transaction(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         """Accepts only the end of the transaction; fails other statements."""
         match statement.verb:
             case sessions.Verb.ROLLBACK:
                 session.state = IDLE
-                yield _success_answer(session, statement, now)
+                yield answers.success(session, statement, now)
             case sessions.Verb.COMMIT:
                 session.state = IDLE
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.ABORTED, now
                 )
             case _:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, now
                 )
 
     def _begin_transaction(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> filters.Item:
         if session.state is OPEN:
-            return _failure_answer(
+            return answers.failure(
                 session, statement, sessions.Failure.INVALID, now
             )
         session.state = OPEN
@@ -194,27 +176,36 @@
         session.transaction_route = self._route_of(session)
         session.read_only = statement.read_only
         session.begun_upstream = False
-        return _success_answer(session, statement, now)
+        return answers.success(session, statement, now)
 
     def _roll_back(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         if session.begun_upstream:
             yield items.RollBackTransaction(now, session.client, statement)
         session.state = IDLE
         session.begun_upstream = False
-        yield _success_answer(session, statement, now)
+        yield answers.success(session, statement, now)
 
     def _deallocate(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> filters.Item:
         if session.prepared.pop(statement.name, None) is None:
             failure = sessions.Failure.NO_STATEMENT
-            return _failure_answer(session, statement, failure, now)
-        return _success_answer(session, statement, now)
+            return answers.failure(session, statement, failure, now)
+        return answers.success(session, statement, now)
 
     def _submit_statement(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         in_transaction = session.state is OPEN
         route = self._route_of(session)
@@ -229,7 +220,7 @@
         if statement.verb is sessions.Verb.EXECUTE:
             prepared = session.prepared.get(statement.name)
             if prepared is None:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
@@ -238,7 +229,7 @@
 
     def _make_job(
         self,
-        session: Session,
+        session: client_session.Session,
         statement: sessions.Statement,
         route: routes.Route,
         prepared: sessions.Prepared | None,
@@ -279,7 +270,7 @@
         job = item.job
         session = self._sessions.get(job.client)
         if item.failure is not None:
-            yield _failure_event(item)
+            yield reports.statement_failed(item)
         if session is None or session.job is not job:
             if job.in_transaction and item.failure is None:
                 yield items.RollBackTransaction(item.at, job.client)
@@ -304,7 +295,7 @@
 
     def _record_success(
         self,
-        session: Session,
+        session: client_session.Session,
         job: items.StatementJob,
         reply: sessions.UpstreamReply,
     ) -> None:
@@ -318,7 +309,7 @@
 
     def _fail_statement(
         self,
-        session: Session,
+        session: client_session.Session,
         statement: sessions.Statement,
         failure: sessions.Failure,
         now: float,
@@ -329,7 +320,7 @@
         if session.begun_upstream:
             session.begun_upstream = False
             yield items.RollBackTransaction(now, session.client)
-        yield _failure_answer(session, statement, failure, now)
+        yield answers.failure(session, statement, failure, now)
 
     def _mark_transaction_lost(self, client: int) -> None:
         session = self._sessions.get(client)
@@ -337,7 +328,7 @@
             session.begun_upstream = False
             session.state = FAILED
 
-    def _route_of(self, session: Session) -> routes.Route | None:
+    def _route_of(self, session: client_session.Session) -> routes.Route | None:
         if self._routes is None:
             return None
         return self._routes.routes.get(session.route)
@@ -356,44 +347,3 @@
                     yield items.RollBackTransaction(now, session.client)
         if self._shutdown.is_complete(now, len(self._sessions)):
             yield process.Stopped(now)
-
-
-def _failure_event(item: items.JobFinished) -> session_items.LogDecision:
-    """Returns the log event of a statement that failed."""
-    job = item.job
-    details = {
-        "outcome": item.failure.value,
-        "why": item.detail,
-        "route": job.route.name,
-        "database": job.route.database,
-        "verb": job.statement.verb.value,
-        "in_transaction": job.in_transaction,
-        "upstream": item.upstream,
-        "tries": job.attempts,
-        "sent": job.statement_sent,
-        "took_s": round(item.at - job.arrived_at, 4),
-    }
-    return session_items.LogDecision(
-        item.at, "statement_failed", job.statement.statement_id, details
-    )
-
-
-def _success_answer(
-    session: Session, statement: sessions.Statement, now: float
-) -> filters.Item:
-    answer = sessions.SessionAnswer(receipt="", state=session.state)
-    return session_items.SendSessionAnswer(
-        now, session.client, statement.statement_id, answer
-    )
-
-
-def _failure_answer(
-    session: Session,
-    statement: sessions.Statement,
-    failure: sessions.Failure,
-    now: float,
-) -> filters.Item:
-    answer = sessions.SessionAnswer(failure=failure, state=session.state)
-    return session_items.SendSessionAnswer(
-        now, session.client, statement.statement_id, answer
-    )
