Log what a stopping host still has open, at each step of its stop

Cause: between its last pools line and 'stopped' a host wrote nothing about its sessions, so the logs can't tell a session accepted after the decision to end from an answer that was not flushed.

Ruled out: nothing yet.

Change: stop_started and stop_completed with sessions, statements in flight and transactions; a line for each session accepted during the stop; 'stopped' with the connections still open and the ids of statements without an answer. No decision changes.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
@@ -22,6 +22,7 @@
         self._runtime = core_runtime
         self._next_ids = itertools.count(1)
         self._conns: dict[int, ports.ClientConnection] = {}
+        self._statements_in_flight: dict[int, str] = {}
         core_runtime.subscribe(session_items.AcceptSession, self._send_welcome)
         core_runtime.subscribe(
             session_items.RejectSession, self._send_rejection
@@ -44,9 +45,24 @@
         self._conns[client_id] = conn
         return _ClientListener(self, self._runtime, client_id)
 
+    @property
+    def open_count(self) -> int:
+        """The number of open client connections."""
+        return len(self._conns)
+
+    @property
+    def unanswered(self) -> list[str]:
+        """The ids of the statements that open connections wait for."""
+        return list(self._statements_in_flight.values())
+
+    def record_statement(self, client_id: int, statement_id: str) -> None:
+        """Records that a client has sent a statement."""
+        self._statements_in_flight[client_id] = statement_id
+
     def remove(self, client_id: int) -> None:
         """Removes a client connection that has ended."""
         self._conns.pop(client_id, None)
+        self._statements_in_flight.pop(client_id, None)
 
     def _send_welcome(self, item: session_items.AcceptSession) -> None:
         if item.client in self._conns:
@@ -57,6 +73,7 @@
             self._conns[item.client].reject(item.failure, item.detail)
 
     def _send_answer(self, item: session_items.SendSessionAnswer) -> None:
+        self._statements_in_flight.pop(item.client, None)
         if item.client in self._conns:
             self._conns[item.client].answer(item.statement_id, item.answer)
 
@@ -83,6 +100,7 @@
         )
 
     def on_statement(self, statement: sessions.Statement) -> None:
+        self._clients.record_statement(self._client_id, statement.statement_id)
         now = self._runtime.now()
         self._runtime.feed(
             session_items.StatementReceived(now, self._client_id, statement)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -61,13 +61,19 @@
     async with (
         runtime.background_tasks() as tasks,
         metrics_endpoint.serving(metrics_address, metrics_recorder.render),
-        _run_adapters(cfg, core_runtime, tasks, metrics_recorder),
+        _run_adapters(
+            cfg, core_runtime, tasks, metrics_recorder
+        ) as client_connections,
     ):
         logger.info("started", incarnation=local_host.incarnation)
         _install_signal_handlers(core_runtime)
         await stopped.wait()
         await asyncio.sleep(FLUSH_DELAY_S)
-    logger.info("stopped")
+    logger.info(
+        "stopped",
+        connections=client_connections.open_count,
+        unanswered=client_connections.unanswered,
+    )
     return SUCCESS
 
 
@@ -77,8 +83,12 @@
     core_runtime: runtime.Runtime,
     tasks: asyncio.TaskGroup,
     metrics_recorder: measures.HostMetrics,
-) -> AsyncIterator[None]:
-    """Connects the adapters to the core and runs them within the context."""
+) -> AsyncIterator[front.ClientConnections]:
+    """Connects the adapters to the core and runs them within the context.
+
+    Yields:
+      The client connections.
+    """
     ready_flag = _ReadyFlag(core_runtime)
     links.UpstreamConnections(
         core_runtime, upstreams.LineProtocolConnector(), tasks
@@ -103,7 +113,7 @@
             ).run()
         )
         tasks.create_task(clock.feed_ticks(core_runtime, TICK_INTERVAL_S))
-        yield
+        yield client_connections
 
 
 def _metrics_address(
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import session_items
+from fescueshunt.core import session_items, sessions
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from fescueshunt.sessions import items, pool, pools
+    from fescueshunt.sessions import session as client_session
 
 
 def pool_sizes(
@@ -57,3 +60,27 @@
     return session_items.LogDecision(
         item.at, "statement_failed", job.statement.statement_id, details
     )
+
+
+def stop_progress(
+    event: str,
+    open_sessions: Collection[client_session.Session],
+    elapsed_s: float,
+    now: float,
+) -> session_items.LogDecision:
+    """Returns an event with the sessions that a graceful stop still has.
+
+    Args:
+      event: the name of the event.
+      open_sessions: the sessions that are open.
+      elapsed_s: the time since the stop started; seconds.
+      now: the current time; local clock, seconds.
+    """
+    idle = sessions.TransactionState.IDLE
+    details = {
+        "elapsed_s": round(elapsed_s, 4),
+        "sessions": len(open_sessions),
+        "in_flight": sum(each.job is not None for each in open_sessions),
+        "in_transaction": sum(each.state is not idle for each in open_sessions),
+    }
+    return session_items.LogDecision(now, event, "", details)
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -44,6 +44,7 @@
         self._sessions: dict[int, client_session.Session] = {}
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
+        self._is_stopped = False
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers to clients, and jobs for upstreams."""
@@ -70,6 +71,7 @@
                 yield item
             case process.StopAsked():
                 self._shutdown.start(item.at)
+                yield self._stop_event("stop_started", item.at)
                 yield item
             case _:
                 yield item
@@ -86,6 +88,8 @@
                 item.client, item.route, item.account
             )
             self._sessions[item.client] = session
+            if self._shutdown.is_stopping:
+                yield self._stop_event("session_accepted_at_stop", item.at)
             yield session_items.AcceptSession(item.at, item.client)
             return
         yield session_items.RejectSession(
@@ -346,4 +350,13 @@
                 if session.begun_upstream:
                     yield items.RollBackTransaction(now, session.client)
         if self._shutdown.is_complete(now, len(self._sessions)):
+            if not self._is_stopped:
+                self._is_stopped = True
+                yield self._stop_event("stop_completed", now)
             yield process.Stopped(now)
+
+    def _stop_event(self, event: str, now: float) -> filters.Item:
+        elapsed_s = self._shutdown.elapsed_s(now)
+        return reports.stop_progress(
+            event, self._sessions.values(), elapsed_s, now
+        )
--- a/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -34,6 +34,15 @@
         elif self._isolated_at is None:
             self._isolated_at = now
 
+    def elapsed_s(self, now: float) -> float:
+        """Returns the seconds since the graceful stop started; 0 before it."""
+        return now - self._started_at if self._started_at is not None else 0.0
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the graceful stop has started."""
+        return self._started_at is not None
+
     @property
     def keeps_all_sessions(self) -> bool:
         """Whether no session has to close."""
