--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/__main__.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/__main__.py
@@ -7,24 +7,27 @@
 
 import defopt
 
-from fescueshunt_standins.hosted import server
+from fescueshunt_standins.hosted import lines, server
 
 
-def main(address: str) -> None:
+def main(
+    address: str, *, statement_duration_s: float = lines.CALL_DURATION_S
+) -> None:
     """Serves the key-value store and the promotion call.
 
     Args:
       address: the IP address and port to listen on, as `ip:port`.
+      statement_duration_s: how long a client's statement takes at an upstream.
     """
-    asyncio.run(_serve(address))
+    asyncio.run(_serve(address, statement_duration_s))
 
 
-async def _serve(address: str) -> None:
+async def _serve(address: str, statement_duration_s: float) -> None:
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    async with server.running(address):
+    async with server.running(address, statement_duration_s):
         print(address, flush=True)
         await stop_requested.wait()
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt_standins import fleet
+from fescueshunt_standins.hosted import lines
 from fescueshunt_wire import http
 
 if TYPE_CHECKING:
@@ -56,6 +57,14 @@
         response = await client.call("POST", target, ANSWER_TIMEOUT_S)
         assert response.status == 200
 
+    async def read_statement_ids(self) -> set[str]:
+        """Returns the ids of the clients' statements that reached upstreams."""
+        client = http.Client(self.platform_address)
+        target = "/stand-in/statements"
+        response = await client.call("GET", target, ANSWER_TIMEOUT_S)
+        assert response.status == 200
+        return set(json.loads(response.body)["ids"])
+
 
 @contextlib.contextmanager
 def _running_process(
@@ -78,7 +87,9 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    host_count: int = 2, source_tree: pathlib.Path | None = None
+    host_count: int = 2,
+    source_tree: pathlib.Path | None = None,
+    statement_duration_s: float = lines.CALL_DURATION_S,
 ) -> AsyncIterator[Deployment]:
     """Runs a platform stand-in and hosts; stops only these on exit.
 
@@ -86,6 +97,7 @@
       host_count: the number of hosts to start.
       source_tree: a source tree whose packages the hosts run, for example that
         of an earlier version; by default, they run the installed packages.
+      statement_duration_s: how long a client's statement takes at an upstream.
     """
     with contextlib.ExitStack() as stack:
         folder = pathlib.Path(
@@ -97,6 +109,8 @@
             "-m",
             "fescueshunt_standins.hosted",
             platform_address,
+            "--statement-duration-s",
+            str(statement_duration_s),
         ]
         env = dict(os.environ)
         stack.enter_context(
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-STATEMENT_DURATION_S = 0.001
+CALL_DURATION_S = 0.001
+PROXY_STATEMENT_ID = "-"
 _STATE_CODES = {
     sessions.TransactionState.IDLE: "I",
     sessions.TransactionState.OPEN: "T",
@@ -32,13 +33,22 @@
 
 
 class MemberListener:
-    """Accepts connections to one member of a replica set."""
+    """Accepts connections to one member of a replica set.
+
+    Attributes:
+      received_ids: the ids of the clients' statements that arrived, in order.
+    """
 
     def __init__(
-        self, replica_set: replicas.ReplicaSet, member: replicas.Member
+        self,
+        replica_set: replicas.ReplicaSet,
+        member: replicas.Member,
+        statement_duration_s: float,
     ) -> None:
+        self.received_ids: list[str] = []
         self._replica_set = replica_set
         self._member = member
+        self._statement_duration_s = statement_duration_s
         self._writers: set[asyncio.StreamWriter] = set()
         self._database = ""
 
@@ -71,7 +81,6 @@
             writer.write(self._ready_line(session))
             while True:
                 line = await reader.readuntil(b"\r\n")
-                await asyncio.sleep(STATEMENT_DURATION_S)
                 writer.write(await self._execute_line(session, line.decode()))
         except (asyncio.IncompleteReadError, OSError):
             pass
@@ -93,6 +102,7 @@
         self, session: statements.UpstreamSession, line: str
     ) -> bytes:
         _, statement_id, text = line.rstrip("\r\n").split(" ", 2)
+        await self._wait_for_duration(statement_id)
         call = parse_call(statement_id, text)
         reply_future = asyncio.get_running_loop().create_future()
 
@@ -115,6 +125,14 @@
             lines.append(f"ERROR {_FAILURE_CODES[failure]} -\r\n")
         return "".join(lines).encode() + self._ready_line(session)
 
+    async def _wait_for_duration(self, statement_id: str) -> None:
+        """Takes the time of a client's statement or of a call of the proxy."""
+        if statement_id == PROXY_STATEMENT_ID:
+            await asyncio.sleep(CALL_DURATION_S)
+            return
+        self.received_ids.append(statement_id)
+        await asyncio.sleep(self._statement_duration_s)
+
     def _ready_line(self, session: statements.UpstreamSession) -> bytes:
         applied = self._member.applied_position()
         state = _STATE_CODES[session.state]
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -2,7 +2,9 @@
 
 The key-value store and the promotion call share one HTTP address. Each upstream
 listens on an address of its own. `POST /stand-in/crash?name=` and
-`POST /stand-in/restart?name=` crash and restart an upstream.
+`POST /stand-in/restart?name=` crash and restart an upstream;
+`GET /stand-in/statements` returns the ids of the statements that clients sent
+and that arrived at an upstream.
 """
 
 from __future__ import annotations
@@ -130,6 +132,8 @@
                 return _json_response()
             case "POST", ["promotion"]:
                 return self._promote_upstream(body["id"])
+            case "GET", ["stand-in", "statements"]:
+                return self._list_statements()
             case "POST", ["stand-in", action]:
                 return self._crash_or_restart(action, params["name"])
         return http.Response(404, b"")
@@ -197,6 +201,14 @@
         )
         return http.Response(200 if accepted else 409, b"{}")
 
+    def _list_statements(self) -> http.Response:
+        ids = [
+            statement_id
+            for listener in self.listeners.values()
+            for statement_id in listener.received_ids
+        ]
+        return _json_response(ids=ids)
+
     def _crash_or_restart(self, action: str, name: str) -> http.Response:
         member = self.members[name]
         member.up = action == "restart"
@@ -208,12 +220,19 @@
 
 
 @contextlib.asynccontextmanager
-async def running(address: str) -> AsyncIterator[Platform]:
-    """Serves a platform stand-in on `address` and yields it."""
+async def running(
+    address: str, statement_duration_s: float = lines.CALL_DURATION_S
+) -> AsyncIterator[Platform]:
+    """Serves a platform stand-in on `address` and yields it.
+
+    Each statement of a client takes `statement_duration_s` at an upstream.
+    """
     platform = Platform()
     async with contextlib.AsyncExitStack() as stack:
         for name, member in platform.members.items():
-            listener = lines.MemberListener(platform.replica_set, member)
+            listener = lines.MemberListener(
+                platform.replica_set, member, statement_duration_s
+            )
             platform.listeners[name] = listener
             listening = listener.serving(DATABASE)
             upstream_address = await stack.enter_async_context(listening)
