Add failing tests of answers that a stopping host owes, without a network

A client whose statement is queued or running when the grace period nearly ends gets a closed connection, and so does one that sends a second statement before the answer to the first. A core that has said that the process may exit still opens sessions, and it closes a session at once that it accepted one tick before, before its first statement can arrive.

The tests run the whole core in a simulated world whose upstreams take a set time. A statement that was never sent must be refused with BUSY; a write or a commit that was sent must be in doubt or timed out; a write in a transaction may also be aborted.

--- /dev/null
+++ b/tests/unit/test_stop_answers.py
@@ -0,0 +1,142 @@
+"""Every statement that a stopping host has read gets an answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from fescueshunt.core import session_items, sessions
+from lib import stopping_world
+
+GRACE_S = 6.0
+STUCK_S = 30.0
+LATE_S = 2.3
+# Longer than a connection of the simulation takes to open.
+WARM_UP_S = 0.1
+ROUND_TRIP_S = 0.025
+EXIT_DELAYS_S = (0.0, 0.01, 0.04)
+CLIENT_COUNT = 40
+READ = sessions.Verb.READ
+WRITE = sessions.Verb.WRITE
+BEGIN = sessions.Verb.BEGIN
+COMMIT = sessions.Verb.COMMIT
+IN_DOUBT = sessions.Failure.IN_DOUBT
+TIMEOUT = sessions.Failure.TIMEOUT
+ABORTED = sessions.Failure.ABORTED
+BUSY = sessions.Failure.BUSY
+
+
+def _stop_with_stuck_statement(
+    verbs: tuple[sessions.Verb, ...],
+) -> stopping_world.StoppingWorld:
+    """Stops a host whose upstream doesn't finish the last statement."""
+    world = stopping_world.StoppingWorld()
+    world.start_session(1)
+    world.stop()
+    world.run(LATE_S)
+    for verb in verbs[:-1]:
+        world.send(1, "earlier", verb)
+        world.run(WARM_UP_S)
+    world.statement_duration_s = STUCK_S
+    world.send(1, "stuck", verbs[-1])
+    assert world.run_until_stopped(GRACE_S - LATE_S)
+    return world
+
+
+# Failure: near the end of the grace period, a host closes the session of a
+# statement that an upstream still runs, without an answer.
+@pytest.mark.parametrize(
+    ("verbs", "failures"),
+    [
+        ((READ,), {BUSY, TIMEOUT, IN_DOUBT}),
+        ((WRITE,), {TIMEOUT, IN_DOUBT}),
+        ((BEGIN, WRITE, WRITE), {ABORTED, TIMEOUT, IN_DOUBT}),
+        ((BEGIN, WRITE, COMMIT), {TIMEOUT, IN_DOUBT}),
+    ],
+    ids=["read", "write", "write_in_transaction", "commit"],
+)
+def test_statement_running_at_the_end_of_the_grace_is_answered(verbs, failures):
+    world = _stop_with_stuck_statement(verbs)
+    answered_with = world.failures_before_close(1, "stuck")
+    assert len(answered_with) == 1
+    assert answered_with[0] in failures
+
+
+# Failure: near the end of the grace period, a host closes the session of a
+# statement that it never sent, without the promise that nothing is kept.
+def test_statement_queued_at_the_end_of_the_grace_is_refused():
+    world = stopping_world.StoppingWorld()
+    clients = range(1, CLIENT_COUNT + 1)
+    for client in clients:
+        world.start_session(client)
+    world.stop()
+    world.run(LATE_S)
+    world.statement_duration_s = STUCK_S
+    for client in clients:
+        world.send(client, f"q{client}", WRITE)
+    assert world.run_until_stopped(GRACE_S - LATE_S)
+    failures_of = {
+        f"q{client}": world.failures_before_close(client, f"q{client}")
+        for client in clients
+    }
+    queued = failures_of.keys() - world.sent_ids
+    assert queued
+    assert world.sent_ids
+    assert {key: failures_of[key] for key in queued} == dict.fromkeys(
+        queued, [BUSY]
+    )
+    for key in world.sent_ids:
+        assert failures_of[key] in ([TIMEOUT], [IN_DOUBT])
+
+
+# Failure: a client that sends a second statement before the answer to the first
+# loses its connection, and with it the answer to the first.
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_second_statement_in_flight_keeps_the_answer_to_the_first(is_stopping):
+    world = stopping_world.StoppingWorld()
+    world.start_session(1)
+    if is_stopping:
+        world.stop()
+    world.statement_duration_s = 0.05
+    world.send(1, "first", READ)
+    world.run(0.01)
+    world.send(1, "second", READ)
+    world.run(1.0)
+    assert world.failures_before_close(1, "first") == [None]
+
+
+# Failure: a host that may exit at any moment accepts a session, whose
+# statement then has no answer.
+@pytest.mark.parametrize("delay_s", EXIT_DELAYS_S)
+def test_session_requested_after_the_stop_is_complete_is_refused(delay_s):
+    world = stopping_world.StoppingWorld()
+    world.stop()
+    assert world.run_until_stopped(GRACE_S)
+    world.run(delay_s)
+    world.start_session(1)
+    (effect,) = world.of_client(1)
+    assert isinstance(effect, session_items.RejectSession)
+
+
+# Failure: a host closes a session that it accepted at the end of its stop
+# before the session's first statement has crossed the network, or says that it
+# may exit while that statement is in flight.
+@pytest.mark.parametrize("round_trip_s", [0.0, ROUND_TRIP_S])
+@pytest.mark.parametrize("step", range(-3, 0))
+def test_session_accepted_just_before_the_stop_completes_is_answered(
+    step, round_trip_s
+):
+    world = stopping_world.StoppingWorld()
+    world.stop()
+    world.run_until_stopped(GRACE_S)
+    elapsed_s = world.stopped_at() - stopping_world.STOP_AT
+    world = stopping_world.StoppingWorld()
+    world.stop()
+    world.run(elapsed_s + step * stopping_world.TICK_S / 3)
+    world.start_session(1)
+    if isinstance(world.of_client(1)[0], session_items.RejectSession):
+        return
+    world.statement_duration_s = 0.05
+    world.run(round_trip_s)
+    world.send(1, "last", READ)
+    assert world.run_until_stopped(GRACE_S - elapsed_s)
+    assert world.failures_before_close(1, "last") == [None]
