--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -128,6 +128,21 @@
         yield deployment
 
 
+@contextlib.contextmanager
+def starting_host(platform_address: str, number: int) -> Iterator[HostProcess]:
+    """Starts another host without waiting for its readiness; stops it on exit.
+
+    Args:
+      platform_address: the address of a running platform stand-in.
+      number: the number in the host's name.
+    """
+    with contextlib.ExitStack() as stack:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        yield _start_host(stack, folder, platform_address, number, None)
+
+
 def _start_host(
     stack: contextlib.ExitStack,
     folder: pathlib.Path,
