Add transactions and reads at the primary to the clients of a stopping host

The dense arrivals passed before although a host may close a session between READY and its first statement: they had no sessions in transactions beside them, and all statements read replicas. Transactions now run meanwhile, and the sparse arrivals choose between two routes.

--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import os
 import random
 import signal
@@ -24,26 +25,42 @@
 FIRST_ARRIVAL_S = 2.3
 LAST_ARRIVAL_S = 2.8
 DENSE_INTERVAL_S = 0.003
+STAGGER_S = 0.011
 MEAN_GAPS_S = (0.012, 0.025, 0.05)
-LONG_SESSION_COUNT = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrivals:
+    """The clients of one stopping host; times are seconds after SIGTERM.
+
+    Attributes:
+      starts: when the sessions of one statement start.
+      route: the route of these sessions.
+      long_session_count: the sessions that are open before SIGTERM and go on.
+      transaction_count: the sessions that run transactions meanwhile.
+    """
+
+    starts: list[float]
+    route: str = stop_load.REPLICA_ROUTE
+    long_session_count: int = 0
+    transaction_count: int = 0
 
 
 async def _stop_under_load(
-    host: deployment.HostProcess,
-    name: str,
-    starts: list[float],
-    long_session_count: int,
+    host: deployment.HostProcess, name: str, arrivals: Arrivals
 ) -> stop_load.StopLoad:
     """Stops a host while clients arrive; returns their records."""
-    loop = asyncio.get_running_loop()
-    stop_at = loop.time() + LEAD_S
+    stop_at = asyncio.get_running_loop().time() + LEAD_S
     load = stop_load.StopLoad(name, host.session_address, stop_at)
     async with asyncio.TaskGroup() as tasks:
-        for number in range(long_session_count):
-            start_s = number * 0.011 - LEAD_S
+        for number in range(arrivals.long_session_count):
+            start_s = number * STAGGER_S - LEAD_S
             tasks.create_task(load.run_long_session(start_s, STOP_TIMEOUT_S))
-        for start_s in starts:
-            tasks.create_task(load.run_short_session(start_s))
+        for number in range(arrivals.transaction_count):
+            start_s = number * STAGGER_S - LEAD_S
+            tasks.create_task(load.run_transactions(start_s))
+        for start_s in arrivals.starts:
+            tasks.create_task(load.run_short_session(start_s, arrivals.route))
         await asyncio.sleep(LEAD_S)
         host.popen.send_signal(signal.SIGTERM)
         code = await asyncio.to_thread(host.popen.wait, STOP_TIMEOUT_S)
@@ -51,37 +68,30 @@
     return load
 
 
-async def _find_lost(
-    starts_by_host: dict[str, list[float]], long_session_count: int
-) -> tuple[list[str], int]:
+async def _find_lost(arrivals_by_host: dict[str, Arrivals]) -> list[str]:
     """Stops one host for each entry, all at once.
 
     Returns:
-      Descriptions of the statements that were lost, and the number of answers.
+      Descriptions of the statements that were lost.
     """
     async with deployment.running(
-        len(starts_by_host), statement_duration_s=STATEMENT_DURATION_S
+        len(arrivals_by_host), statement_duration_s=STATEMENT_DURATION_S
     ) as deployed:
         loads = await asyncio.gather(
             *(
-                _stop_under_load(host, name, starts, long_session_count)
-                for host, (name, starts) in zip(
-                    deployed.hosts, starts_by_host.items(), strict=True
+                _stop_under_load(host, name, arrivals)
+                for host, (name, arrivals) in zip(
+                    deployed.hosts, arrivals_by_host.items(), strict=True
                 )
             )
         )
         received_ids = await deployed.read_statement_ids()
-    lost = [
+    assert received_ids
+    return [
         statement.describe()
         for load in loads
         for statement in load.lost(received_ids)
     ]
-    answer_count = sum(
-        statement.answer is not None
-        for load in loads
-        for statement in load.sent
-    )
-    return lost, answer_count
 
 
 # Failure: a host that stops under steady arrivals cuts sessions whose first
@@ -90,11 +100,8 @@
     starts = stop_load.dense_starts(
         FIRST_ARRIVAL_S, LAST_ARRIVAL_S, DENSE_INTERVAL_S
     )
-    lost, answer_count = asyncio.run(
-        _find_lost({"dense": starts}, LONG_SESSION_COUNT)
-    )
-    assert answer_count
-    assert lost == []
+    arrivals = Arrivals(starts, long_session_count=3, transaction_count=2)
+    assert asyncio.run(_find_lost({"dense": arrivals})) == []
 
 
 # Failure: a host without sessions decides to exit, still accepts a session, and
@@ -103,12 +110,17 @@
     lost: list[str] = []
     for seed in range(SEED, SEED + RUNS):
         rng = random.Random(seed)
-        starts_by_host = {
-            f"run{seed}-{number}": stop_load.sparse_starts(
-                rng, FIRST_ARRIVAL_S, LAST_ARRIVAL_S, rng.choice(MEAN_GAPS_S)
-            )
+        arrivals_by_host = {
+            f"run{seed}-{number}": _sparse_arrivals(rng)
             for number in range(HOSTS_PER_DEPLOYMENT)
         }
-        lost_in_run, _ = asyncio.run(_find_lost(starts_by_host, 0))
-        lost += lost_in_run
+        lost += asyncio.run(_find_lost(arrivals_by_host))
     assert lost == []
+
+
+def _sparse_arrivals(rng: random.Random) -> Arrivals:
+    starts = stop_load.sparse_starts(
+        rng, FIRST_ARRIVAL_S, LAST_ARRIVAL_S, rng.choice(MEAN_GAPS_S)
+    )
+    route = rng.choice((stop_load.REPLICA_ROUTE, stop_load.PRIMARY_ROUTE))
+    return Arrivals(starts, route)
--- a/tests/lib/stop_load.py
+++ b/tests/lib/stop_load.py
@@ -9,9 +9,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
-ROUTE = "gate-status"
+REPLICA_ROUTE = "gate-status"
+PRIMARY_ROUTE = "card-renew"
 READY = b"READY"
 ANSWER_TIMEOUT_S = 8.0
 PAUSE_S = 0.03
@@ -61,16 +62,22 @@
         self._stop_at = stop_at
         self._numbers = itertools.count(1)
 
-    async def run_short_session(self, start_s: float) -> None:
+    async def run_short_session(self, start_s: float, route: str) -> None:
         """Opens a session at `start_s` after SIGTERM for one statement."""
         await self._sleep_until(start_s)
-        await self._run_session(lambda: False)
+        await self._run_session(lambda: False, route)
 
     async def run_long_session(self, start_s: float, end_s: float) -> None:
         """Sends statements with pauses in one session until it is closed."""
         await self._sleep_until(start_s)
         await self._run_session(lambda: self._elapsed_s() < end_s)
 
+    async def run_transactions(self, start_s: float) -> None:
+        """Runs transactions in one session until it is closed."""
+        await self._sleep_until(start_s)
+        texts = itertools.cycle(("BEGIN", "WRITE a 1", "READ a", "COMMIT"))
+        await self._run_session(lambda: True, PRIMARY_ROUTE, texts)
+
     def lost(self, received_ids: set[str]) -> list[SentStatement]:
         """Returns the statements that the host read and did not answer.
 
@@ -96,19 +103,28 @@
     async def _sleep_until(self, elapsed_s: float) -> None:
         await asyncio.sleep(max(0.0, elapsed_s - self._elapsed_s()))
 
-    async def _run_session(self, goes_on: Callable[[], bool]) -> None:
+    async def _run_session(
+        self,
+        goes_on: Callable[[], bool],
+        route: str = REPLICA_ROUTE,
+        texts: Iterable[str] = itertools.repeat("READ a"),
+    ) -> None:
         writer = None
         try:
             reader, writer = await asyncio.open_connection(
                 self._host, self._port
             )
-            writer.write(f"START {ROUTE} tester\r\n".encode())
+            writer.write(f"START {route} tester\r\n".encode())
             welcome = await reader.readuntil(b"\r\n")
             if not welcome.startswith(READY):
                 self.refused_count += 1
                 return
             is_first = True
-            while await self._execute(reader, writer, is_first) and goes_on():
+            for text in texts:
+                if not await self._execute(reader, writer, text, is_first):
+                    return
+                if not goes_on():
+                    return
                 is_first = False
                 await asyncio.sleep(PAUSE_S)
                 if reader.at_eof():
@@ -123,13 +139,14 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        text: str,
         is_first: bool,
     ) -> bool:
         """Sends a statement; returns whether its answer was complete."""
         statement_id = f"{self._name}-{next(self._numbers)}"
         statement = SentStatement(statement_id, self._elapsed_s(), is_first)
         self.sent.append(statement)
-        writer.write(f"QUERY {statement.statement_id} READ a\r\n".encode())
+        writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 statement.answer = await _read_answer(reader)
