Close the listener before a stop, and exit when no connection is left

What callers saw: a statement sent about 2.55 s after SIGTERM reached an upstream, and the connection ended without an answer.

Cause: the order of the stop. The host decided to end when it had no session at one tick, then waited 50 ms for answers to be flushed, and accepted clients all the while: the condition it had decided on did not stay true. A session opened in between was cut off by the exit. The class: a decision to end on a count that may still grow.

Change: sessions/stop_sequence.py, a filter. Past the balancer's two checks it closes the listener, so that no connection can be added; each session closes after its next answer, or once it is quiet; Stopped follows when the border has reported the end of every connection, which a transport does only after its last byte. The fixed wait is gone.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,7 @@
 from fescueshunt_proxy._internal.hosted import ports
 
 if TYPE_CHECKING:
-    import contextlib
+    from collections.abc import AsyncIterator
 
     from fescueshunt.core import sessions
     from fescueshunt_proxy._internal import runtime
@@ -34,15 +35,22 @@
             session_items.CloseSession, self._close_connection
         )
 
-    def serving(
+    @contextlib.asynccontextmanager
+    async def serving(
         self, front_end: ports.FrontEnd, address: str
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Accepts clients at `address` until the context manager exits."""
-        return front_end.serving(address, self._accept)
+    ) -> AsyncIterator[None]:
+        """Accepts clients at `address` until the core stops listening."""
+        async with front_end.serving(address, self._accept) as listener:
+            self._runtime.subscribe(
+                session_items.StopListening, lambda _: listener.close()
+            )
+            yield
 
     def _accept(self, conn: ports.ClientConnection) -> ports.ClientListener:
         client_id = next(self._next_ids)
         self._conns[client_id] = conn
+        now = self._runtime.now()
+        self._runtime.feed(session_items.ClientConnected(now, client_id))
         return _ClientListener(self, self._runtime, client_id)
 
     @property
@@ -107,6 +115,12 @@
         )
 
     def on_session_ended(self) -> None:
-        self._clients.remove(self._client_id)
         now = self._runtime.now()
         self._runtime.feed(session_items.SessionClosed(now, self._client_id))
+
+    def on_disconnected(self) -> None:
+        self._clients.remove(self._client_id)
+        now = self._runtime.now()
+        self._runtime.feed(
+            session_items.ClientDisconnected(now, self._client_id)
+        )
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -289,6 +289,18 @@
     def on_session_ended(self) -> None:
         """Handles the end of the session or the loss of the connection."""
 
+    @abc.abstractmethod
+    def on_disconnected(self) -> None:
+        """Handles the end of the connection, once nothing is left to send."""
+
+
+class Listener(abc.ABC):
+    """A listening socket."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Stops listening; the connections already accepted stay open."""
+
 
 class FrontEnd(abc.ABC):
     """Server that accepts client connections."""
@@ -298,11 +310,11 @@
         self,
         address: str,
         accept: Callable[[ClientConnection], ClientListener],
-    ) -> contextlib.AbstractAsyncContextManager[None]:
+    ) -> contextlib.AbstractAsyncContextManager[Listener]:
         """Listens on `address` until the context manager exits.
 
         Each new connection is passed to `accept`, which returns the listener
-        for its events.
+        for its events. The context manager yields the listening socket.
         """
 
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -36,7 +36,6 @@
     from fescueshunt_proxy._internal.hosted import own_settings, ports
 
 TICK_INTERVAL_S = 0.02
-FLUSH_DELAY_S = 0.05
 MS_PER_S = 1000
 SUCCESS = 0
 
@@ -68,7 +67,6 @@
         logger.info("started", incarnation=local_host.incarnation)
         _install_signal_handlers(core_runtime)
         await stopped.wait()
-        await asyncio.sleep(FLUSH_DELAY_S)
     logger.info(
         "stopped",
         connections=client_connections.open_count,
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -25,7 +25,7 @@
         self,
         address: str,
         accept: Callable[[ports.ClientConnection], ports.ClientListener],
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[ports.Listener]:
         """Listens on `address` until the context manager exits."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -33,11 +33,19 @@
             lambda: _ClientProtocol(accept), host, int(port), backlog=BACKLOG
         )
         try:
-            yield
+            yield _ServerListener(server)
         finally:
             server.close()
 
 
+class _ServerListener(ports.Listener):
+    def __init__(self, server: asyncio.Server) -> None:
+        self._server = server
+
+    def close(self) -> None:
+        self._server.close()
+
+
 class _LineProtocolClient(ports.ClientConnection):
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -87,6 +95,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._end_session()
+        self._listener.on_disconnected()
 
     def _handle_line(self, line: str) -> None:
         if self._has_ended:
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -15,6 +15,13 @@
 # Events from clients.
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientConnected(filters.Item):
+    """A client opened a connection; it has not requested a session yet."""
+
+    client: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionRequested(filters.Item):
     """A client requested a session.
@@ -45,6 +52,13 @@
     client: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientDisconnected(filters.Item):
+    """A client's connection is gone; nothing more can be sent on it."""
+
+    client: int
+
+
 # Events from upstreams.
 
 
@@ -111,11 +125,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseSession(filters.Item):
-    """Closes a client's connection."""
+    """Closes a client's connection once all answers are sent."""
 
     client: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopListening(filters.Item):
+    """Stops accepting client connections; those accepted stay open."""
+
+
 # Effects on upstreams.
 
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -75,6 +75,11 @@
     attempts: int = 0
     statement_sent: bool = False
 
+    def limit_deadline(self, deadline: float) -> None:
+        """Brings its deadlines forward to `deadline` if they are later."""
+        self.answer_deadline = min(self.answer_deadline, deadline)
+        self.queue_deadline = min(self.queue_deadline, deadline)
+
     @property
     def caller(self) -> str:
         """The client account; the schedule serves accounts in turn."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -19,15 +19,19 @@
     items,
     readiness,
     session_handler,
+    stop_sequence,
 )
 
 if TYPE_CHECKING:
     import random
 
 ACCEPTS = (
+    session_items.ClientConnected,
     session_items.SessionRequested,
     session_items.StatementReceived,
     session_items.SessionClosed,
+    session_items.ClientDisconnected,
+    session_items.SendSessionAnswer,
     session_items.ConnectionOpened,
     session_items.CallReplied,
     session_items.ConnectionFailed,
@@ -55,6 +59,7 @@
     """
     stages = (
         readiness.Readiness(),
+        stop_sequence.StopSequence(grace_s),
         session_handler.SessionHandler(grace_s),
         dispatch.Dispatcher(choose.LeastLoadedPolicy(own_identity), rng),
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import session_items, sessions
+from fescueshunt.core import process, session_items, sessions
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -12,6 +12,13 @@
     from fescueshunt.sessions import items, pool, pools
     from fescueshunt.sessions import session as client_session
 
+# The names of the events by the step of a graceful stop.
+STOP_EVENTS = {
+    process.StopAsked: "stop_started",
+    session_items.StopListening: "stop_draining",
+    process.Stopped: "stop_completed",
+}
+
 
 def pool_sizes(
     pool_manager: pools.PoolManager, waiting: int, now: float
--- a/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -1,14 +1,23 @@
-"""Decides which sessions close while this host stops or is isolated."""
+"""Decides which sessions close while this host stops or is isolated.
+
+A host that stops first leaves the load balancer's rotation. Then it closes its
+listener, and each connection as soon as nothing on it waits for an answer. The
+process exits when no connection is left.
+"""
 
 from __future__ import annotations
 
 # The load balancer checks the health of this host once a second and takes it
 # out of rotation after two failed checks. A client that was sent here just
-# before then needs time to open its session and to send its first statement.
+# before then needs time to open its session.
 OUT_OF_ROTATION_S = 2.5
+# The first statement of a session arrives within this time of its opening.
+MIN_IDLE_S = 0.25
 # Open transactions may continue during the first half of the grace period.
 TRANSACTION_GRACE_SHARE = 0.52
 STATEMENT_MARGIN_S = 0.7
+EXIT_MARGIN_S = 0.3
+NEVER = float("inf")
 
 
 class Shutdown:
@@ -16,6 +25,7 @@
 
     def __init__(self, grace_s: float) -> None:
         self._grace_s = grace_s
+        self._out_of_rotation_s = min(OUT_OF_ROTATION_S, grace_s / 2)
         self._started_at: float | None = None
         self._isolated_at: float | None = None
 
@@ -48,37 +58,47 @@
         """Whether no session has to close."""
         return self._started_at is None and self._isolated_at is None
 
+    @property
+    def statement_deadline(self) -> float:
+        """When the last statement must be answered; infinity before a stop."""
+        if self._started_at is None:
+            return NEVER
+        margin_s = min(STATEMENT_MARGIN_S, self._grace_s / 2)
+        return self._started_at + self._grace_s - margin_s
+
+    def is_draining(self, now: float) -> bool:
+        """Returns whether no client connections are accepted any more."""
+        return self.elapsed_s(now) > self._out_of_rotation_s
+
     def should_close(
-        self, now: float, idle: bool, in_transaction: bool
+        self, now: float, idle_since: float, in_transaction: bool
     ) -> bool:
-        """Returns whether a session has to close now.
+        """Returns whether a session without a statement in flight has to close.
 
         Args:
           now: the current time; local clock, seconds.
-          idle: whether the session has no statement in flight.
+          idle_since: when it was opened or its last answer was sent.
           in_transaction: whether its transaction is open or failed.
         """
         if self._started_at is None:
             return (
-                idle
-                and not in_transaction
+                not in_transaction
                 and self._isolated_at is not None
                 and now - self._isolated_at > OUT_OF_ROTATION_S
             )
         elapsed_s = now - self._started_at
-        if not idle:
-            return elapsed_s > self._grace_s - STATEMENT_MARGIN_S
-        if in_transaction:
-            return elapsed_s > self._grace_s * TRANSACTION_GRACE_SHARE
-        return elapsed_s > OUT_OF_ROTATION_S
+        if elapsed_s > self._grace_s * TRANSACTION_GRACE_SHARE:
+            return True
+        is_quiet = now - idle_since >= MIN_IDLE_S
+        return self.is_draining(now) and is_quiet and not in_transaction
 
-    def is_complete(self, now: float, session_count: int) -> bool:
-        """Returns whether the graceful stop is complete.
+    def is_complete(self, now: float, client_count: int) -> bool:
+        """Returns whether the process may exit.
 
-        It is complete when all sessions are closed and the load balancer has
-        had time to take this host out of rotation.
+        It may when no client connection is left, and it must just before the
+        grace period ends.
         """
-        if self._started_at is None:
+        if not self.is_draining(now):
             return False
-        elapsed_s = now - self._started_at
-        return elapsed_s > OUT_OF_ROTATION_S and not session_count
+        time_is_up = self.elapsed_s(now) > self._grace_s - EXIT_MARGIN_S
+        return time_is_up or not client_count
