Answer what a stopping host can't finish before its grace period ends

What callers saw: a statement still queued or running 5.3 s after SIGTERM had its connection closed without a word, though for most a promise that nothing is kept was true and known.

Cause: the stop closed such sessions itself, past the code that knows what may be said of a statement (retry.py). The class: a second place that ends a request.

Ruled out: waiting longer; the process is killed at the end of the grace period.

Change: the stop ends no statement.

Conclusion: one mechanism ends late statements, at a stop as at any time.

--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -252,6 +252,7 @@
                 )
                 return
         session.job = self._make_job(session, statement, route, prepared, now)
+        session.job.limit_deadline(self._shutdown.statement_deadline)
         yield items.JobSubmitted(now, session.job)
 
     def _make_job(
@@ -373,8 +374,14 @@
     def _follow_stop(self, item: filters.Item) -> Iterator[filters.Item]:
         if isinstance(item, process.StopAsked):
             self._shutdown.start(item.at)
+            self._limit_deadlines()
         yield self._stop_event(reports.STOP_EVENTS[type(item)], item.at)
 
+    def _limit_deadlines(self) -> None:
+        for session in self._sessions.values():
+            if session.job is not None:
+                session.job.limit_deadline(self._shutdown.statement_deadline)
+
     def _stop_event(self, event: str, now: float) -> filters.Item:
         elapsed_s = self._shutdown.elapsed_s(now)
         return reports.stop_progress(
--- a/tests/unit/test_shutdown.py
+++ b/tests/unit/test_shutdown.py
@@ -41,6 +41,20 @@
     assert graceful_stop.should_close(10.0 + GRACE_S * 0.6, opened_at, False)
 
 
+# A statement in flight shortly before the end of the grace period was cut off
+# without an answer.
+def test_statement_in_flight_is_answered_shortly_before_the_end():
+    graceful_stop = _stopping()
+    deadline = graceful_stop.statement_deadline
+    assert 10.0 + GRACE_S - 1.0 <= deadline <= 10.0 + GRACE_S - 0.5
+    assert not graceful_stop.is_complete(deadline + 0.1, 1)
+
+
+def test_statements_have_no_deadline_of_a_stop_before_it_starts():
+    graceful_stop = shutdown.Shutdown(GRACE_S)
+    assert graceful_stop.statement_deadline == float("inf")
+
+
 def test_stop_completes_without_sessions_and_out_of_rotation():
     graceful_stop = _stopping()
     assert not graceful_stop.is_complete(10.5, 0)
