Pass a client's requests on one at a time, and end its session behind them

What callers saw: a client that sent TERMINATE, closed its sending side, pipelined a second statement or sent a line that can't be decoded, all behind a statement in flight, lost its connection without that statement's answer.

Cause: each event of a connection took effect as it came, also the end of the session. The class: an end that overtakes the request before it.

Ruled out: a check in each of the four places; the next kind of request would lack it again.

Change: sessions/sequencer.py, a filter before the session handler, holds what follows a statement until its answer; reading from the client pauses meanwhile, so what waits is bounded by one read. The border reports what it reads in order, keeps a half-closed connection open for the answer, and reports lines before one that is too long.

Conclusion: a session ends behind its last answer, whoever ends it; only the loss of the connection itself ends it sooner.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import itertools
 from typing import TYPE_CHECKING
@@ -23,7 +24,7 @@
         self._runtime = core_runtime
         self._next_ids = itertools.count(1)
         self._conns: dict[int, ports.ClientConnection] = {}
-        self._statements_in_flight: dict[int, str] = {}
+        self._unanswered: dict[int, collections.deque[str]] = {}
         core_runtime.subscribe(session_items.AcceptSession, self._send_welcome)
         core_runtime.subscribe(
             session_items.RejectSession, self._send_rejection
@@ -34,6 +35,8 @@
         core_runtime.subscribe(
             session_items.CloseSession, self._close_connection
         )
+        core_runtime.subscribe(session_items.PauseClient, self._pause_reading)
+        core_runtime.subscribe(session_items.ResumeClient, self._resume_reading)
 
     @contextlib.asynccontextmanager
     async def serving(
@@ -61,16 +64,21 @@
     @property
     def unanswered(self) -> list[str]:
         """The ids of the statements that open connections wait for."""
-        return list(self._statements_in_flight.values())
+        return [
+            statement_id
+            for waiting in self._unanswered.values()
+            for statement_id in waiting
+        ]
 
     def record_statement(self, client_id: int, statement_id: str) -> None:
         """Records that a client has sent a statement."""
-        self._statements_in_flight[client_id] = statement_id
+        waiting = self._unanswered.setdefault(client_id, collections.deque())
+        waiting.append(statement_id)
 
     def remove(self, client_id: int) -> None:
         """Removes a client connection that has ended."""
         self._conns.pop(client_id, None)
-        self._statements_in_flight.pop(client_id, None)
+        self._unanswered.pop(client_id, None)
 
     def _send_welcome(self, item: session_items.AcceptSession) -> None:
         if item.client in self._conns:
@@ -81,14 +89,22 @@
             self._conns[item.client].reject(item.failure, item.detail)
 
     def _send_answer(self, item: session_items.SendSessionAnswer) -> None:
-        self._statements_in_flight.pop(item.client, None)
         if item.client in self._conns:
+            self._unanswered[item.client].popleft()
             self._conns[item.client].answer(item.statement_id, item.answer)
 
     def _close_connection(self, item: session_items.CloseSession) -> None:
         if item.client in self._conns:
             self._conns[item.client].close()
 
+    def _pause_reading(self, item: session_items.PauseClient) -> None:
+        if item.client in self._conns:
+            self._conns[item.client].pause_reading()
+
+    def _resume_reading(self, item: session_items.ResumeClient) -> None:
+        if item.client in self._conns:
+            self._conns[item.client].resume_reading()
+
 
 class _ClientListener(ports.ClientListener):
     def __init__(
@@ -114,6 +130,12 @@
             session_items.StatementReceived(now, self._client_id, statement)
         )
 
+    def on_malformed_request(self, detail: str) -> None:
+        now = self._runtime.now()
+        self._runtime.feed(
+            session_items.RequestMalformed(now, self._client_id, detail)
+        )
+
     def on_session_ended(self) -> None:
         now = self._runtime.now()
         self._runtime.feed(session_items.SessionClosed(now, self._client_id))
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -269,6 +269,14 @@
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         """Sends the answer to the statement in flight."""
 
+    @abc.abstractmethod
+    def pause_reading(self) -> None:
+        """Stops reading what the client sends."""
+
+    @abc.abstractmethod
+    def resume_reading(self) -> None:
+        """Reads again what the client sends."""
+
     @abc.abstractmethod
     def close(self) -> None:
         """Closes the connection once all buffered data is sent."""
@@ -285,9 +293,13 @@
     def on_statement(self, statement: sessions.Statement) -> None:
         """Handles a statement of the client."""
 
+    @abc.abstractmethod
+    def on_malformed_request(self, detail: str) -> None:
+        """Handles a request that can't be decoded."""
+
     @abc.abstractmethod
     def on_session_ended(self) -> None:
-        """Handles the end of the session or the loss of the connection."""
+        """Handles the end of the session; the client still reads answers."""
 
     @abc.abstractmethod
     def on_disconnected(self) -> None:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -7,13 +7,14 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import sessions
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from fescueshunt.core import sessions
+
 BACKLOG = 1024
 
 
@@ -60,6 +61,12 @@
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
 
+    def pause_reading(self) -> None:
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        self._transport.resume_reading()
+
     def close(self) -> None:
         self._transport.close()
 
@@ -72,37 +79,34 @@
         self._accept = accept
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
-        self._transport: asyncio.Transport | None = None
         self._has_started = False
         self._has_ended = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
         self._listener = self._accept(_LineProtocolClient(transport))
 
     def data_received(self, data: bytes) -> None:
         try:
-            for line in self._splitter.feed(data):
+            for line in self._splitter.split(data):
                 self._handle_line(line)
         except errors.FrameError as exc:
-            failure = sessions.Failure.INVALID
-            self._transport.write(lines.encode_failure(failure, exc.detail))
-            self._end_session()
+            if self._start_ignoring():
+                self._listener.on_malformed_request(exc.detail)
 
     def eof_received(self) -> bool:
         self._end_session()
-        return False
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end_session()
+        self._has_ended = True
         self._listener.on_disconnected()
 
     def _handle_line(self, line: str) -> None:
         if self._has_ended:
             return
         if not self._has_started:
-            self._has_started = True
             self._listener.on_session_started(*lines.decode_start(line))
+            self._has_started = True
             return
         statement = lines.decode_statement(line)
         if statement is None:
@@ -111,7 +115,10 @@
             self._listener.on_statement(statement)
 
     def _end_session(self) -> None:
-        if not self._has_ended:
-            self._has_ended = True
+        if self._start_ignoring():
             self._listener.on_session_ended()
-            self._transport.close()
+
+    def _start_ignoring(self) -> bool:
+        """Ignores further requests; returns whether none were ignored yet."""
+        has_ended, self._has_ended = self._has_ended, True
+        return not has_ended
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -7,9 +7,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from fescueshunt import errors
 from fescueshunt.core import position, sessions
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 MAX_LINE_BYTES = 1 << 20
 ENCODING = "latin-1"
 LINE_END = b"\r\n"
@@ -66,15 +71,25 @@
         Raises:
           FrameTooLargeError: if a line is longer than `MAX_LINE_BYTES`.
         """
+        return list(self.split(data))
+
+    def split(self, data: bytes) -> Iterator[str]:
+        """Appends `data` and yields the lines that it completes.
+
+        Raises:
+          FrameTooLargeError: after the lines before one that is longer than
+            `MAX_LINE_BYTES`.
+        """
         self._buffer += data
         if LINE_END not in data and b"\n" not in data:
             self._check_length(len(self._buffer))
-            return []
+            return
         *complete_lines, incomplete_line = bytes(self._buffer).split(LINE_END)
         self._buffer = bytearray(incomplete_line)
-        for line in (*complete_lines, incomplete_line):
+        for line in complete_lines:
             self._check_length(len(line))
-        return [line.decode(ENCODING) for line in complete_lines]
+            yield line.decode(ENCODING)
+        self._check_length(len(incomplete_line))
 
     def _check_length(self, size: int) -> None:
         if size > MAX_LINE_BYTES:
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatementReceived(filters.Item):
-    """A client sent a statement; a session has at most one in flight."""
+    """A client sent a statement."""
 
     client: int
     statement: sessions.Statement
@@ -47,11 +47,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionClosed(filters.Item):
-    """A client ended its session or lost its connection."""
+    """A client ended its session; it sends no more statements."""
 
     client: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestMalformed(filters.Item):
+    """A client sent a request that can't be decoded.
+
+    Attributes:
+      detail: what is wrong with the request.
+    """
+
+    client: int
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientDisconnected(filters.Item):
     """A client's connection is gone; nothing more can be sent on it."""
@@ -107,7 +119,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RejectSession(filters.Item):
-    """Notifies a client why its session was refused, then disconnects it."""
+    """Notifies a client why its session was refused or ended; disconnects."""
 
     client: int
     failure: sessions.Failure
@@ -130,6 +142,20 @@
     client: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseClient(filters.Item):
+    """Stops reading from a client that sends faster than it is answered."""
+
+    client: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResumeClient(filters.Item):
+    """Reads from a paused client again."""
+
+    client: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopListening(filters.Item):
     """Stops accepting client connections; those accepted stay open."""
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
@@ -0,0 +1,55 @@
+"""Makes the jobs that run clients' statements at upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import routes, sessions
+from fescueshunt.sessions import items
+
+if TYPE_CHECKING:
+    from fescueshunt.sessions import session as client_session
+
+# The fraction of its latency objective that a statement may wait in the queue.
+MAX_WAIT_SHARE = 0.5
+
+
+def make_job(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    route: routes.Route,
+    prepared: sessions.Prepared | None,
+    now: float,
+) -> items.StatementJob:
+    """Returns the job that runs `statement` of `session` under `route`.
+
+    `prepared` is the prepared statement to run, or None.
+    """
+    in_transaction = session.state is sessions.TransactionState.OPEN
+    writes = statement.verb is sessions.Verb.WRITE or (
+        prepared is not None and prepared.writes
+    )
+    may_read_replica = not writes and (session.read_only or not in_transaction)
+    begins = in_transaction and not session.begun_upstream
+    primary_reads = route.consistency is routes.Consistency.PRIMARY
+    own_writes = route.consistency is routes.Consistency.OWN_WRITES
+    return items.StatementJob(
+        client=session.client,
+        account=session.account,
+        statement=statement,
+        route=route,
+        rank=route.rank,
+        settings=sessions.SessionSettings(session.values, session.prepared),
+        prepared=prepared,
+        arrived_at=now,
+        read_started_at=session.began_at if in_transaction else now,
+        max_wait_s=route.target_s * MAX_WAIT_SHARE,
+        queue_deadline=now + route.target_s * MAX_WAIT_SHARE,
+        answer_deadline=now + route.timeout_s,
+        begin_statement=session.begin_statement if begins else None,
+        in_transaction=in_transaction,
+        read_only=in_transaction and session.read_only,
+        needs_primary=primary_reads or not may_read_replica,
+        writes=writes,
+        own_commit_position=session.last_commit if own_writes else None,
+    )
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -18,6 +18,7 @@
     dispatch,
     items,
     readiness,
+    sequencer,
     session_handler,
     stop_sequence,
 )
@@ -30,6 +31,7 @@
     session_items.SessionRequested,
     session_items.StatementReceived,
     session_items.SessionClosed,
+    session_items.RequestMalformed,
     session_items.ClientDisconnected,
     session_items.SendSessionAnswer,
     session_items.ConnectionOpened,
@@ -60,6 +62,7 @@
     stages = (
         readiness.Readiness(),
         stop_sequence.StopSequence(grace_s),
+        sequencer.RequestSequencer(),
         session_handler.SessionHandler(grace_s),
         dispatch.Dispatcher(choose.LeastLoadedPolicy(own_identity), rng),
     )
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
@@ -0,0 +1,95 @@
+"""The filter that passes on the requests of each client one at a time.
+
+A client may send its next request, end its session or send one that can't be
+decoded before it has the answer to the last one. What follows a statement waits
+here until that statement is answered. Nothing more is read from the client
+meanwhile, so that what waits is bounded by what was read at once.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import filters, session_items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    ClientRequest = (
+        session_items.StatementReceived
+        | session_items.SessionClosed
+        | session_items.RequestMalformed
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Inbox:
+    """The requests of one client.
+
+    Attributes:
+      is_answering: whether a statement was passed on and not yet answered.
+      waiting: the requests that follow that statement.
+    """
+
+    is_answering: bool = False
+    waiting: collections.deque[ClientRequest] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class RequestSequencer(filters.Filter):
+    """Holds a client's requests back while one of its statements runs."""
+
+    def __init__(self) -> None:
+        self._inboxes: dict[int, Inbox] = {}
+
+    def process(self, item: filters.Item) -> Iterator[filters.Item]:
+        """Yields each request once those before it are answered."""
+        match item:
+            case (
+                session_items.StatementReceived()
+                | session_items.SessionClosed()
+                | session_items.RequestMalformed()
+            ):
+                yield from self._receive(item)
+            case session_items.SendSessionAnswer():
+                yield from self._continue(item)
+            case session_items.ClientDisconnected():
+                self._inboxes.pop(item.client, None)
+                yield item
+            case _:
+                yield item
+
+    def _receive(self, item: ClientRequest) -> Iterator[filters.Item]:
+        inbox = self._inboxes.setdefault(item.client, Inbox())
+        if inbox.is_answering:
+            if not inbox.waiting:
+                yield session_items.PauseClient(item.at, item.client)
+            inbox.waiting.append(item)
+            return
+        yield from self._pass_on(inbox, item)
+
+    def _continue(
+        self, answer: session_items.SendSessionAnswer
+    ) -> Iterator[filters.Item]:
+        """Yields the request after the answered one, else the answer itself."""
+        inbox = self._inboxes.get(answer.client)
+        if inbox is None:
+            yield answer
+            return
+        inbox.is_answering = False
+        if not inbox.waiting:
+            yield answer
+            return
+        item = inbox.waiting.popleft()
+        if not inbox.waiting:
+            yield session_items.ResumeClient(answer.at, answer.client)
+        yield from self._pass_on(inbox, dataclasses.replace(item, at=answer.at))
+
+    def _pass_on(
+        self, inbox: Inbox, item: ClientRequest
+    ) -> Iterator[filters.Item]:
+        inbox.is_answering = isinstance(item, session_items.StatementReceived)
+        yield item
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -20,6 +20,7 @@
 from fescueshunt.sessions import (
     answers,
     items,
+    jobs,
     readiness,
     reports,
     shutdown,
@@ -30,8 +31,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# The fraction of its latency objective that a statement may wait in the queue.
-MAX_WAIT_SHARE = 0.5
+    ClientEnd = (
+        session_items.SessionClosed
+        | session_items.RequestMalformed
+        | session_items.ClientDisconnected
+    )
+
 IDLE = sessions.TransactionState.IDLE
 OPEN = sessions.TransactionState.OPEN
 FAILED = sessions.TransactionState.FAILED
@@ -59,9 +64,10 @@
                 yield item
             case (
                 session_items.SessionClosed()
+                | session_items.RequestMalformed()
                 | session_items.ClientDisconnected()
             ):
-                yield from self._end_session(item.client, item.at)
+                yield from self._end_session(item)
             case items.TransactionLost():
                 self._mark_transaction_lost(item.client)
             case routes.RoutesView():
@@ -104,7 +110,22 @@
             item.at, item.client, failure, item.route
         )
 
-    def _end_session(self, client: int, now: float) -> Iterator[filters.Item]:
+    def _end_session(self, item: ClientEnd) -> Iterator[filters.Item]:
+        match item:
+            case session_items.SessionClosed():
+                yield session_items.CloseSession(item.at, item.client)
+            case session_items.RequestMalformed():
+                yield session_items.RejectSession(
+                    item.at,
+                    item.client,
+                    sessions.Failure.INVALID,
+                    item.detail,
+                )
+        yield from self._remove_session(item.client, item.at)
+
+    def _remove_session(
+        self, client: int, now: float
+    ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
@@ -124,7 +145,7 @@
         self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
         yield session_items.CloseSession(now, session.client)
-        yield from self._end_session(session.client, now)
+        yield from self._remove_session(session.client, now)
 
     def _receive_statement(
         self, item: session_items.StatementReceived
@@ -132,9 +153,6 @@
         session = self._sessions.get(item.client)
         if session is None:
             return
-        if session.job is not None:
-            yield session_items.CloseSession(item.at, item.client)
-            return
         statement = item.statement
         if session.state is FAILED:
             yield from self._receive_in_failed_transaction(
@@ -251,49 +269,10 @@
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
-        session.job = self._make_job(session, statement, route, prepared, now)
+        session.job = jobs.make_job(session, statement, route, prepared, now)
         session.job.limit_deadline(self._shutdown.statement_deadline)
         yield items.JobSubmitted(now, session.job)
 
-    def _make_job(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        route: routes.Route,
-        prepared: sessions.Prepared | None,
-        now: float,
-    ) -> items.StatementJob:
-        in_transaction = session.state is OPEN
-        writes = statement.verb is sessions.Verb.WRITE or (
-            prepared is not None and prepared.writes
-        )
-        may_read_replica = not writes and (
-            session.read_only or not in_transaction
-        )
-        begins = in_transaction and not session.begun_upstream
-        primary_reads = route.consistency is routes.Consistency.PRIMARY
-        own_writes = route.consistency is routes.Consistency.OWN_WRITES
-        return items.StatementJob(
-            client=session.client,
-            account=session.account,
-            statement=statement,
-            route=route,
-            rank=route.rank,
-            settings=sessions.SessionSettings(session.values, session.prepared),
-            prepared=prepared,
-            arrived_at=now,
-            read_started_at=session.began_at if in_transaction else now,
-            max_wait_s=route.target_s * MAX_WAIT_SHARE,
-            queue_deadline=now + route.target_s * MAX_WAIT_SHARE,
-            answer_deadline=now + route.timeout_s,
-            begin_statement=session.begin_statement if begins else None,
-            in_transaction=in_transaction,
-            read_only=in_transaction and session.read_only,
-            needs_primary=primary_reads or not may_read_replica,
-            writes=writes,
-            own_commit_position=session.last_commit if own_writes else None,
-        )
-
     def _finish_job(self, item: items.JobFinished) -> Iterator[filters.Item]:
         job = item.job
         session = self._sessions.get(job.client)
