Handle signals before the first listener of a host opens

SIGHUP or SIGTERM right after a host began to listen ended it at once, with the sessions it had accepted: the balancer also sends clients to hosts that aren't ready if too few are.

Cause: the handlers were installed after the listeners. SIGHUP before them, also while modules were imported, had its default action.

Ruled out: only moving the last listener; metrics and readiness listen too.

Conclusion: from its first listener on a host ends only by a graceful stop.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -51,6 +51,7 @@
     logger = structlog.get_logger(__name__)
     core = hosted.build(local_host, cfg.grace_s)
     core_runtime = runtime.Runtime(core, clock.seconds_since_boot)
+    _install_signal_handlers(core_runtime)
     stopped = asyncio.Event()
     core_runtime.subscribe(process.Stopped, lambda _: stopped.set())
     decision_log = decisions.DecisionLog(operator_cfg)
@@ -65,7 +66,6 @@
         ) as client_connections,
     ):
         logger.info("started", incarnation=local_host.incarnation)
-        _install_signal_handlers(core_runtime)
         await stopped.wait()
     logger.info(
         "stopped",
