Let a slow reader also leave bytes behind its statement unread

A host that closes a connection whose inbound bytes it no longer reads resets it, and the kernel then drops what it had not sent yet. The slow reader's test gets a second client, which sends TERMINATE late.

--- a/tests/functional/test_client_disconnects.py
+++ b/tests/functional/test_client_disconnects.py
@@ -12,11 +12,12 @@
 
 STATEMENT_DURATION_S = 0.05
 ANSWER_TIMEOUT_S = 3.0
+LEAD_S = 0.3
 STOP_TIMEOUT_S = 8.0
 # Later than a host without sessions exits, and before its grace period ends.
-SLOW_READ_START_S = 3.5
-VALUE_BYTES = 48 * 1024
-VALUE_COUNT = 160
+SLOW_READ_START_S = 3.2
+ROW_BYTES = 48 * 1024
+ROW_COUNT = 160
 RECEIVE_BUFFER_BYTES = 8 * 1024
 ROUTE = "card-renew"
 COMPLETE = "COMPLETE"
@@ -115,31 +116,57 @@
     assert wrong == {}
 
 
+async def _write_rows(address: str) -> None:
+    """Writes the rows that make every later answer to a read large."""
+    async with deployment.session(address, ROUTE) as client:
+        for number in range(ROW_COUNT):
+            value = str(number % 10) * ROW_BYTES
+            answer = await client.execute(f"WRITE a {value}")
+            assert answer[-2].startswith(COMPLETE)
+
+
+async def _read_slowly(address: str, last_data: bytes) -> list[str]:
+    """Reads the answer to a read long after the host has sent it.
+
+    Args:
+      address: the address of the host, which stops meanwhile.
+      last_data: what the client sends just before it starts to read.
+    """
+    async with _open_session(address) as (reader, writer):
+        writer.write(b"QUERY q1 READ a\r\n")
+        await asyncio.sleep(LEAD_S + SLOW_READ_START_S)
+        writer.write(last_data)
+        await asyncio.sleep(LEAD_S)
+        return await _read_lines_to_end(reader)
+
+
+async def _stop_beside_slow_readers(
+    last_data: tuple[bytes, ...],
+) -> list[list[str]]:
+    """Returns the lines that the slow clients of a stopping host received."""
+    async with deployment.running(1) as deployed:
+        (host,) = deployed.hosts
+        await _write_rows(host.session_address)
+        async with asyncio.TaskGroup() as tasks:
+            readers = [
+                tasks.create_task(_read_slowly(host.session_address, data))
+                for data in last_data
+            ]
+            await asyncio.sleep(LEAD_S)
+            host.popen.send_signal(signal.SIGTERM)
+        code = await asyncio.to_thread(host.popen.wait, STOP_TIMEOUT_S)
+    assert code == 0
+    return [reader.result() for reader in readers]
+
+
 # Failure: a host exits before a slow client has read an answer that the
-# connection still buffers.
-def test_stopping_host_delivers_a_large_answer_to_a_slow_reader():
-    async def run() -> list[str]:
-        async with deployment.running(1) as deployed:
-            (host,) = deployed.hosts
-            async with deployment.session(
-                host.session_address, ROUTE
-            ) as client:
-                for number in range(VALUE_COUNT):
-                    value = str(number % 10) * VALUE_BYTES
-                    answer = await client.execute(f"WRITE a {value}")
-                    assert answer[-2].startswith(COMPLETE)
-            async with _open_session(host.session_address) as (reader, writer):
-                writer.write(b"QUERY q1 READ a\r\n")
-                await asyncio.sleep(0.3)
-                host.popen.send_signal(signal.SIGTERM)
-                await asyncio.sleep(SLOW_READ_START_S)
-                lines = await _read_lines_to_end(reader)
-            code = await asyncio.to_thread(host.popen.wait, STOP_TIMEOUT_S)
-            assert code == 0
-            return lines
-
-    lines = asyncio.run(run())
-    sizes = [len(line) for line in lines if line.startswith("ROW")]
-    end = [line[:40] for line in lines[-2:]]
-    assert _is_answer(lines), f"{len(sizes)} rows, then {end}"
-    assert len(sizes) == VALUE_COUNT
+# connection still buffers, or resets the connection because it left what the
+# client sent behind its statement unread.
+def test_stopping_host_delivers_large_answers_to_slow_readers():
+    received = asyncio.run(_stop_beside_slow_readers((b"", b"TERMINATE\r\n")))
+    ends = [[line[:40] for line in lines[-2:]] for lines in received]
+    row_counts = [
+        sum(line.startswith("ROW") for line in lines) for lines in received
+    ]
+    assert row_counts == [ROW_COUNT] * 2, ends
+    assert all(_is_answer(lines) for lines in received), ends
