--- a/tests/lib/stopping_world.py
+++ b/tests/lib/stopping_world.py
@@ -26,8 +26,10 @@
     session_items.RejectSession,
     session_items.SendSessionAnswer,
     session_items.CloseSession,
+    session_items.StopListening,
     process.Stopped,
 )
+CLOSING_EFFECTS = (session_items.CloseSession, session_items.RejectSession)
 STATEMENT_CALLS = (sessions.RunStatement, sessions.RunPrepared)
 
 
@@ -36,12 +38,15 @@
 
     Attributes:
       statement_duration_s: how long a client's statement takes at an upstream.
-      client_effects: the effects on clients, and `Stopped`, in order.
+      client_stays_connected: whether connections stay open that the host has
+        closed, because the client reads slowly.
+      client_effects: the effects on clients and on the process, in order.
       sent_ids: the ids of the clients' statements that the host has sent.
     """
 
     def __init__(self) -> None:
         self.statement_duration_s = replicas.STATEMENT_DURATION_S
+        self.client_stays_connected = False
         self.client_effects: list[filters.Item] = []
         self.sent_ids: set[str] = set()
         super().__init__(hosts=1)
@@ -52,8 +57,18 @@
         """Requests a graceful stop of the host."""
         self.feed(self.hosts[HOST], process.StopAsked(self.now))
 
+    def connect(self, client: int) -> None:
+        """Connects a client that doesn't request a session yet."""
+        item = session_items.ClientConnected(self.now, client)
+        self.feed(self.hosts[HOST], item)
+
+    def disconnect(self, client: int) -> None:
+        """Ends the connection of a client."""
+        item = session_items.ClientDisconnected(self.now, client)
+        self.feed(self.hosts[HOST], item)
+
     def start_session(self, client: int, route: str = PATIENT) -> None:
-        """Requests a session for a client."""
+        """Requests a session for a connected client."""
         self.open_session(HOST, client, route)
 
     def send(self, client: int, statement_id: str, verb: sessions.Verb) -> None:
@@ -85,8 +100,7 @@
         return [
             effect
             for effect in self.client_effects
-            if not isinstance(effect, process.Stopped)
-            and effect.client == client
+            if getattr(effect, "client", None) == client
         ]
 
     def failures_before_close(
@@ -126,6 +140,12 @@
     def _execute(self, host: hosted_world.Host, effect: filters.Item) -> None:
         if isinstance(effect, CLIENT_EFFECTS):
             self.client_effects.append(effect)
+        if isinstance(effect, CLOSING_EFFECTS) and not (
+            self.client_stays_connected
+        ):
+            self.call_later(
+                hosted_world.LATENCY_S, lambda: self.disconnect(effect.client)
+            )
         if isinstance(effect, session_items.SendCall) and isinstance(
             effect.call, STATEMENT_CALLS
         ):
--- a/tests/unit/test_stop_answers.py
+++ b/tests/unit/test_stop_answers.py
@@ -30,6 +30,7 @@
 ) -> stopping_world.StoppingWorld:
     """Stops a host whose upstream doesn't finish the last statement."""
     world = stopping_world.StoppingWorld()
+    world.connect(1)
     world.start_session(1)
     world.stop()
     world.run(LATE_S)
@@ -67,6 +68,7 @@
     world = stopping_world.StoppingWorld()
     clients = range(1, CLIENT_COUNT + 1)
     for client in clients:
+        world.connect(client)
         world.start_session(client)
     world.stop()
     world.run(LATE_S)
@@ -93,6 +95,7 @@
 @pytest.mark.parametrize("is_stopping", [False, True])
 def test_second_statement_in_flight_keeps_the_answer_to_the_first(is_stopping):
     world = stopping_world.StoppingWorld()
+    world.connect(1)
     world.start_session(1)
     if is_stopping:
         world.stop()
@@ -112,6 +115,7 @@
     world.stop()
     assert world.run_until_stopped(GRACE_S)
     world.run(delay_s)
+    world.connect(1)
     world.start_session(1)
     (effect,) = world.of_client(1)
     assert isinstance(effect, session_items.RejectSession)
@@ -132,6 +136,7 @@
     world = stopping_world.StoppingWorld()
     world.stop()
     world.run(elapsed_s + step * stopping_world.TICK_S / 3)
+    world.connect(1)
     world.start_session(1)
     if isinstance(world.of_client(1)[0], session_items.RejectSession):
         return
