Read on until the client ends its stream before a connection is closed

With real processes, a client that reads slowly and sends TERMINATE behind the host's close got 0 of 160 rows of its answer.

Cause: a socket that is closed with bytes unread, or that gets bytes once it is closed, resets its connection, and what was still to be delivered is dropped. The transport stops reading as soon as it is told to close.

Ruled out: waiting for the transport's own buffer only; the kernel's is lost as well.

Change: the host ends its stream behind the last answer, ignores what comes, and closes when the client has ended its stream, or 1 s after all was sent.

Conclusion: an answer that was written is delivered to a client that reads on.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -16,6 +16,7 @@
     from fescueshunt.core import sessions
 
 BACKLOG = 1024
+LINGER_S = 1.0
 
 
 class LineProtocolFrontEnd(ports.FrontEnd):
@@ -48,15 +49,18 @@
 
 
 class _LineProtocolClient(ports.ClientConnection):
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, protocol: _ClientProtocol
+    ) -> None:
         self._transport = transport
+        self._protocol = protocol
 
     def welcome(self) -> None:
         self._transport.write(lines.encode_welcome())
 
     def reject(self, failure: sessions.Failure, detail: str) -> None:
         self._transport.write(lines.encode_failure(failure, detail))
-        self._transport.close()
+        self._protocol.finish()
 
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
@@ -68,7 +72,7 @@
         self._transport.resume_reading()
 
     def close(self) -> None:
-        self._transport.close()
+        self._protocol.finish()
 
 
 class _ClientProtocol(asyncio.Protocol):
@@ -79,13 +83,19 @@
         self._accept = accept
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
+        self._transport: asyncio.Transport | None = None
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._has_started = False
         self._has_ended = False
+        self._has_read_all = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self._listener = self._accept(_LineProtocolClient(transport))
+        self._transport = transport
+        self._listener = self._accept(_LineProtocolClient(transport, self))
 
     def data_received(self, data: bytes) -> None:
+        if self._has_ended:
+            return
         try:
             for line in self._splitter.split(data):
                 self._handle_line(line)
@@ -94,13 +104,42 @@
                 self._listener.on_malformed_request(exc.detail)
 
     def eof_received(self) -> bool:
+        self._has_read_all = True
         self._end_session()
-        return True
+        return self._linger_timer is None
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._has_ended = True
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._listener.on_disconnected()
 
+    def finish(self) -> None:
+        """Sends what is buffered and ends the stream, then closes.
+
+        A connection that is closed with unread bytes is reset, and its client
+        loses the answers that are still on their way. What the client sends is
+        therefore read and ignored until it ends its stream as well, but only
+        for `LINGER_S` once everything is sent.
+        """
+        self._start_ignoring()
+        if self._has_read_all:
+            self._transport.close()
+        elif self._linger_timer is None:
+            self._transport.resume_reading()
+            self._transport.write_eof()
+            self._start_linger_timer()
+
+    def _start_linger_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._linger_timer = loop.call_later(LINGER_S, self._stop_lingering)
+
+    def _stop_lingering(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._start_linger_timer()
+        else:
+            self._transport.close()
+
     def _handle_line(self, line: str) -> None:
         if self._has_ended:
             return
