Keep a stopping host's listener open while it works for others

Cause: the close came at a fixed time, though the host went on for up to 0.6 s for open transactions.

Change: the listener closes at the first tick past 2.5 s without a statement in flight or an open transaction, at the latest when transactions have to end. Idle sessions close then, not before, so that they don't come back to the same host. The wait for a first statement holds only for sessions just opened, and also on an isolated host.

Conclusion: the count stays final, as the decision to end follows the close.

--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -61,8 +61,8 @@
     """
     stages = (
         readiness.Readiness(),
-        stop_sequence.StopSequence(grace_s),
         sequencer.RequestSequencer(),
+        stop_sequence.StopSequence(grace_s),
         session_handler.SessionHandler(grace_s),
         dispatch.Dispatcher(choose.LeastLoadedPolicy(own_identity), rng),
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session.py
@@ -24,8 +24,7 @@
       transaction_route: the route in force when the transaction began.
       begun_upstream: whether the transaction has begun at an upstream.
       last_commit: the log position of the last commit, or None.
-      idle_since: when it was opened or its last answer was sent; local clock,
-        seconds.
+      opened_at: when it was opened; local clock, seconds.
       job: the statement in flight, or None.
     """
 
@@ -43,5 +42,5 @@
     read_only: bool = False
     begun_upstream: bool = False
     last_commit: position.Position | None = None
-    idle_since: float = 0.0
+    opened_at: float = 0.0
     job: items.StatementJob | None = None
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -60,7 +60,7 @@
             case session_items.SessionRequested():
                 yield from self._open_session(item)
             case session_items.SendSessionAnswer():
-                yield from self._record_answer(item)
+                yield from self._close_after_answer(item)
                 yield item
             case (
                 session_items.SessionClosed()
@@ -99,7 +99,7 @@
             failure = sessions.Failure.NO_DATABASE
         else:
             session = client_session.Session(
-                item.client, item.route, item.account, idle_since=item.at
+                item.client, item.route, item.account, opened_at=item.at
             )
             self._sessions[item.client] = session
             if self._shutdown.is_stopping:
@@ -130,15 +130,14 @@
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
-    def _record_answer(
+    def _close_after_answer(
         self, answer: session_items.SendSessionAnswer
     ) -> Iterator[filters.Item]:
         """Closes the session of the answer if this host is draining."""
         session = self._sessions.get(answer.client)
-        if session is None:
+        if session is None or session.state is not IDLE:
             return
-        session.idle_since = answer.at
-        if self._shutdown.is_draining(answer.at) and session.state is IDLE:
+        if self._shutdown.is_draining(answer.at):
             yield from self._close_session(session, answer.at)
 
     def _close_session(
@@ -346,7 +345,7 @@
             return
         for session in list(self._sessions.values()):
             if session.job is None and self._shutdown.should_close(
-                now, session.idle_since, session.state is not IDLE
+                now, session.opened_at, session.state is not IDLE
             ):
                 yield from self._close_session(session, now)
 
@@ -354,6 +353,8 @@
         if isinstance(item, process.StopAsked):
             self._shutdown.start(item.at)
             self._limit_deadlines()
+        elif isinstance(item, session_items.StopListening):
+            self._shutdown.stop_listening()
         yield self._stop_event(reports.STOP_EVENTS[type(item)], item.at)
 
     def _limit_deadlines(self) -> None:
--- a/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -1,8 +1,8 @@
 """Decides which sessions close while this host stops or is isolated.
 
-A host that stops first leaves the load balancer's rotation. Then it closes its
-listener, and each connection as soon as nothing on it waits for an answer. The
-process exits when no connection is left.
+A host that stops first leaves the load balancer's rotation. Then each session
+closes behind its next answer, and the listener at the first moment without work
+in progress. The process exits when no connection is left.
 """
 
 from __future__ import annotations
@@ -12,8 +12,9 @@
 # before then needs time to open its session.
 OUT_OF_ROTATION_S = 2.5
 # The first statement of a session arrives within this time of its opening.
-MIN_IDLE_S = 0.25
-# Open transactions may continue during the first half of the grace period.
+FIRST_STATEMENT_S = 0.25
+# Open transactions may continue during the first half of the grace period, and
+# the listener may stay open as long.
 TRANSACTION_GRACE_SHARE = 0.52
 STATEMENT_MARGIN_S = 0.7
 EXIT_MARGIN_S = 0.3
@@ -28,12 +29,17 @@
         self._out_of_rotation_s = min(OUT_OF_ROTATION_S, grace_s / 2)
         self._started_at: float | None = None
         self._isolated_at: float | None = None
+        self._is_listening = True
 
     def start(self, now: float) -> None:
         """Starts the graceful stop; later calls have no effect."""
         if self._started_at is None:
             self._started_at = now
 
+    def stop_listening(self) -> None:
+        """Records that no more client connections are accepted."""
+        self._is_listening = False
+
     def set_isolated(self, isolated: bool, now: float) -> None:
         """Records whether this host is isolated.
 
@@ -67,30 +73,34 @@
         return self._started_at + self._grace_s - margin_s
 
     def is_draining(self, now: float) -> bool:
-        """Returns whether no client connections are accepted any more."""
+        """Returns whether sessions close behind their next answer."""
         return self.elapsed_s(now) > self._out_of_rotation_s
 
+    def should_stop_listening(self, now: float, busy_count: int) -> bool:
+        """Returns whether the listener has to close.
+
+        Args:
+          now: the current time; local clock, seconds.
+          busy_count: the number of clients with a statement in flight or an
+            open transaction.
+        """
+        is_due = self.is_draining(now) and not busy_count
+        return self._is_listening and (is_due or self._is_half_over(now))
+
     def should_close(
-        self, now: float, idle_since: float, in_transaction: bool
+        self, now: float, opened_at: float, in_transaction: bool
     ) -> bool:
         """Returns whether a session without a statement in flight has to close.
 
         Args:
           now: the current time; local clock, seconds.
-          idle_since: when it was opened or its last answer was sent.
+          opened_at: when it was opened; local clock, seconds.
           in_transaction: whether its transaction is open or failed.
         """
-        if self._started_at is None:
-            return (
-                not in_transaction
-                and self._isolated_at is not None
-                and now - self._isolated_at > OUT_OF_ROTATION_S
-            )
-        elapsed_s = now - self._started_at
-        if elapsed_s > self._grace_s * TRANSACTION_GRACE_SHARE:
-            return True
-        is_quiet = now - idle_since >= MIN_IDLE_S
-        return self.is_draining(now) and is_quiet and not in_transaction
+        if in_transaction:
+            return self._is_half_over(now)
+        may_close = not self._is_listening or self._is_left_out(now)
+        return may_close and now - opened_at >= FIRST_STATEMENT_S
 
     def is_complete(self, now: float, client_count: int) -> bool:
         """Returns whether the process may exit.
@@ -98,7 +108,16 @@
         It may when no client connection is left, and it must just before the
         grace period ends.
         """
-        if not self.is_draining(now):
+        if self._is_listening:
             return False
         time_is_up = self.elapsed_s(now) > self._grace_s - EXIT_MARGIN_S
         return time_is_up or not client_count
+
+    def _is_left_out(self, now: float) -> bool:
+        """Returns whether the load balancer left this isolated host out."""
+        if self._started_at is not None or self._isolated_at is None:
+            return False
+        return now - self._isolated_at > OUT_OF_ROTATION_S
+
+    def _is_half_over(self, now: float) -> bool:
+        return self.elapsed_s(now) > self._grace_s * TRANSACTION_GRACE_SHARE
--- a/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
@@ -1,8 +1,8 @@
 """The filter that takes this host through the steps of a graceful stop.
 
-The listener closes first. Only then is the number of connections final, so the
-process exits when the last of them has ended, and not while one may still carry
-a request.
+Only once the listener is closed is the number of connections final, so the
+process exits when the last of them has ended after that, and not while one may
+still carry a request.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
         self._shutdown = shutdown.Shutdown(grace_s)
         self._clients: set[int] = set()
         self._unstarted_since: dict[int, float] = {}
-        self._is_listening = True
+        self._busy_clients: set[int] = set()
         self._is_stopped = False
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -34,8 +34,16 @@
                 self._unstarted_since[item.client] = item.at
             case session_items.SessionRequested():
                 yield from self._open_session(item)
+            case session_items.StatementReceived():
+                self._busy_clients.add(item.client)
+                yield item
+            case session_items.SendSessionAnswer():
+                if item.answer.state is sessions.TransactionState.IDLE:
+                    self._busy_clients.discard(item.client)
+                yield item
             case session_items.ClientDisconnected():
                 self._clients.discard(item.client)
+                self._busy_clients.discard(item.client)
                 self._unstarted_since.pop(item.client, None)
                 yield item
             case process.StopAsked():
@@ -60,10 +68,11 @@
         yield item
 
     def _advance(self, now: float) -> Iterator[filters.Item]:
-        if self._is_stopped or not self._shutdown.is_draining(now):
+        if self._is_stopped:
             return
-        if self._is_listening:
-            self._is_listening = False
+        busy_count = len(self._busy_clients)
+        if self._shutdown.should_stop_listening(now, busy_count):
+            self._shutdown.stop_listening()
             yield session_items.StopListening(now)
             return
         yield from self._close_unstarted(now)
