Treat an unusable upstream address as an unreachable upstream

Callers saw every session of a host end at once: the process exited with a traceback. The model of an upstream's entry permits any digits and dots before the colon and up to five digits behind it. For a port over 65535 the socket raises OverflowError, and for an empty or too long label the resolver raises UnicodeError. The connector caught OSError only, so the exception left the connect task, and the task group cancelled every other task of the host. All hosts watch the same store, so one such entry ends the whole fleet.

Ruled out: the decoder of lines and the reply that refuses a start; both end in ConnectionLostError or RefusedError.

Before the fix, test_host_survives_upstream_entry_with_unusable_address printed "OverflowError: connect(): port must be 0-65535.", "UnicodeError: label empty or too long" and "UnicodeError: label too long", each as an ExceptionGroup of the task group (3 failed). After it: 3 passed. The connector now converts these errors to ConnectionLostError, which the dispatcher handles with its back-off.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -23,7 +23,11 @@
         entry: replica_sets.UpstreamEntry,
         listener: ports.UpstreamListener,
     ) -> ports.UpstreamConnection:
-        """Connects to the upstream of `entry` and starts a session."""
+        """Connects to the upstream of `entry` and starts a session.
+
+        An address that the entry's model permits may still be unusable; it is
+        handled like an upstream that can't be reached.
+        """
         host, _, port = entry.address.rpartition(":")
         loop = asyncio.get_running_loop()
         start_future = loop.create_future()
@@ -34,7 +38,7 @@
                 host,
                 int(port),
             )
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
             raise errors.ConnectionLostError(str(exc)) from exc
         start_line = lines.encode_start(
             entry.database, PROXY_ACCOUNT, entry.upstream
