Treat an invalid address as an unreachable peer, store or upstream

Callers saw every connection to a proxy end at once: the process exited with a traceback. The border models permit any text as an address. The WebSocket client raises ValueError for a port that is out of range or not a number, for a bad IPv6 host and, as UnicodeError, for an empty label. `transport.connect` caught OSError and the library's own errors only, so the exception left the task of the shared channel, of the peer link or of the upstream connection, and the task group cancelled every other task. The settings document and the membership table reach all proxies, so one bad address ends the fleet.

Ruled out: the proxy's own settings file, whose addresses are validated at start; and the empty address, which the library reports with an error of its own.

Before the fix, test_proxy_survives_unusable_address printed "ValueError: Port out of range 0-65535", "Port could not be cast to integer value as 'port'", "UnicodeError: label empty or too long" and "ValueError: Invalid IPv6 URL", each as an ExceptionGroup of the task group (4 failed, 1 passed). After it: 5 passed. TimeoutError needs no mention of its own, as it is an OSError.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -184,13 +184,14 @@
       address: the IP address and port of the listener, as `IP:PORT`.
 
     Raises:
-      ConnectionLostError: if the connection cannot be opened.
+      ConnectionLostError: if the connection cannot be opened, or if `address`
+        is invalid.
     """
     try:
         websocket = await client.connect(
             f"ws://{address}/", proxy=None, **WEBSOCKET_OPTIONS
         )
-    except (OSError, TimeoutError, websockets.WebSocketException) as exc:
+    except (OSError, ValueError, websockets.WebSocketException) as exc:
         raise errors.ConnectionLostError(address) from exc
     conn = Connection(websocket)
     async with _sender_running(conn):
--- a/tests/functional/test_bad_addresses.py
+++ b/tests/functional/test_bad_addresses.py
@@ -5,8 +5,8 @@
 import pytest
 
 from fescueshunt import errors
-from fescueshunt.core import filters, replica_sets, session_items
-from fescueshunt_proxy._internal import runtime
+from fescueshunt.core import filters, replica_sets, session_items, upstream
+from fescueshunt_proxy._internal import runtime, wire_platform
 from fescueshunt_proxy._internal.hosted import links
 from fescueshunt_proxy.platform import documents, upstreams
 
@@ -57,3 +57,18 @@
     asyncio.run(run())
     (failed,) = opener.failures
     assert isinstance(failed.error, errors.ConnectionLostError)
+
+
+# Guards against the end of a proxy because the settings document, the host
+# list or another proxy's table contains an address that is not `IP:PORT`.
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1:port", "...:80", "[::1:1", ""]
+)
+def test_proxy_survives_unusable_address(address):
+    async def run() -> None:
+        async with asyncio.timeout(WAIT_S), asyncio.TaskGroup() as tasks:
+            channel_pool = wire_platform.ChannelPool(tasks)
+            with pytest.raises(errors.ConnectionLostError):
+                await channel_pool.call(address, upstream.ReadStatus(), WAIT_S)
+
+    asyncio.run(run())
