Install the proxy's signal handlers before it accepts connections

A proxy that got SIGTERM just after its start died at once, with what its peers and callers had sent already. The listeners were open and the address was printed before the handlers were installed, so until then SIGTERM had its default action. A supervisor that reacts to the printed address can hit that span.

A stop that is asked for while the listeners open is safe, since the sinks subscribe before the first of them opens.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -59,6 +59,7 @@
     stopped = asyncio.Event()
     core_runtime.subscribe(process.Stopped, lambda _: stopped.set())
     proxy_metrics = _subscribe_observers(core_runtime)
+    _install_signal_handlers(core_runtime)
     with (
         recording.recording_to_file(cfg.record_file, local_proxy, core_runtime),
         tracing.tracing_to_file(
@@ -72,7 +73,6 @@
             ),
         ):
             logger.info("started", incarnation=local_proxy.incarnation)
-            _install_signal_handlers(core_runtime)
             await stopped.wait()
             await asyncio.sleep(FLUSH_DELAY_S)
     logger.info("stopped")
