Keep the proxy running on SIGHUP

Callers saw all their connections to a proxy end without an answer when its terminal was closed, or when an operator sent SIGHUP in the belief that it reloads the settings. The proxy handled SIGTERM and SIGINT only, so SIGHUP had its default action and killed the process. A host of the platform already ignores it.

Before the fix, test_hangup_does_not_end_the_proxy printed "EOFError: connection closed while reading HTTP status line" and "ConnectionLostError: connection_lost". The proxy now logs `settings_kept`, as a host does.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -154,5 +154,10 @@
     def request_stop() -> None:
         core_runtime.feed(process.StopAsked(core_runtime.now()))
 
+    def log_ignored_reload() -> None:
+        # The settings of the process are read once at start.
+        structlog.get_logger(__name__).info("settings_kept")
+
+    loop.add_signal_handler(signal.SIGHUP, log_ignored_reload)
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, request_stop)
--- a/tests/functional/test_proxy_signals.py
+++ b/tests/functional/test_proxy_signals.py
@@ -1,5 +1,6 @@
 """Tests that signals end a proxy only gracefully, on a real process."""
 
+import asyncio
 import contextlib
 import os
 import pathlib
@@ -8,11 +9,15 @@
 import sys
 import time
 
+from fescueshunt import errors
+from fescueshunt.core import request
+from fescueshunt_cli import caller
 from fescueshunt_standins import fleet as fleets
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.01
+SELECT = request.Statement("SELECT 1")
 
 
 @contextlib.contextmanager
@@ -33,6 +38,24 @@
             process.kill()
 
 
+async def read(address: str) -> request.Answer:
+    async with caller.session(address) as session:
+        return await session.read("s", "d", SELECT)
+
+
+# Guards against a proxy that dies, with all its requests in flight, because
+# its terminal was closed or an operator expected SIGHUP to reload settings.
+def test_hangup_does_not_end_the_proxy(tmp_path):
+    with running_proxy(tmp_path, subprocess.PIPE) as (process, address):
+        process.stdout.readline()
+        process.send_signal(signal.SIGHUP)
+        answer = asyncio.run(read(address))
+        process.send_signal(signal.SIGTERM)
+        exit_code = process.wait(STOP_TIMEOUT_S)
+    assert isinstance(answer.error, errors.NoRouteError)
+    assert exit_code == 0
+
+
 def is_bound(address: str) -> bool:
     host, port = address.rsplit(":", 1)
     wanted = f"{int.from_bytes(map(int, host.split('.')), 'little'):08X}"
