Answer the requests before an invalid frame before the connection closes

A caller that pipelines lost the answers to all its requests in flight when a later frame was invalid, out of order or late: the connection removed itself from the table of callers at once, so the core's answers found no receiver. Answers that were queued in the same turn of the event loop were lost too, since the error and the close frame overtook the sender task.

Ruled out: the codec, which decodes each frame by itself, and the core, which goes on with the requests and yields their answers.

A connection now records the answers that it owes, and the listener sends the error only when these are sent, when the client has closed, or after the longest time that a request may take.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/callers.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/callers.py
@@ -10,6 +10,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import items, request
+from fescueshunt.request import ledger
 from fescueshunt_wire import codec, failure, transport
 
 if TYPE_CHECKING:
@@ -17,8 +18,12 @@
 
     from fescueshunt_proxy._internal import runtime
 
+ANSWER_MARGIN_S = 1.0
 LISTENER_LIMITS = transport.ListenerLimits(
-    max_connections=4096, first_frame_timeout_s=5.0, idle_timeout_s=300.0
+    max_connections=4096,
+    first_frame_timeout_s=5.0,
+    idle_timeout_s=300.0,
+    answer_timeout_s=ledger.MAX_TIMEOUT_S + ANSWER_MARGIN_S,
 )
 
 
@@ -40,7 +45,7 @@
 
     A connection is closed if it sends no frame within the time-outs in
     `limits`, sends a message that is out of order, or does not read its
-    answers.
+    answers. The requests before such a message are answered first.
     """
 
     def __init__(
@@ -68,8 +73,9 @@
         conn = CallerConn(transport_conn)
         self._conns[conn_id] = conn
         try:
-            async for envelope in transport_conn.receive():
-                self._handle_message(conn_id, conn, envelope)
+            async with transport_conn.answering():
+                async for envelope in transport_conn.receive():
+                    self._handle_message(conn_id, conn, envelope)
         finally:
             del self._conns[conn_id]
             self._runtime.feed(items.CallerClosed(self._runtime.now(), conn_id))
@@ -82,6 +88,7 @@
         if envelope.seq <= conn.last_seq:
             raise errors.FrameOrderError("seq must increase")
         conn.last_seq = envelope.seq
+        conn.transport_conn.expect_answer(envelope.seq)
         self._runtime.feed(
             items.CallerRequest(
                 self._runtime.now(),
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -61,11 +61,14 @@
         connection has arrived completely, in seconds.
       idle_timeout_s: the maximum time between two complete frames, in seconds;
         None for no limit.
+      answer_timeout_s: the maximum time that a connection is kept open for its
+        pending answers, in seconds.
     """
 
     max_connections: int = 4096
     first_frame_timeout_s: float = 5.0
     idle_timeout_s: float | None = None
+    answer_timeout_s: float = 6.0
 
 
 class Connection:
@@ -88,6 +91,9 @@
         self._limits = limits
         self._pending: collections.deque[codec.Envelope] = collections.deque()
         self._has_pending = asyncio.Event()
+        self._is_sending = False
+        self._unanswered: set[int] = set()
+        self._progress = asyncio.Event()
         self.on_encode_error: EncodeErrorHandler = _replace_with_failure
 
     @property
@@ -109,9 +115,51 @@
             raise errors.ConnectionLostError(
                 "the other end does not read its messages"
             )
+        self._unanswered.discard(envelope.seq)
         self._pending.append(envelope)
         self._has_pending.set()
 
+    def expect_answer(self, seq: int) -> None:
+        """Records that an answer with `seq` will be queued for sending."""
+        self._unanswered.add(seq)
+
+    @contextlib.asynccontextmanager
+    async def answering(self) -> AsyncIterator[None]:
+        """Sends all expected answers before the context exits.
+
+        An invalid frame ends the context too, as the requests before it must be
+        answered. A connection that closes, or a time-out, ends the wait.
+        """
+        try:
+            yield
+        except errors.FrameError:
+            await self._send_expected_answers()
+            raise
+        await self._send_expected_answers()
+
+    async def _send_expected_answers(self) -> None:
+        limits = self._limits or ListenerLimits()
+        closed = asyncio.ensure_future(self._websocket.wait_closed())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limits.answer_timeout_s):
+                while self._has_unsent_answers() and not closed.done():
+                    await self._wait_for_progress(closed)
+        closed.cancel()
+
+    def _has_unsent_answers(self) -> bool:
+        return bool(self._unanswered or self._pending or self._is_sending)
+
+    async def _wait_for_progress(self, closed: asyncio.Future[None]) -> None:
+        """Waits until messages were sent, or the connection has closed."""
+        self._progress.clear()
+        progress = asyncio.ensure_future(self._progress.wait())
+        try:
+            await asyncio.wait(
+                (progress, closed), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            progress.cancel()
+
     async def send_pending(self) -> None:
         """Sends queued messages until the connection is closed."""
         while True:
@@ -119,8 +167,11 @@
             self._has_pending.clear()
             batch = list(self._pending)
             self._pending.clear()
+            self._is_sending = True
             for data in self._encode(batch):
                 await self._websocket.send(data)
+            self._is_sending = False
+            self._progress.set()
 
     def _encode(self, batch: list[codec.Envelope]) -> list[bytes]:
         """Encodes `batch` as one frame, or as several if it is too large."""
--- /dev/null
+++ b/tests/functional/test_pending_answers.py
@@ -0,0 +1,95 @@
+"""Tests that no answer is lost when a proxy ends a connection."""
+
+import asyncio
+import contextlib
+
+import pytest
+import websockets
+from websockets.asyncio import client
+from websockets.frames import Frame, Opcode
+
+from fescueshunt import errors
+from fescueshunt.core import filters, items, request
+from fescueshunt_proxy._internal import callers, runtime
+from fescueshunt_wire import codec, failure
+
+SELECT = request.Statement("SELECT 1")
+REQ = request.Request(bytes(16), "s", "d", request.Kind.READ, (SELECT,))
+BAD_FRAME = b"\xff\x00"
+ADDRESS = "127.0.0.1:0"
+ACCEPTS = (items.CallerRequest, filters.Tick)
+WAIT_S = 5.0
+DELAY_S = 0.1
+
+
+class Answerer(filters.Filter):
+    """Answers each request at once, or at the next tick if `delayed`."""
+
+    def __init__(self, delayed: bool = False) -> None:
+        self.received: list[items.CallerRequest] = []
+        self._delayed = delayed
+
+    def process(self, item):
+        if isinstance(item, items.CallerRequest):
+            self.received.append(item)
+        if isinstance(item, filters.Tick) == self._delayed:
+            for asked in self.received:
+                answer = request.Answer(asked.req.request_id)
+                yield items.AnswerCaller(item.at, asked.conn, asked.seq, answer)
+            self.received.clear()
+
+
+def frame(*messages: tuple[int, object]) -> bytes:
+    return codec.encode(codec.Envelope(*message) for message in messages)
+
+
+async def receive_all(websocket) -> list[object]:
+    """Returns the messages received until the connection closes, in order."""
+    messages = []
+    async with asyncio.timeout(WAIT_S):
+        with contextlib.suppress(websockets.ConnectionClosed):
+            while True:
+                data = await websocket.recv()
+                messages += [each.message for each in codec.decode(data)]
+    return messages
+
+
+def simplify(messages: list[object]) -> list[type]:
+    return [
+        type(message.error)
+        if isinstance(message, failure.Failure)
+        else type(message)
+        for message in messages
+    ]
+
+
+async def tick_later(core_runtime: runtime.Runtime) -> None:
+    await asyncio.sleep(DELAY_S)
+    core_runtime.feed(filters.Tick(core_runtime.now(), 0.0))
+
+
+# Guards against a caller that loses the answers to its earlier requests because
+# the frame behind them is invalid.
+@pytest.mark.parametrize("delayed", [False, True])
+def test_requests_before_an_invalid_frame_are_answered(delayed):
+    pipe = filters.Pipe((Answerer(delayed),), ACCEPTS)
+
+    async def run() -> list[object]:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = callers.CallerConnections(core_runtime)
+        async with (
+            connections.serving(ADDRESS) as address,
+            client.connect(f"ws://{address}/", compression=None) as caller,
+            asyncio.TaskGroup() as tasks,
+        ):
+            caller.transport.write(
+                b"".join(
+                    Frame(Opcode.BINARY, data).serialize(mask=True)
+                    for data in (frame((1, REQ)), frame((2, REQ)), BAD_FRAME)
+                )
+            )
+            tasks.create_task(tick_later(core_runtime))
+            return await receive_all(caller)
+
+    answers = simplify(asyncio.run(run()))
+    assert answers == [request.Answer, request.Answer, errors.FrameError]
