Answer the last denied sign-in before the connection closes

An operator's client saw its connection close without an answer at the fifth denied message, and lost the other answers that the same frame had asked for. The handler returned at once after it had queued the denial, and its return cancels the sender task, which runs in the next turn of the event loop at the earliest.

Before the fix, test_last_denied_sign_in_is_answered received [] instead of five AccessDeniedError.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
@@ -72,10 +72,11 @@
         conn = AdminConn(transport_conn)
         self._conns[conn_id] = conn
         try:
-            async for envelope in transport_conn.receive():
-                self._handle_message(conn_id, conn, envelope)
-                if conn.denied_count >= MAX_DENIED_PER_CONN:
-                    return
+            async with transport_conn.answering():
+                async for envelope in transport_conn.receive():
+                    self._handle_message(conn_id, conn, envelope)
+                    if conn.denied_count >= MAX_DENIED_PER_CONN:
+                        return
         finally:
             del self._conns[conn_id]
 
--- a/tests/functional/test_pending_answers.py
+++ b/tests/functional/test_pending_answers.py
@@ -10,7 +10,8 @@
 
 from fescueshunt import errors
 from fescueshunt.core import filters, items, request
-from fescueshunt_proxy._internal import callers, runtime
+from fescueshunt_proxy._internal import access, admin, callers, metrics, runtime
+from fescueshunt_wire import admin as messages
 from fescueshunt_wire import codec, failure
 
 SELECT = request.Statement("SELECT 1")
@@ -45,21 +46,21 @@
 
 async def receive_all(websocket) -> list[object]:
     """Returns the messages received until the connection closes, in order."""
-    messages = []
+    received = []
     async with asyncio.timeout(WAIT_S):
         with contextlib.suppress(websockets.ConnectionClosed):
             while True:
                 data = await websocket.recv()
-                messages += [each.message for each in codec.decode(data)]
-    return messages
+                received += [each.message for each in codec.decode(data)]
+    return received
 
 
-def simplify(messages: list[object]) -> list[type]:
+def simplify(received: list[object]) -> list[type]:
     return [
         type(message.error)
         if isinstance(message, failure.Failure)
         else type(message)
-        for message in messages
+        for message in received
     ]
 
 
@@ -93,3 +94,27 @@
 
     answers = simplify(asyncio.run(run()))
     assert answers == [request.Answer, request.Answer, errors.FrameError]
+
+
+# Guards against an operator's client that sees its connection close, instead of
+# the denial of its last sign-in and the answers that the same frame asked for.
+def test_last_denied_sign_in_is_answered():
+    sign_ins = [
+        (seq, messages.SignIn("no-such-token"))
+        for seq in range(1, admin.MAX_DENIED_PER_CONN + 1)
+    ]
+
+    async def run() -> list[object]:
+        core_runtime = runtime.Runtime(filters.Core(()))
+        connections = admin.AdminConnections(
+            core_runtime, access.Authenticator(()), metrics.Metrics()
+        )
+        async with (
+            connections.serving(ADDRESS) as address,
+            client.connect(f"ws://{address}/", compression=None) as operator,
+        ):
+            await operator.send(frame(*sign_ins))
+            return await receive_all(operator)
+
+    answers = simplify(asyncio.run(run()))
+    assert answers == [errors.AccessDeniedError] * admin.MAX_DENIED_PER_CONN
