Send all answers before a listener closes its connections

When a proxy stopped, a caller that reads slowly lost the answers that were still queued, and a caller that kept sending got no answer to its last requests although they had been run. The listener closed every connection at once: the close frame overtook the queue of the sender task, and frames that arrived behind it were still fed to the core, whose answers could not be sent any more. The delay of 0.1 s before the exit only made this rarer.

Ruled out: the drain of the core, which waits for all requests that it knows.

A listener now accepts no more connections first, then lets each connection send the answers that it owes. A connection stops reading in the same step in which it finds all of them sent, so that no request can come between.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -35,6 +35,7 @@
 PING_TIMEOUT_S = 1.0
 MAX_PENDING_MESSAGES = 10_000
 # WebSocket close codes.
+GOING_AWAY = 1001
 PROTOCOL_ERROR = 1002
 TRY_AGAIN_LATER = 1013
 # A frame of up to twice the maximum size is read, so that the peer receives a
@@ -93,6 +94,7 @@
         self._has_pending = asyncio.Event()
         self._is_sending = False
         self._unanswered: set[int] = set()
+        self._is_finished = False
         self._progress = asyncio.Event()
         self.on_encode_error: EncodeErrorHandler = _replace_with_failure
 
@@ -137,14 +139,27 @@
             raise
         await self._send_expected_answers()
 
+    async def finish(self) -> None:
+        """Sends all expected answers, then closes the connection.
+
+        A frame that arrives after the last answer was sent is not read, so the
+        peer can rely on an answer to every request that took effect.
+        """
+        await self._send_expected_answers()
+        self._is_finished = True
+        await self.close(GOING_AWAY)
+
     async def _send_expected_answers(self) -> None:
         limits = self._limits or ListenerLimits()
         closed = asyncio.ensure_future(self._websocket.wait_closed())
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(limits.answer_timeout_s):
                 while self._has_unsent_answers() and not closed.done():
                     await self._wait_for_progress(closed)
-        closed.cancel()
+        except TimeoutError:
+            pass
+        finally:
+            closed.cancel()
 
     def _has_unsent_answers(self) -> bool:
         return bool(self._unanswered or self._pending or self._is_sending)
@@ -199,6 +214,8 @@
                 data = await self._read_frame(timeout_s)
             except websockets.ConnectionClosed:
                 return
+            if self._is_finished:
+                return
             for envelope in _decode_frame(data):
                 yield envelope
             timeout_s = self._limits.idle_timeout_s if self._limits else None
@@ -262,7 +279,8 @@
 
     The listener sends a typed error and closes the connection if one of its
     frames is invalid or does not arrive in time, or if too many connections are
-    open.
+    open. When the context exits, it accepts no more connections, and closes
+    each one once all expected answers have been sent.
 
     Yields:
       The address that the listener is bound to, as `IP:PORT`.
@@ -290,6 +308,8 @@
     ) as listener:
         bound = listener.sockets[0].getsockname()
         yield f"{bound[0]}:{bound[1]}"
+        listener.server.close()
+        await asyncio.gather(*(conn.finish() for conn in open_connections))
 
 
 async def _handle_connection(
--- a/tests/functional/test_pending_answers.py
+++ b/tests/functional/test_pending_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 import websockets
@@ -21,23 +22,34 @@
 ACCEPTS = (items.CallerRequest, filters.Tick)
 WAIT_S = 5.0
 DELAY_S = 0.1
+SLOW_READER_S = 0.7
+LARGE_ANSWERS = 10
+LARGE_ROW_BYTES = 1_000_000
 
 
 class Answerer(filters.Filter):
-    """Answers each request at once, or at the next tick if `delayed`."""
+    """Answers each request at once, or at the next tick if `delayed`.
 
-    def __init__(self, delayed: bool = False) -> None:
-        self.received: list[items.CallerRequest] = []
+    Attributes:
+      count: the number of requests received so far.
+    """
+
+    def __init__(self, delayed: bool = False, row_bytes: int = 0) -> None:
+        self.count = 0
+        self._unanswered: list[items.CallerRequest] = []
         self._delayed = delayed
+        rows = ((bytes(row_bytes),),)
+        self._results = (request.ResultSet(("x",), rows),)
 
     def process(self, item):
         if isinstance(item, items.CallerRequest):
-            self.received.append(item)
+            self.count += 1
+            self._unanswered.append(item)
         if isinstance(item, filters.Tick) == self._delayed:
-            for asked in self.received:
-                answer = request.Answer(asked.req.request_id)
+            for asked in self._unanswered:
+                answer = request.Answer(asked.req.request_id, self._results)
                 yield items.AnswerCaller(item.at, asked.conn, asked.seq, answer)
-            self.received.clear()
+            self._unanswered.clear()
 
 
 def frame(*messages: tuple[int, object]) -> bytes:
@@ -118,3 +130,63 @@
 
     answers = simplify(asyncio.run(run()))
     assert answers == [errors.AccessDeniedError] * admin.MAX_DENIED_PER_CONN
+
+
+# Guards against answers that a graceful stop drops because the caller reads
+# them slowly.
+def test_stop_waits_until_a_slow_caller_has_read_its_answers():
+    pipe = filters.Pipe((Answerer(row_bytes=LARGE_ROW_BYTES),), ACCEPTS)
+    requests = [(seq, REQ) for seq in range(1, LARGE_ANSWERS + 1)]
+
+    async def run() -> list[object]:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = callers.CallerConnections(core_runtime)
+        async with contextlib.AsyncExitStack() as listener:
+            address = await listener.enter_async_context(
+                connections.serving(ADDRESS)
+            )
+            async with client.connect(
+                f"ws://{address}/", compression=None, max_queue=1, max_size=None
+            ) as caller:
+                await caller.send(frame(*requests))
+                await asyncio.sleep(DELAY_S)
+                stopping = asyncio.create_task(listener.aclose())
+                await asyncio.sleep(SLOW_READER_S)
+                received = await receive_all(caller)
+                await stopping
+                return received
+
+    answers = simplify(asyncio.run(run()))
+    assert answers == [request.Answer] * LARGE_ANSWERS
+
+
+# Guards against requests that are run although the proxy closes the connection
+# before their answers can be sent.
+def test_stop_answers_each_request_that_it_runs():
+    answerer = Answerer()
+    pipe = filters.Pipe((answerer,), ACCEPTS)
+
+    async def send_until_closed(caller) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            for seq in itertools.count(1):
+                await caller.send(frame((seq, REQ)))
+                await asyncio.sleep(0)
+
+    async def run() -> list[object]:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = callers.CallerConnections(core_runtime)
+        async with contextlib.AsyncExitStack() as listener:
+            address = await listener.enter_async_context(
+                connections.serving(ADDRESS)
+            )
+            async with (
+                client.connect(f"ws://{address}/", compression=None) as caller,
+                asyncio.TaskGroup() as tasks,
+            ):
+                tasks.create_task(send_until_closed(caller))
+                receiving = tasks.create_task(receive_all(caller))
+                await asyncio.sleep(DELAY_S)
+                await listener.aclose()
+            return receiving.result()
+
+    assert len(asyncio.run(run())) == answerer.count > 0
