Wait for operators' statements in flight when a proxy stops

An operator whose change was being written, or whose query waited for other proxies, saw the connection close without an answer when the proxy stopped, and did not know whether the change was in force. The drain of the core counts callers' requests only, and the listener of the operators closed at once.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
@@ -92,6 +92,7 @@
                 answer = statements.OperatorAnswer(self._metrics.table())
                 _enqueue(conn, envelope.seq, answer)
             case statements.Statement() as statement:
+                conn.transport_conn.expect_answer(envelope.seq)
                 self._feed_statement(
                     conn_id, conn.operator, envelope.seq, statement
                 )
--- a/tests/functional/test_pending_answers.py
+++ b/tests/functional/test_pending_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import itertools
 
 import pytest
@@ -10,7 +11,7 @@
 from websockets.frames import Frame, Opcode
 
 from fescueshunt import errors
-from fescueshunt.core import filters, items, request
+from fescueshunt.core import filters, items, request, statements
 from fescueshunt_proxy._internal import access, admin, callers, metrics, runtime
 from fescueshunt_wire import admin as messages
 from fescueshunt_wire import codec, failure
@@ -18,6 +19,8 @@
 SELECT = request.Statement("SELECT 1")
 REQ = request.Request(bytes(16), "s", "d", request.Kind.READ, (SELECT,))
 BAD_FRAME = b"\xff\x00"
+SIGN_IN = messages.SignIn("token-of-operator")
+STATEMENT = statements.Show(statements.Subject.RANKS)
 ADDRESS = "127.0.0.1:0"
 ACCEPTS = (items.CallerRequest, filters.Tick)
 WAIT_S = 5.0
@@ -52,6 +55,30 @@
             self._unanswered.clear()
 
 
+class OperatorAnswerer(filters.Filter):
+    """Answers each operator's statement at the next tick."""
+
+    ACCEPTS = (items.OperatorAsked, filters.Tick)
+
+    def __init__(self) -> None:
+        self._asked: list[items.OperatorAsked] = []
+
+    def process(self, item):
+        if isinstance(item, items.OperatorAsked):
+            self._asked.append(item)
+            return
+        for asked in self._asked:
+            answer = statements.OperatorAnswer()
+            yield items.AnswerOperator(item.at, asked.conn, asked.seq, answer)
+        self._asked.clear()
+
+
+def authenticator() -> access.Authenticator:
+    digest = hashlib.sha256(SIGN_IN.token.encode()).digest()
+    operator = access.Operator("operator", access.Role.CHANGE, digest)
+    return access.Authenticator((operator,))
+
+
 def frame(*messages: tuple[int, object]) -> bytes:
     return codec.encode(codec.Envelope(*message) for message in messages)
 
@@ -132,6 +159,37 @@
     assert answers == [errors.AccessDeniedError] * admin.MAX_DENIED_PER_CONN
 
 
+# Guards against a graceful stop that cuts off an operator's statement whose
+# outcome is not known yet.
+def test_stop_waits_for_the_answer_to_an_operators_statement():
+    pipe = filters.Pipe((OperatorAnswerer(),), OperatorAnswerer.ACCEPTS)
+
+    async def run() -> list[object]:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = admin.AdminConnections(
+            core_runtime, authenticator(), metrics.Metrics()
+        )
+        async with (
+            contextlib.AsyncExitStack() as listener,
+            asyncio.TaskGroup() as tasks,
+        ):
+            address = await listener.enter_async_context(
+                connections.serving(ADDRESS)
+            )
+            async with client.connect(
+                f"ws://{address}/", compression=None
+            ) as operator:
+                await operator.send(frame((1, SIGN_IN), (2, STATEMENT)))
+                assert await operator.recv()
+                tasks.create_task(tick_later(core_runtime))
+                stopping = tasks.create_task(listener.aclose())
+                received = await receive_all(operator)
+                await stopping
+                return received
+
+    assert simplify(asyncio.run(run())) == [statements.OperatorAnswer]
+
+
 # Guards against answers that a graceful stop drops because the caller reads
 # them slowly.
 def test_stop_waits_until_a_slow_caller_has_read_its_answers():
