Confine the exception of a filter to its pipe and its item

Behind a fault in any filter, callers whose requests had nothing to do with it lost their answers: the core stopped at the exception and dropped the effects and items that still waited in the same feed, such as answers, retries that were due, and new routes or settings for other pipes.

Before the change, test_other_pipes_go_on_with_an_item_after_filter_raises got [] instead of [1.0, 0.0] when one pipe raised at a tick, and [1.0] when it raised at an item of another pipe (2 failed, 4 passed). After it: 6 passed, and the exceptions are counted and logged as before. The runtime passes its reporter to the core; simulations pass none, so an exception still fails their tests.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from typing import TYPE_CHECKING, TypeVar
 
 import reactivex
@@ -37,8 +38,8 @@
     A sink must not feed items to the core while it is called; it starts a task
     to do so. An observable ends at the first exception that a subscriber
     raises, and the proxy would keep running without it. An exception that an
-    item causes is therefore reported as an `ItemFailed` effect, and the next
-    item is processed.
+    item causes is therefore reported as an `ItemFailed` effect. It affects no
+    other pipe, no other effect and no other item.
 
     Args:
       core: the core, which makes the decisions.
@@ -57,7 +58,8 @@
         self._core_input: reactivex.Subject[filters.Item] = reactivex.Subject()
         self._effect_subjects: dict[type, reactivex.Subject[filters.Item]] = {}
         publish_effects = self._report_exceptions(self._publish_effects)
-        self._core_input.pipe(operators.map(core.feed)).subscribe(
+        feed_core = functools.partial(core.feed, report=self._report_failure)
+        self._core_input.pipe(operators.map(feed_core)).subscribe(
             publish_effects
         )
 
--- a/packages/fescueshunt/src/fescueshunt/core/filters.py
+++ b/packages/fescueshunt/src/fescueshunt/core/filters.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,13 +84,20 @@
             for accepted in pipe.accepts:
                 self._pipes_by_type.setdefault(accepted, []).append(pipe)
 
-    def feed(self, item: Item) -> Iterator[Item]:
-        """Yields all items that result from `item`, breadth first."""
+    def feed(
+        self, item: Item, report: Callable[[Exception], None] | None = None
+    ) -> Iterator[Item]:
+        """Yields all items that result from `item`, breadth first.
+
+        If a filter raises an exception, its pipe emits no more items for the
+        current item. The exception is passed to `report`, and the other pipes
+        and the items that wait are processed; without `report`, it is raised.
+        """
         pending = collections.deque((item,))
         while pending:
             current = pending.popleft()
             for pipe in self._pipes_by_type.get(type(current), ()):
-                for emitted in pipe.feed(current):
+                for emitted in _reporting(pipe.feed(current), report):
                     if emitted is current:
                         continue
                     if type(emitted) in self._pipes_by_type:
@@ -98,6 +105,18 @@
                     yield emitted
 
 
+def _reporting(
+    stream: Iterator[Item], report: Callable[[Exception], None] | None
+) -> Iterator[Item]:
+    """Yields the items of `stream`; ends it at an exception."""
+    try:
+        yield from stream
+    except Exception as exc:
+        if report is None:
+            raise
+        report(exc)
+
+
 def _apply(stage: Filter, stream: Iterable[Item]) -> Iterator[Item]:
     for item in stream:
         yield from stage.process(item)
--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -59,6 +59,43 @@
     assert counters == {"items_failed.KeyError": 2}
 
 
+class Raise(filters.Filter):
+    """Raises KeyError at each item."""
+
+    def process(self, item):
+        raise KeyError("filter")
+        yield item
+
+
+class Answer(filters.Filter):
+    """Answers each `Divided` with a `Divided` of quotient 0."""
+
+    def process(self, item):
+        yield Divided(item.at, 0.0) if item.quotient else item
+
+
+# Guards against answers that are dropped because another filter raised an
+# exception at an item that the core was fed at the same time.
+@pytest.mark.parametrize("raises_at", [filters.Tick, Divided])
+def test_other_pipes_go_on_with_an_item_after_filter_raises(raises_at):
+    quotients = []
+
+    async def feed():
+        pipes = (
+            filters.Pipe((Raise(),), (raises_at,)),
+            filters.Pipe((Divide(),), (filters.Tick,)),
+            filters.Pipe((Answer(),), (Divided,)),
+        )
+        core_runtime = runtime.Runtime(filters.Core(pipes))
+        core_runtime.subscribe(
+            Divided, lambda item: quotients.append(item.quotient)
+        )
+        core_runtime.feed(filters.Tick(0.0, 1.0))
+
+    asyncio.run(feed())
+    assert quotients == [1.0, 0.0]
+
+
 @pytest.mark.parametrize("count", [1, 3])
 def test_observers_are_called_before_sinks(count):
     calls = []
