Treat a deeply nested document of the store as unreadable

Callers saw every session of a host end at once: the process exited with a traceback as soon as the store held a document that is nested more than about a thousand times, also inside a field that the models ignore. The JSON decoder raises RecursionError for it, which is not one of its own errors. The exception left the task that watches the store, and the task group cancelled every other task. All hosts read the same store.

Ruled out: invalid UTF-8, lone surrogates and numbers out of range, which the decoder reports with its own errors; and values that are not base64, which are read as empty.

Before the fix, test_deeply_nested_document_is_unreadable printed "RecursionError: maximum recursion depth exceeded while deserializing an object" for the routing document and for an entry (2 failed, 16 passed). After it: 18 passed.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
@@ -87,7 +87,11 @@
     """
     try:
         return msgspec.json.decode(data, type=model)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as exc:
         raise errors.DocumentUnreadableError(str(exc)) from exc
 
 
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -77,6 +77,20 @@
     assert change == ports.EntryChange("i-1", None, readable=False)
 
 
+# Guards against the end of every host, with all its statements in flight,
+# because one document of the platform's store is nested too deeply.
+@pytest.mark.parametrize("key", ["op/config", "servers/i-1"])
+def test_deeply_nested_document_is_unreadable(key: str):
+    data = b'{"b":' + b"[" * 100_000
+    change = documents.decode_change(_make_item(key, data), 1.0)
+    match change:
+        case ports.RoutesChange():
+            assert change.routes is None
+            assert change.problem
+        case _:
+            assert change == ports.EntryChange("i-1", None, readable=False)
+
+
 def test_unreadable_routes_keep_the_previous_document():
     valid_document = {
         "version": 7,
