Respond with status 500 if a readiness or metrics response fails

A scraper saw its connection close without a response when rendering the metrics raised an exception, which looks like a host that is down. The exception left the task of the connection.

Before the fix, test_failure_to_respond_is_reported_as_internal_server_error printed "ConnectionLostError: ... can't handle event type ConnectionClosed". The exception is logged by the event loop, as before.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -22,6 +22,7 @@
 READ_BYTES = 1 << 16
 OPEN_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 2
+INTERNAL_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,7 +182,8 @@
 
     Args:
       address: the IP address and port to listen on, as `IP:PORT`.
-      respond: returns the response to a request.
+      respond: returns the response to a request; if it raises an exception,
+        the status is 500.
     """
 
     async def handle_connection(
@@ -219,7 +221,7 @@
             case h11.Data() as chunk:
                 body.append(bytes(chunk.data))
             case h11.EndOfMessage() if head is not None:
-                response = await respond(_to_request(head, body))
+                response = await _respond(respond, _to_request(head, body))
                 writer.write(_encode_response(protocol, response))
                 if protocol.our_state is h11.MUST_CLOSE:
                     return
@@ -228,6 +230,20 @@
                 return
 
 
+async def _respond(
+    respond: Callable[[Request], Awaitable[Response]], request: Request
+) -> Response:
+    """Returns the response; if `respond` raises, logs it and returns a 500."""
+    try:
+        return await respond(request)
+    except Exception as exc:
+        loop = asyncio.get_running_loop()
+        loop.call_exception_handler(
+            {"message": f"no response to {request.target}", "exception": exc}
+        )
+        return Response(INTERNAL_SERVER_ERROR, b"")
+
+
 def _to_request(head: h11.Request, body: list[bytes]) -> Request:
     return Request(head.method.decode(), head.target.decode(), b"".join(body))
 
--- /dev/null
+++ b/tests/functional/test_http_server.py
@@ -0,0 +1,23 @@
+"""Tests of the HTTP server for readiness checks and metrics."""
+
+import asyncio
+
+from fescueshunt_standins import fleet as fleets
+from fescueshunt_wire import http
+
+TIMEOUT_S = 2.0
+
+
+# Guards against a scraper whose connection closes without a response because
+# the metrics could not be rendered.
+def test_failure_to_respond_is_reported_as_internal_server_error():
+    async def respond(request: http.Request) -> http.Response:
+        raise KeyError(request.target)
+
+    async def run() -> http.Response:
+        address = fleets.free_address()
+        async with http.serve(address, respond):
+            client = http.Client(address)
+            return await client.call("GET", "/metrics", TIMEOUT_S)
+
+    assert asyncio.run(run()) == http.Response(500, b"")
