End a stop even if a request in flight is never answered

Behind a fault that loses a request, a proxy that got SIGTERM refused new requests for ever and never exited: the count of requests in flight stayed above 0. Whoever stops it has to kill it, which cuts off all connections.

Before the change, test_stop_does_not_wait_for_a_request_longer_than_any_may_take printed "assert False" at 76 s after the stop. After it, the test passes, with the tests of the specification (49 tests). No request can be in flight for longer than the 15 s in which open transactions may go on and the 60 s that a request may take.

--- a/packages/fescueshunt/src/fescueshunt/request/drain.py
+++ b/packages/fescueshunt/src/fescueshunt/request/drain.py
@@ -7,13 +7,14 @@
 
 from fescueshunt.core import filters, peer, process
 from fescueshunt.core import items as core_items
-from fescueshunt.request import items
+from fescueshunt.request import items, ledger
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 MIN_DRAIN_S = 1.0
 TRANSACTION_DRAIN_TIMEOUT_S = 15.0
+MAX_DRAIN_S = TRANSACTION_DRAIN_TIMEOUT_S + ledger.MAX_TIMEOUT_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,10 +38,10 @@
 class Drain(filters.Filter):
     """Reports that the proxy may exit once it has drained.
 
-    The proxy always waits for requests in flight, which their deadlines bound.
-    It waits up to TRANSACTION_DRAIN_TIMEOUT_S for open transactions. Draining
-    takes at least MIN_DRAIN_S, since other proxies forward requests until they
-    learn that this one is stopping.
+    The proxy waits for requests in flight, which their deadlines bound. It
+    waits up to TRANSACTION_DRAIN_TIMEOUT_S for open transactions, whose last
+    request may arrive just before. Draining takes at least MIN_DRAIN_S, since
+    other proxies forward requests until they learn that this one is stopping.
     """
 
     def __init__(self) -> None:
@@ -68,9 +69,11 @@
 
     def _is_drained(self, now: float) -> bool:
         state = self._state
-        if state.stop_requested_at is None or state.in_flight > 0:
+        if state.stop_requested_at is None:
             return False
         draining_s = now - state.stop_requested_at
+        if state.in_flight > 0:
+            return draining_s > MAX_DRAIN_S
         if state.transactions and draining_s < TRANSACTION_DRAIN_TIMEOUT_S:
             return False
         return draining_s >= MIN_DRAIN_S
