Encode the values of HTTP headers in UTF-8

A host whose name is not ASCII ended with all its sessions when it called the platform's promotion service: the HTTP library encodes header values of type str in ASCII, and its UnicodeEncodeError left the task of the call. The settings file permits any name of up to 200 characters.

Before the fix, test_header_may_contain_any_name printed "UnicodeEncodeError: 'ascii' codec can't encode character". After it, the file passes (2 tests).

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -131,7 +131,8 @@
         body: bytes,
         headers: Mapping[str, str],
     ) -> Response:
-        all_headers = [("Host", address), *headers.items()]
+        all_headers = [("Host", address)]
+        all_headers += [(name, headers[name].encode()) for name in headers]
         if body:
             all_headers.append(("Content-Type", "application/json"))
         if method != "GET":
--- a/tests/functional/test_http_server.py
+++ b/tests/functional/test_http_server.py
@@ -21,3 +21,19 @@
             return await client.call("GET", "/metrics", TIMEOUT_S)
 
     assert asyncio.run(run()) == http.Response(500, b"")
+
+
+# Guards against the end of a host whose name is not ASCII when it sends this
+# name in a header to promote an upstream.
+def test_header_may_contain_any_name():
+    async def respond(request: http.Request) -> http.Response:
+        return http.Response(200, request.target.encode())
+
+    async def run() -> http.Response:
+        address = fleets.free_address()
+        async with http.serve(address, respond):
+            client = http.Client(address)
+            headers = {"Holder": "hôte-éù-東"}
+            return await client.call("GET", "/", TIMEOUT_S, headers=headers)
+
+    assert asyncio.run(run()) == http.Response(200, b"/")
