--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 from typing import TYPE_CHECKING
 
@@ -9,7 +10,7 @@
 from fescueshunt_proxy._internal.hosted import ports
 
 if TYPE_CHECKING:
-    import contextlib
+    from collections.abc import AsyncIterator
 
     from fescueshunt.core import sessions
     from fescueshunt_proxy._internal import runtime
@@ -22,6 +23,7 @@
         self._runtime = core_runtime
         self._next_ids = itertools.count(1)
         self._conns: dict[int, ports.ClientConnection] = {}
+        self._statements_in_flight: dict[int, str] = {}
         core_runtime.subscribe(session_items.AcceptSession, self._send_welcome)
         core_runtime.subscribe(
             session_items.RejectSession, self._send_rejection
@@ -33,20 +35,42 @@
             session_items.CloseSession, self._close_connection
         )
 
-    def serving(
+    @contextlib.asynccontextmanager
+    async def serving(
         self, front_end: ports.FrontEnd, address: str
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Accepts clients at `address` until the context manager exits."""
-        return front_end.serving(address, self._accept)
+    ) -> AsyncIterator[None]:
+        """Accepts clients at `address` until the core stops listening."""
+        async with front_end.serving(address, self._accept) as listener:
+            self._runtime.subscribe(
+                session_items.StopListening, lambda _: listener.close()
+            )
+            yield
 
     def _accept(self, conn: ports.ClientConnection) -> ports.ClientListener:
         client_id = next(self._next_ids)
         self._conns[client_id] = conn
+        now = self._runtime.now()
+        self._runtime.feed(session_items.ClientConnected(now, client_id))
         return _ClientListener(self, self._runtime, client_id)
 
+    @property
+    def open_count(self) -> int:
+        """The number of open client connections."""
+        return len(self._conns)
+
+    @property
+    def unanswered(self) -> list[str]:
+        """The ids of the statements that open connections wait for."""
+        return list(self._statements_in_flight.values())
+
+    def record_statement(self, client_id: int, statement_id: str) -> None:
+        """Records that a client has sent a statement."""
+        self._statements_in_flight[client_id] = statement_id
+
     def remove(self, client_id: int) -> None:
         """Removes a client connection that has ended."""
         self._conns.pop(client_id, None)
+        self._statements_in_flight.pop(client_id, None)
 
     def _send_welcome(self, item: session_items.AcceptSession) -> None:
         if item.client in self._conns:
@@ -57,6 +81,7 @@
             self._conns[item.client].reject(item.failure, item.detail)
 
     def _send_answer(self, item: session_items.SendSessionAnswer) -> None:
+        self._statements_in_flight.pop(item.client, None)
         if item.client in self._conns:
             self._conns[item.client].answer(item.statement_id, item.answer)
 
@@ -83,12 +108,19 @@
         )
 
     def on_statement(self, statement: sessions.Statement) -> None:
+        self._clients.record_statement(self._client_id, statement.statement_id)
         now = self._runtime.now()
         self._runtime.feed(
             session_items.StatementReceived(now, self._client_id, statement)
         )
 
     def on_session_ended(self) -> None:
-        self._clients.remove(self._client_id)
         now = self._runtime.now()
         self._runtime.feed(session_items.SessionClosed(now, self._client_id))
+
+    def on_disconnected(self) -> None:
+        self._clients.remove(self._client_id)
+        now = self._runtime.now()
+        self._runtime.feed(
+            session_items.ClientDisconnected(now, self._client_id)
+        )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -8,18 +8,24 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
     filters,
-    position,
     process,
     routes,
     session_items,
     sessions,
 )
-from fescueshunt.sessions import items, readiness, shutdown, steps
+from fescueshunt.sessions import (
+    answers,
+    items,
+    readiness,
+    reports,
+    shutdown,
+    steps,
+)
+from fescueshunt.sessions import session as client_session
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,43 +37,11 @@
 FAILED = sessions.TransactionState.FAILED
 
 
-@dataclasses.dataclass(slots=True)
-class Session:
-    """A client's session.
-
-    Attributes:
-      route: the name of the route that the client asked for.
-      values: the session values by name; a value is never removed.
-      begin_statement: the statement that began the transaction.
-      began_at: when that statement arrived; local clock, seconds.
-      transaction_route: the route in force when the transaction began.
-      begun_upstream: whether the transaction has begun at an upstream.
-      last_commit: the log position of the last commit, or None.
-      job: the statement in flight, or None.
-    """
-
-    client: int
-    route: str
-    account: str = ""
-    values: dict[str, str] = dataclasses.field(default_factory=dict)
-    prepared: dict[str, sessions.Prepared] = dataclasses.field(
-        default_factory=dict
-    )
-    state: sessions.TransactionState = IDLE
-    begin_statement: sessions.Statement | None = None
-    began_at: float = 0.0
-    transaction_route: routes.Route | None = None
-    read_only: bool = False
-    begun_upstream: bool = False
-    last_commit: position.Position | None = None
-    job: items.StatementJob | None = None
-
-
 class SessionHandler(filters.Filter):
     """Answers statements that need no upstream; submits the others as jobs."""
 
     def __init__(self, grace_s: float) -> None:
-        self._sessions: dict[int, Session] = {}
+        self._sessions: dict[int, client_session.Session] = {}
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
 
@@ -80,8 +54,14 @@
                 yield from self._finish_job(item)
             case session_items.SessionRequested():
                 yield from self._open_session(item)
-            case session_items.SessionClosed():
-                yield from self._close_session(item)
+            case session_items.SendSessionAnswer():
+                yield from self._record_answer(item)
+                yield item
+            case (
+                session_items.SessionClosed()
+                | session_items.ClientDisconnected()
+            ):
+                yield from self._end_session(item.client, item.at)
             case items.TransactionLost():
                 self._mark_transaction_lost(item.client)
             case routes.RoutesView():
@@ -94,8 +74,12 @@
                 isolated = item.reason == readiness.ISOLATED
                 self._shutdown.set_isolated(isolated, item.at)
                 yield item
-            case process.StopAsked():
-                self._shutdown.start(item.at)
+            case (
+                process.StopAsked()
+                | session_items.StopListening()
+                | process.Stopped()
+            ):
+                yield from self._follow_stop(item)
                 yield item
             case _:
                 yield item
@@ -108,20 +92,39 @@
         elif item.route not in self._routes.routes:
             failure = sessions.Failure.NO_DATABASE
         else:
-            session = Session(item.client, item.route, item.account)
+            session = client_session.Session(
+                item.client, item.route, item.account, idle_since=item.at
+            )
             self._sessions[item.client] = session
+            if self._shutdown.is_stopping:
+                yield self._stop_event("session_accepted_at_stop", item.at)
             yield session_items.AcceptSession(item.at, item.client)
             return
         yield session_items.RejectSession(
             item.at, item.client, failure, item.route
         )
 
+    def _end_session(self, client: int, now: float) -> Iterator[filters.Item]:
+        session = self._sessions.pop(client, None)
+        if session is not None and session.begun_upstream:
+            yield items.RollBackTransaction(now, client)
+
+    def _record_answer(
+        self, answer: session_items.SendSessionAnswer
+    ) -> Iterator[filters.Item]:
+        """Closes the session of the answer if this host is draining."""
+        session = self._sessions.get(answer.client)
+        if session is None:
+            return
+        session.idle_since = answer.at
+        if self._shutdown.is_draining(answer.at) and session.state is IDLE:
+            yield from self._close_session(session, answer.at)
+
     def _close_session(
-        self, item: session_items.SessionClosed
+        self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
-        session = self._sessions.pop(item.client, None)
-        if session is not None and session.begun_upstream:
-            yield items.RollBackTransaction(item.at, item.client)
+        yield session_items.CloseSession(now, session.client)
+        yield from self._end_session(session.client, now)
 
     def _receive_statement(
         self, item: session_items.StatementReceived
@@ -145,47 +148,53 @@
                 yield from self._roll_back(session, statement, item.at)
             case sessions.Verb.SET_VALUE:
                 session.values[statement.name] = statement.argument
-                yield _success_answer(session, statement, item.at)
+                yield answers.success(session, statement, item.at)
             case sessions.Verb.PREPARE:
                 prepared = sessions.Prepared(statement.writes, statement.shape)
                 session.prepared[statement.name] = prepared
-                yield _success_answer(session, statement, item.at)
+                yield answers.success(session, statement, item.at)
             case sessions.Verb.DEALLOCATE:
                 yield self._deallocate(session, statement, item.at)
             case sessions.Verb.COMMIT if session.state is IDLE:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
                 )
             case sessions.Verb.INVALID:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
                 )
             case _:
                 yield from self._submit_statement(session, statement, item.at)
 
     def _receive_in_failed_transaction(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         """Accepts only the end of the transaction; fails other statements."""
         match statement.verb:
             case sessions.Verb.ROLLBACK:
                 session.state = IDLE
-                yield _success_answer(session, statement, now)
+                yield answers.success(session, statement, now)
             case sessions.Verb.COMMIT:
                 session.state = IDLE
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.ABORTED, now
                 )
             case _:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.INVALID, now
                 )
 
     def _begin_transaction(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> filters.Item:
         if session.state is OPEN:
-            return _failure_answer(
+            return answers.failure(
                 session, statement, sessions.Failure.INVALID, now
             )
         session.state = OPEN
@@ -194,27 +203,36 @@
         session.transaction_route = self._route_of(session)
         session.read_only = statement.read_only
         session.begun_upstream = False
-        return _success_answer(session, statement, now)
+        return answers.success(session, statement, now)
 
     def _roll_back(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         if session.begun_upstream:
             yield items.RollBackTransaction(now, session.client, statement)
         session.state = IDLE
         session.begun_upstream = False
-        yield _success_answer(session, statement, now)
+        yield answers.success(session, statement, now)
 
     def _deallocate(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> filters.Item:
         if session.prepared.pop(statement.name, None) is None:
             failure = sessions.Failure.NO_STATEMENT
-            return _failure_answer(session, statement, failure, now)
-        return _success_answer(session, statement, now)
+            return answers.failure(session, statement, failure, now)
+        return answers.success(session, statement, now)
 
     def _submit_statement(
-        self, session: Session, statement: sessions.Statement, now: float
+        self,
+        session: client_session.Session,
+        statement: sessions.Statement,
+        now: float,
     ) -> Iterator[filters.Item]:
         in_transaction = session.state is OPEN
         route = self._route_of(session)
@@ -229,16 +247,17 @@
         if statement.verb is sessions.Verb.EXECUTE:
             prepared = session.prepared.get(statement.name)
             if prepared is None:
-                yield _failure_answer(
+                yield answers.failure(
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
         session.job = self._make_job(session, statement, route, prepared, now)
+        session.job.limit_deadline(self._shutdown.statement_deadline)
         yield items.JobSubmitted(now, session.job)
 
     def _make_job(
         self,
-        session: Session,
+        session: client_session.Session,
         statement: sessions.Statement,
         route: routes.Route,
         prepared: sessions.Prepared | None,
@@ -279,7 +298,7 @@
         job = item.job
         session = self._sessions.get(job.client)
         if item.failure is not None:
-            yield _failure_event(item)
+            yield reports.statement_failed(item)
         if session is None or session.job is not job:
             if job.in_transaction and item.failure is None:
                 yield items.RollBackTransaction(item.at, job.client)
@@ -304,7 +323,7 @@
 
     def _record_success(
         self,
-        session: Session,
+        session: client_session.Session,
         job: items.StatementJob,
         reply: sessions.UpstreamReply,
     ) -> None:
@@ -318,7 +337,7 @@
 
     def _fail_statement(
         self,
-        session: Session,
+        session: client_session.Session,
         statement: sessions.Statement,
         failure: sessions.Failure,
         now: float,
@@ -329,7 +348,7 @@
         if session.begun_upstream:
             session.begun_upstream = False
             yield items.RollBackTransaction(now, session.client)
-        yield _failure_answer(session, statement, failure, now)
+        yield answers.failure(session, statement, failure, now)
 
     def _mark_transaction_lost(self, client: int) -> None:
         session = self._sessions.get(client)
@@ -337,63 +356,34 @@
             session.begun_upstream = False
             session.state = FAILED
 
-    def _route_of(self, session: Session) -> routes.Route | None:
+    def _route_of(self, session: client_session.Session) -> routes.Route | None:
         if self._routes is None:
             return None
         return self._routes.routes.get(session.route)
 
     def _close_sessions(self, now: float) -> Iterator[filters.Item]:
+        """Closes the sessions that wait for no answer and have to close."""
         if self._shutdown.keeps_all_sessions:
             return
         for session in list(self._sessions.values()):
-            idle = session.job is None
-            if self._shutdown.should_close(
-                now, idle, session.state is not IDLE
+            if session.job is None and self._shutdown.should_close(
+                now, session.idle_since, session.state is not IDLE
             ):
-                del self._sessions[session.client]
-                yield session_items.CloseSession(now, session.client)
-                if session.begun_upstream:
-                    yield items.RollBackTransaction(now, session.client)
-        if self._shutdown.is_complete(now, len(self._sessions)):
-            yield process.Stopped(now)
-
-
-def _failure_event(item: items.JobFinished) -> session_items.LogDecision:
-    """Returns the log event of a statement that failed."""
-    job = item.job
-    details = {
-        "outcome": item.failure.value,
-        "why": item.detail,
-        "route": job.route.name,
-        "database": job.route.database,
-        "verb": job.statement.verb.value,
-        "in_transaction": job.in_transaction,
-        "upstream": item.upstream,
-        "tries": job.attempts,
-        "sent": job.statement_sent,
-        "took_s": round(item.at - job.arrived_at, 4),
-    }
-    return session_items.LogDecision(
-        item.at, "statement_failed", job.statement.statement_id, details
-    )
-
-
-def _success_answer(
-    session: Session, statement: sessions.Statement, now: float
-) -> filters.Item:
-    answer = sessions.SessionAnswer(receipt="", state=session.state)
-    return session_items.SendSessionAnswer(
-        now, session.client, statement.statement_id, answer
-    )
-
-
-def _failure_answer(
-    session: Session,
-    statement: sessions.Statement,
-    failure: sessions.Failure,
-    now: float,
-) -> filters.Item:
-    answer = sessions.SessionAnswer(failure=failure, state=session.state)
-    return session_items.SendSessionAnswer(
-        now, session.client, statement.statement_id, answer
-    )
+                yield from self._close_session(session, now)
+
+    def _follow_stop(self, item: filters.Item) -> Iterator[filters.Item]:
+        if isinstance(item, process.StopAsked):
+            self._shutdown.start(item.at)
+            self._limit_deadlines()
+        yield self._stop_event(reports.STOP_EVENTS[type(item)], item.at)
+
+    def _limit_deadlines(self) -> None:
+        for session in self._sessions.values():
+            if session.job is not None:
+                session.job.limit_deadline(self._shutdown.statement_deadline)
+
+    def _stop_event(self, event: str, now: float) -> filters.Item:
+        elapsed_s = self._shutdown.elapsed_s(now)
+        return reports.stop_progress(
+            event, self._sessions.values(), elapsed_s, now
+        )
