--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/root.py
@@ -59,6 +59,7 @@
     stopped = asyncio.Event()
     core_runtime.subscribe(process.Stopped, lambda _: stopped.set())
     proxy_metrics = _subscribe_observers(core_runtime)
+    _install_signal_handlers(core_runtime)
     with (
         recording.recording_to_file(cfg.record_file, local_proxy, core_runtime),
         tracing.tracing_to_file(
@@ -72,7 +73,6 @@
             ),
         ):
             logger.info("started", incarnation=local_proxy.incarnation)
-            _install_signal_handlers(core_runtime)
             await stopped.wait()
             await asyncio.sleep(FLUSH_DELAY_S)
     logger.info("stopped")
@@ -154,5 +154,10 @@
     def request_stop() -> None:
         core_runtime.feed(process.StopAsked(core_runtime.now()))
 
+    def log_ignored_reload() -> None:
+        # The settings of the process are read once at start.
+        structlog.get_logger(__name__).info("settings_kept")
+
+    loop.add_signal_handler(signal.SIGHUP, log_ignored_reload)
     for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, request_stop)
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -35,6 +35,7 @@
 PING_TIMEOUT_S = 1.0
 MAX_PENDING_MESSAGES = 10_000
 # WebSocket close codes.
+GOING_AWAY = 1001
 PROTOCOL_ERROR = 1002
 TRY_AGAIN_LATER = 1013
 # A frame of up to twice the maximum size is read, so that the peer receives a
@@ -61,11 +62,14 @@
         connection has arrived completely, in seconds.
       idle_timeout_s: the maximum time between two complete frames, in seconds;
         None for no limit.
+      answer_timeout_s: the maximum time that a connection is kept open for its
+        pending answers, in seconds.
     """
 
     max_connections: int = 4096
     first_frame_timeout_s: float = 5.0
     idle_timeout_s: float | None = None
+    answer_timeout_s: float = 6.0
 
 
 class Connection:
@@ -88,6 +92,10 @@
         self._limits = limits
         self._pending: collections.deque[codec.Envelope] = collections.deque()
         self._has_pending = asyncio.Event()
+        self._is_sending = False
+        self._unanswered: set[int] = set()
+        self._is_finished = False
+        self._progress = asyncio.Event()
         self.on_encode_error: EncodeErrorHandler = _replace_with_failure
 
     @property
@@ -109,9 +117,64 @@
             raise errors.ConnectionLostError(
                 "the other end does not read its messages"
             )
+        self._unanswered.discard(envelope.seq)
         self._pending.append(envelope)
         self._has_pending.set()
 
+    def expect_answer(self, seq: int) -> None:
+        """Records that an answer with `seq` will be queued for sending."""
+        self._unanswered.add(seq)
+
+    @contextlib.asynccontextmanager
+    async def answering(self) -> AsyncIterator[None]:
+        """Sends all expected answers before the context exits.
+
+        An invalid frame ends the context too, as the requests before it must be
+        answered. A connection that closes, or a time-out, ends the wait.
+        """
+        try:
+            yield
+        except errors.FrameError:
+            await self._send_expected_answers()
+            raise
+        await self._send_expected_answers()
+
+    async def finish(self) -> None:
+        """Sends all expected answers, then closes the connection.
+
+        A frame that arrives after the last answer was sent is not read, so the
+        peer can rely on an answer to every request that took effect.
+        """
+        await self._send_expected_answers()
+        self._is_finished = True
+        await self.close(GOING_AWAY)
+
+    async def _send_expected_answers(self) -> None:
+        limits = self._limits or ListenerLimits()
+        closed = asyncio.ensure_future(self._websocket.wait_closed())
+        try:
+            async with asyncio.timeout(limits.answer_timeout_s):
+                while self._has_unsent_answers() and not closed.done():
+                    await self._wait_for_progress(closed)
+        except TimeoutError:
+            pass
+        finally:
+            closed.cancel()
+
+    def _has_unsent_answers(self) -> bool:
+        return bool(self._unanswered or self._pending or self._is_sending)
+
+    async def _wait_for_progress(self, closed: asyncio.Future[None]) -> None:
+        """Waits until messages were sent, or the connection has closed."""
+        self._progress.clear()
+        progress = asyncio.ensure_future(self._progress.wait())
+        try:
+            await asyncio.wait(
+                (progress, closed), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            progress.cancel()
+
     async def send_pending(self) -> None:
         """Sends queued messages until the connection is closed."""
         while True:
@@ -119,8 +182,11 @@
             self._has_pending.clear()
             batch = list(self._pending)
             self._pending.clear()
+            self._is_sending = True
             for data in self._encode(batch):
                 await self._websocket.send(data)
+            self._is_sending = False
+            self._progress.set()
 
     def _encode(self, batch: list[codec.Envelope]) -> list[bytes]:
         """Encodes `batch` as one frame, or as several if it is too large."""
@@ -148,6 +214,8 @@
                 data = await self._read_frame(timeout_s)
             except websockets.ConnectionClosed:
                 return
+            if self._is_finished:
+                return
             for envelope in _decode_frame(data):
                 yield envelope
             timeout_s = self._limits.idle_timeout_s if self._limits else None
@@ -184,13 +252,14 @@
       address: the IP address and port of the listener, as `IP:PORT`.
 
     Raises:
-      ConnectionLostError: if the connection cannot be opened.
+      ConnectionLostError: if the connection cannot be opened, or if `address`
+        is invalid.
     """
     try:
         websocket = await client.connect(
             f"ws://{address}/", proxy=None, **WEBSOCKET_OPTIONS
         )
-    except (OSError, TimeoutError, websockets.WebSocketException) as exc:
+    except (OSError, ValueError, websockets.WebSocketException) as exc:
         raise errors.ConnectionLostError(address) from exc
     conn = Connection(websocket)
     async with _sender_running(conn):
@@ -210,7 +279,8 @@
 
     The listener sends a typed error and closes the connection if one of its
     frames is invalid or does not arrive in time, or if too many connections are
-    open.
+    open. When the context exits, it accepts no more connections, and closes
+    each one once all expected answers have been sent.
 
     Yields:
       The address that the listener is bound to, as `IP:PORT`.
@@ -238,6 +308,8 @@
     ) as listener:
         bound = listener.sockets[0].getsockname()
         yield f"{bound[0]}:{bound[1]}"
+        listener.server.close()
+        await asyncio.gather(*(conn.finish() for conn in open_connections))
 
 
 async def _handle_connection(
