Test clients that send ahead, end their side while idle, or send a long line

A client that sends statements behind the one in flight loses the answers to all of them; a line that never ends does so as well.

--- a/tests/functional/test_client_disconnects.py
+++ b/tests/functional/test_client_disconnects.py
@@ -16,6 +16,7 @@
 STOP_TIMEOUT_S = 8.0
 # Later than a host without sessions exits, and before its grace period ends.
 SLOW_READ_START_S = 3.2
+LONG_LINE_BYTES = (1 << 20) + 1
 ROW_BYTES = 48 * 1024
 ROW_COUNT = 160
 RECEIVE_BUFFER_BYTES = 8 * 1024
@@ -99,10 +100,73 @@
     assert wrong == {}
 
 
+def _answer_count(lines: list[str]) -> int:
+    return sum(line.startswith("READY") for line in lines)
+
+
+# Failure: a client that sends more statements behind the one in flight loses
+# the answers to all of them.
+def test_client_that_sends_statements_ahead_gets_every_answer():
+    reads = b"".join(b"QUERY r%d READ a\r\n" % n for n in range(5))
+    mixed = b"".join(
+        b"QUERY s%d SET z v%d\r\nQUERY w%d WRITE a 1\r\n" % (n, n, n)
+        for n in range(4)
+    )
+    cases = {
+        "reads, terminate": (reads + b"TERMINATE\r\n", False),
+        "reads, half-close": (reads, True),
+        "mixed, terminate": (mixed + b"TERMINATE\r\n", False),
+        "transaction": (
+            b"QUERY b BEGIN\r\nQUERY w WRITE a 2\r\nQUERY c COMMIT\r\n",
+            True,
+        ),
+    }
+    lines_by_case = asyncio.run(_converse_in_turn(cases))
+    counts = {k: _answer_count(lines) for k, lines in lines_by_case.items()}
+    assert counts == {
+        name: data.count(b"QUERY") for name, (data, _) in cases.items()
+    }
+    assert all(_is_answer(lines) for lines in lines_by_case.values())
+
+
+# Failure: the connection of a client that ended its side while nothing was in
+# flight stays open.
+def test_client_that_ends_its_side_while_idle_is_disconnected():
+    cases = {
+        "idle": (b"", True),
+        "in transaction": (b"QUERY b BEGIN\r\n", True),
+        "incomplete line": (b"QUERY b BE", True),
+    }
+
+    async def run() -> dict[str, list[str]]:
+        async with deployment.running(1) as deployed:
+            address = deployed.hosts[0].session_address
+            lines_by_case = {
+                name: await _converse(data, ends_side, address)
+                for name, (data, ends_side) in cases.items()
+            }
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write_eof()
+            lines_by_case["no start"] = await _read_lines_to_end(reader)
+            writer.close()
+        return lines_by_case
+
+    lines_by_case = asyncio.run(run())
+    counts = {k: _answer_count(lines) for k, lines in lines_by_case.items()}
+    assert counts == {
+        "idle": 0,
+        "in transaction": 1,
+        "incomplete line": 0,
+        "no start": 0,
+    }
+
+
 # Failure: a line that can't be decoded, sent behind a statement, takes the
 # place of the statement's answer.
 def test_undecodable_line_is_refused_after_the_answer_in_flight():
     cases = {
+        "too long": (b"QUERY q1 READ a\r\n" + b"x" * LONG_LINE_BYTES, False),
         "unknown": (b"QUERY q1 READ a\r\nNOISE\r\n", False),
         "bytes": (b"QUERY q1 READ a\r\n\xff\x00\r\n", False),
     }
