Test a host that is held up at its stop, and tell who was held up

A host that is held up from 2.5 s to 3.3 s after SIGTERM accepts the sessions that waited in the backlog, sends READY, and closes them at its next tick: past the time of transactions an idle session has no time for its first statement.

The check of the stop also failed once without evidence: no statement had reached an upstream in a run. Each host now has a session that ends 1 s after SIGTERM, and a failure prints the longest time that the clients were held up and the end of the host's log.

The new test in the core fails for 0.9 s and 1.8 s ("[] == [None]") and passes for 0.2 s.

--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -25,6 +25,9 @@
 FIRST_ARRIVAL_S = 2.3
 LAST_ARRIVAL_S = 2.8
 DENSE_INTERVAL_S = 0.003
+# A session that ends before the last arrivals, so that some statements run.
+EARLY_SESSION_END_S = 1.0
+LOG_CHARS = 6000
 STAGGER_S = 0.011
 MEAN_GAPS_S = (0.012, 0.025, 0.05)
 
@@ -53,6 +56,8 @@
     stop_at = asyncio.get_running_loop().time() + LEAD_S
     load = stop_load.StopLoad(name, host.session_address, stop_at)
     async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(load.measure_lag())
+        tasks.create_task(load.run_long_session(-LEAD_S, EARLY_SESSION_END_S))
         for number in range(arrivals.long_session_count):
             start_s = number * STAGGER_S - LEAD_S
             tasks.create_task(load.run_long_session(start_s, STOP_TIMEOUT_S))
@@ -86,6 +91,10 @@
             )
         )
         received_ids = await deployed.read_statement_ids()
+        for host, load in zip(deployed.hosts, loads, strict=True):
+            if load.lost(received_ids):
+                print(f"clients held up for up to {load.max_lag_s:.3f} s")
+                print(host.log_path.read_text()[-LOG_CHARS:])
     assert received_ids
     return [
         statement.describe()
--- a/tests/lib/stop_load.py
+++ b/tests/lib/stop_load.py
@@ -18,6 +18,7 @@
 READY = b"READY"
 ANSWER_TIMEOUT_S = 8.0
 PAUSE_S = 0.03
+LAG_INTERVAL_S = 0.02
 # An unanswered statement counts as read by the host once it is this old.
 LOSS_SLACK_S = 0.2
 # A session that ends sooner had no time for its first statement.
@@ -54,12 +55,14 @@
 
     Attributes:
       sent: the statements that were sent, in order.
+      max_lag_s: the longest time for which the clients were held up.
       refused_count: the connections that ended before the session was open,
         or while it was idle and before its first statement.
     """
 
     def __init__(self, name: str, address: str, stop_at: float) -> None:
         self.sent: list[SentStatement] = []
+        self.max_lag_s = 0.0
         self.refused_count = 0
         self._name = name
         self._host, _, port = address.rpartition(":")
@@ -67,6 +70,13 @@
         self._stop_at = stop_at
         self._numbers = itertools.count(1)
 
+    async def measure_lag(self) -> None:
+        """Measures how late the clients' timers are, until the stop ends."""
+        while self._elapsed_s() < deployment.GRACE_S / 2:
+            due_s = self._elapsed_s() + LAG_INTERVAL_S
+            await self._sleep_until(due_s)
+            self.max_lag_s = max(self.max_lag_s, self._elapsed_s() - due_s)
+
     async def run_short_session(self, start_s: float, route: str) -> None:
         """Opens a session at `start_s` after SIGTERM for one statement."""
         await self._sleep_until(start_s)
--- a/tests/unit/test_stop_sequence.py
+++ b/tests/unit/test_stop_sequence.py
@@ -13,6 +13,7 @@
 START_DELAYS_S = (0.03, 0.1, 0.2)
 # The longest time that the exit takes after the last connection ended.
 EXIT_S = 0.1
+ROUND_TRIP_S = 0.025
 READ = sessions.Verb.READ
 
 
@@ -77,3 +78,22 @@
     world.client_stays_connected = True
     assert world.run_until_stopped(GRACE_S)
     assert world.stopped_at() - stopping_world.STOP_AT < GRACE_S
+
+
+# Failure: a host that was held up at its stop accepts the sessions that waited,
+# and closes them before their first statement has crossed the network.
+@pytest.mark.parametrize("held_up_s", [0.2, 0.9, 1.8])
+def test_host_held_up_at_its_stop_answers_sessions_that_waited(held_up_s):
+    world = stopping_world.StoppingWorld()
+    world.stop()
+    world.run(LAST_ACCEPT_S)
+    world.freeze(stopping_world.HOST, held_up_s)
+    world.connect(1)
+    world.start_session(1)
+    world.run(held_up_s + ROUND_TRIP_S)
+    (effect, *_) = world.of_client(1)
+    if isinstance(effect, session_items.RejectSession):
+        return
+    world.send(1, "first", READ)
+    world.run(1.0)
+    assert world.failures_before_close(1, "first") == [None]
