End a finished connection within 0.1 s of its last byte

Cause: a statement that crosses the end of the host's stream is read and ignored; with a wait of 1 s for a client that doesn't end its own stream, the connection of a whole request that was read could end that much later. Change: 0.1 s. docs/design/ending.md says when the listener closes. Conclusion: a client that reads on loses nothing; any other learns of the end at once.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -16,7 +16,7 @@
     from fescueshunt.core import sessions
 
 BACKLOG = 1024
-LINGER_S = 1.0
+LINGER_S = 0.1
 
 
 class LineProtocolFrontEnd(ports.FrontEnd):
