--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -7,14 +7,16 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import sessions
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from fescueshunt.core import sessions
+
 BACKLOG = 1024
+LINGER_S = 1.0
 
 
 class LineProtocolFrontEnd(ports.FrontEnd):
@@ -25,7 +27,7 @@
         self,
         address: str,
         accept: Callable[[ports.ClientConnection], ports.ClientListener],
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[ports.Listener]:
         """Listens on `address` until the context manager exits."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -33,27 +35,44 @@
             lambda: _ClientProtocol(accept), host, int(port), backlog=BACKLOG
         )
         try:
-            yield
+            yield _ServerListener(server)
         finally:
             server.close()
 
 
+class _ServerListener(ports.Listener):
+    def __init__(self, server: asyncio.Server) -> None:
+        self._server = server
+
+    def close(self) -> None:
+        self._server.close()
+
+
 class _LineProtocolClient(ports.ClientConnection):
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, protocol: _ClientProtocol
+    ) -> None:
         self._transport = transport
+        self._protocol = protocol
 
     def welcome(self) -> None:
         self._transport.write(lines.encode_welcome())
 
     def reject(self, failure: sessions.Failure, detail: str) -> None:
         self._transport.write(lines.encode_failure(failure, detail))
-        self._transport.close()
+        self._protocol.finish()
 
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
 
+    def pause_reading(self) -> None:
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        self._transport.resume_reading()
+
     def close(self) -> None:
-        self._transport.close()
+        self._protocol.finish()
 
 
 class _ClientProtocol(asyncio.Protocol):
@@ -65,35 +84,68 @@
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
         self._transport: asyncio.Transport | None = None
+        self._linger_timer: asyncio.TimerHandle | None = None
         self._has_started = False
         self._has_ended = False
+        self._has_read_all = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        self._listener = self._accept(_LineProtocolClient(transport))
+        self._listener = self._accept(_LineProtocolClient(transport, self))
 
     def data_received(self, data: bytes) -> None:
+        if self._has_ended:
+            return
         try:
-            for line in self._splitter.feed(data):
+            for line in self._splitter.split(data):
                 self._handle_line(line)
         except errors.FrameError as exc:
-            failure = sessions.Failure.INVALID
-            self._transport.write(lines.encode_failure(failure, exc.detail))
-            self._end_session()
+            if self._start_ignoring():
+                self._listener.on_malformed_request(exc.detail)
 
     def eof_received(self) -> bool:
+        self._has_read_all = True
         self._end_session()
-        return False
+        return self._linger_timer is None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end_session()
+        self._has_ended = True
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
+        self._listener.on_disconnected()
+
+    def finish(self) -> None:
+        """Sends what is buffered and ends the stream, then closes.
+
+        A connection that is closed with unread bytes is reset, and its client
+        loses the answers that are still on their way. What the client sends is
+        therefore read and ignored until it ends its stream as well, but only
+        for `LINGER_S` once everything is sent.
+        """
+        self._start_ignoring()
+        if self._has_read_all:
+            self._transport.close()
+        elif self._linger_timer is None:
+            self._transport.resume_reading()
+            self._transport.write_eof()
+            self._start_linger_timer()
+
+    def _start_linger_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._linger_timer = loop.call_later(LINGER_S, self._stop_lingering)
+
+    def _stop_lingering(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._start_linger_timer()
+        else:
+            self._transport.close()
 
     def _handle_line(self, line: str) -> None:
         if self._has_ended:
             return
         if not self._has_started:
-            self._has_started = True
             self._listener.on_session_started(*lines.decode_start(line))
+            self._has_started = True
             return
         statement = lines.decode_statement(line)
         if statement is None:
@@ -102,7 +154,10 @@
             self._listener.on_statement(statement)
 
     def _end_session(self) -> None:
-        if not self._has_ended:
-            self._has_ended = True
+        if self._start_ignoring():
             self._listener.on_session_ended()
-            self._transport.close()
+
+    def _start_ignoring(self) -> bool:
+        """Ignores further requests; returns whether none were ignored yet."""
+        has_ended, self._has_ended = self._has_ended, True
+        return not has_ended
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -18,16 +18,22 @@
     dispatch,
     items,
     readiness,
+    sequencer,
     session_handler,
+    stop_sequence,
 )
 
 if TYPE_CHECKING:
     import random
 
 ACCEPTS = (
+    session_items.ClientConnected,
     session_items.SessionRequested,
     session_items.StatementReceived,
     session_items.SessionClosed,
+    session_items.RequestMalformed,
+    session_items.ClientDisconnected,
+    session_items.SendSessionAnswer,
     session_items.ConnectionOpened,
     session_items.CallReplied,
     session_items.ConnectionFailed,
@@ -55,6 +61,8 @@
     """
     stages = (
         readiness.Readiness(),
+        stop_sequence.StopSequence(grace_s),
+        sequencer.RequestSequencer(),
         session_handler.SessionHandler(grace_s),
         dispatch.Dispatcher(choose.LeastLoadedPolicy(own_identity), rng),
     )
