Count silent former members before a position is taken for that of a replica set

Cause: an upstream without an entry is dropped after 4 s of silence, though it may be alive and still the primary. With it gone two replicas were left, "all members but one" was one, and the status of the only replica in reach gave a position sample dated now. A fence already needs every replica in that case.

Ruled out: a confirmation of the primary held too long; none was confirmed at the logged hosts. The two hosts with the first stale reads were not among those logged.

Now a dropped member counts for a minute as one that did not report, and one status alone never gives a sample, as a host may have started while an entry was missing. A host with a valid lease, or two members that confirm the primary, still gets its positions from the primary. The price: such a cut-off host refuses.

--- a/packages/fescueshunt/src/fescueshunt/replicas/items.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/items.py
@@ -14,7 +14,10 @@
     Attributes:
       database: the database of the replica set.
       entries: the entries of all members that serve or may serve.
+      silent: how many members were dropped because they did not answer. They
+        may still run, and acknowledge commits with each other or with a member.
     """
 
     database: str
     entries: tuple[replica_sets.UpstreamEntry, ...]
+    silent: int = 0
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -3,7 +3,8 @@
 An upstream whose entry was removed may only have lost its connection to the
 store and could still acknowledge commits. It is therefore polled, and it stays
 a member until it is known to be gone or has not answered for
-UNLISTED_TIMEOUT_S.
+UNLISTED_TIMEOUT_S. Even then it may still run, so it is counted as silent for
+FORGET_AFTER_S.
 An entry whose replica set is not in the operator's document belongs to another
 program and is ignored.
 """
@@ -26,6 +27,7 @@
     from collections.abc import Iterator
 
 UNLISTED_TIMEOUT_S = 4.0
+FORGET_AFTER_S = 60.0
 POLL_INTERVAL_S = 1.0
 NOT_LISTED = "not listed"
 
@@ -55,6 +57,7 @@
 
     def __init__(self) -> None:
         self._upstreams: dict[str, KnownUpstream] = {}
+        self._silent_upstreams: dict[str, KnownUpstream] = {}
         self._databases: frozenset[str] = frozenset()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -78,6 +81,7 @@
             case filters.Tick():
                 yield from self._poll_unlisted(item.at)
                 yield from self._drop_silent(item.at)
+                yield from self._forget_silent(item.at)
                 yield item
             case _:
                 yield item
@@ -118,6 +122,7 @@
         self._upstreams[entry.upstream] = KnownUpstream(
             entry, draining_since=draining_since
         )
+        self._silent_upstreams.pop(entry.upstream, None)
         yield from self._members_of(entry.database, now)
 
     def _mark_unlisted(
@@ -156,8 +161,19 @@
             > UNLISTED_TIMEOUT_S
         ]
         for upstream in silent:
+            self._silent_upstreams[upstream] = self._upstreams[upstream]
             yield from self._drop(upstream, now)
 
+    def _forget_silent(self, now: float) -> Iterator[filters.Item]:
+        expired = [
+            upstream
+            for upstream, state in self._silent_upstreams.items()
+            if now - state.unlisted_at > FORGET_AFTER_S
+        ]
+        for upstream in expired:
+            forgotten = self._silent_upstreams.pop(upstream)
+            yield from self._members_of(forgotten.entry.database, now)
+
     def _drop(self, upstream: str, now: float) -> Iterator[filters.Item]:
         dropped = self._upstreams.pop(upstream)
         yield from self._members_of(dropped.entry.database, now)
@@ -174,4 +190,8 @@
             for state in self._upstreams.values()
             if state.entry.database == database
         )
-        yield items.MembersChanged(now, database, members)
+        silent = sum(
+            state.entry.database == database
+            for state in self._silent_upstreams.values()
+        )
+        yield items.MembersChanged(now, database, members, silent)
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -26,6 +26,8 @@
 
 MAX_SAMPLES = 64
 SAMPLE_INTERVAL_S = 0.05
+# The members that have a commit when it is acknowledged.
+COMMIT_MEMBERS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +36,7 @@
 
     Attributes:
       members: the members by upstream id.
+      silent: how many former members may still run.
       record: the leadership record in the store, or None.
       published: the primary in the last published view.
       term: the highest known term.
@@ -43,6 +46,7 @@
     members: dict[str, primary_state.TrackedMember] = dataclasses.field(
         default_factory=dict
     )
+    silent: int = 0
     record: leadership.Record | None = None
     published: primary_state.PrimaryState = primary_state.NO_PRIMARY
     term: int = 0
@@ -88,6 +92,7 @@
         state = self._states.setdefault(item.database, ReplicaSetState())
         before = state.members
         state.members = {}
+        state.silent = item.silent
         for entry in item.entries:
             self._database_of[entry.upstream] = item.database
             previous = before.get(entry.upstream)
@@ -237,7 +242,9 @@
 def _sample_quorum(state: ReplicaSetState) -> None:
     """Adds a position sample from the status of all members but one.
 
-    The highest position among them covers every acknowledged commit.
+    The highest position among them covers every acknowledged commit. Former
+    members that may still run count as members that do not report. A single
+    status never suffices: this host may not know of every member.
     """
     reporting = sorted(
         (
@@ -248,7 +255,8 @@
         key=lambda member: member.requested_at,
         reverse=True,
     )
-    needed = max(len(state.members) - 1, 1)
+    running = len(state.members) + state.silent
+    needed = max(running - COMMIT_MEMBERS + 1, COMMIT_MEMBERS)
     if len(reporting) >= needed:
         newest = reporting[:needed]
         end = max(member.status.received for member in newest)
--- /dev/null
+++ b/tests/unit/test_stale_reads.py
@@ -0,0 +1,149 @@
+"""Tests which log position a read needs when members of its set are silent.
+
+Two members have every acknowledged commit. A host that hears from one of them
+alone can't tell how far the other one, which it may have dropped, has gone on.
+"""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from fescueshunt.core import (
+    filters,
+    position,
+    replica_sets,
+    session_items,
+    sessions,
+    store_items,
+)
+from fescueshunt.replicas import membership, pipe
+from lib import hosted_routes
+
+TICK_S = 0.05
+FIRST_TERM = position.Term(1)
+PRIMARY = "u0"
+REPLICAS = ("u1", "u2")
+
+
+def _entry(upstream: str) -> replica_sets.UpstreamEntry:
+    role = (
+        sessions.ReplicaRole.PRIMARY
+        if upstream == PRIMARY
+        else sessions.ReplicaRole.REPLICA
+    )
+    return replica_sets.UpstreamEntry(
+        upstream, hosted_routes.DATABASE, "127.0.0.1:1", "z", 2, False, role
+    )
+
+
+class CutOffHost:
+    """The replicas pipe of a host without a lease.
+
+    Attributes:
+      now: the time of the last item fed.
+      received: the position of each member that answers status calls.
+      view: the last view that the pipe emitted.
+    """
+
+    def __init__(self, *listed: str) -> None:
+        self.now = 0.0
+        self.received: dict[str, int] = {}
+        self.view: replica_sets.ReplicaSetView | None = None
+        self._pipe = pipe.build(random.Random(1))
+        self.feed(hosted_routes.routes_view(self.now))
+        entries = tuple(_entry(upstream) for upstream in listed)
+        self.feed(store_items.EntriesListed(self.now, entries))
+
+    def feed(self, item: filters.Item) -> None:
+        for effect in list(self._pipe.feed(item)):
+            match effect:
+                case replica_sets.ReplicaSetView():
+                    self.view = effect
+                case session_items.CallUpstream():
+                    self._answer(effect)
+
+    def run(self, seconds: float) -> None:
+        """Passes time with reads that need the primary confirmed."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self.feed(
+                session_items.ConfirmationRequested(
+                    self.now, hosted_routes.DATABASE
+                )
+            )
+            self.feed(filters.Tick(self.now, 0.0))
+
+    def _answer(self, call: session_items.CallUpstream) -> None:
+        index = self.received.get(call.upstream)
+        reply = _status_reply(call.upstream, index) if index else None
+        self.feed(
+            session_items.UpstreamCallCompleted(
+                self.now, call.upstream, call.call, self.now, reply
+            )
+        )
+
+
+def _status_reply(upstream: str, index: int) -> sessions.UpstreamReply:
+    received = position.Position(FIRST_TERM, index)
+    status = sessions.ReplicaStatus(
+        _entry(upstream).role, FIRST_TERM.number, received, 0, 0.0, 0, 1
+    )
+    return sessions.UpstreamReply(
+        (), "", None, "", sessions.TransactionState.IDLE, received, status
+    )
+
+
+def test_primary_and_replica_or_both_replicas_give_a_position():
+    for answering in ((PRIMARY, REPLICAS[0]), REPLICAS):
+        host = CutOffHost(PRIMARY, *REPLICAS)
+        host.received = dict.fromkeys(answering, 849)
+        host.run(1.0)
+        assert host.view.position_as_of(host.now - 0.5) is not None
+
+
+# Guards against stale reads: a host in a cut zone dropped the silent members
+# and took the position of the one replica beside it for that of the whole set.
+def test_lone_replica_gives_no_position_once_silent_members_are_dropped():
+    host = CutOffHost(PRIMARY, *REPLICAS)
+    host.received = dict.fromkeys((PRIMARY, *REPLICAS), 849)
+    host.run(1.0)
+    cut_at = host.now
+    host.received = {REPLICAS[0]: 849}
+    host.feed(store_items.EntryRemoved(host.now, PRIMARY))
+    host.run(membership.UNLISTED_TIMEOUT_S + 2.0)
+    assert PRIMARY not in {member.upstream for member in host.view.members}
+    assert host.view.position_as_of(cut_at + 1.0) is None
+
+
+def test_all_remaining_members_give_a_position_once_one_was_dropped():
+    host = CutOffHost(PRIMARY, *REPLICAS)
+    host.received = dict.fromkeys(REPLICAS, 849)
+    host.feed(store_items.EntryRemoved(host.now, PRIMARY))
+    host.run(membership.UNLISTED_TIMEOUT_S + 2.0)
+    assert PRIMARY not in {member.upstream for member in host.view.members}
+    assert host.view.position_as_of(host.now - 0.5) is not None
+
+
+# Guards against stale reads where a replacement is listed before the silent
+# primary is dropped, so that two members are not all but one.
+def test_two_of_three_members_give_no_position_beside_a_silent_one():
+    host = CutOffHost(PRIMARY, *REPLICAS, "u3")
+    host.received = dict.fromkeys((REPLICAS[0], "u3"), 849)
+    host.feed(store_items.EntryRemoved(host.now, PRIMARY))
+    host.run(membership.UNLISTED_TIMEOUT_S + 2.0)
+    assert host.view.position_as_of(1.0) is None
+    host.run(membership.FORGET_AFTER_S)
+    assert host.view.position_as_of(host.now - 0.5) is not None
+
+
+# Guards against stale reads at a host that started while an upstream's entry
+# was missing, so that it never knew all members.
+@pytest.mark.parametrize("listed", [REPLICAS, REPLICAS[:1]])
+def test_lone_replica_gives_no_position_if_the_primary_was_never_listed(listed):
+    host = CutOffHost(*listed)
+    host.received = {REPLICAS[0]: 849}
+    host.run(2.0)
+    assert host.view.position_as_of(host.now - 1.0) is None
