Refuse to begin a transaction on a host that is about to exit

Ruled out: a longer time for open transactions; a client that rests in one would hold up each stop.

Change: from the moment on at which sessions close behind their next answer, BEGIN is refused as not run, and its session closes behind that. In the same commit, as its test found it with the review: a client that always has a statement sent ahead is read from again only once all it sent is answered, so that its session, too, can close behind an answer (before: 5.72 s, 120 of 122 answered).

--- a/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
@@ -30,10 +30,12 @@
 
     Attributes:
       is_answering: whether a statement was passed on and not yet answered.
+      is_paused: whether nothing more is read from the client.
       waiting: the requests that follow that statement.
     """
 
     is_answering: bool = False
+    is_paused: bool = False
     waiting: collections.deque[ClientRequest] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -65,7 +67,8 @@
     def _receive(self, item: ClientRequest) -> Iterator[filters.Item]:
         inbox = self._inboxes.setdefault(item.client, Inbox())
         if inbox.is_answering:
-            if not inbox.waiting:
+            if not inbox.is_paused:
+                inbox.is_paused = True
                 yield session_items.PauseClient(item.at, item.client)
             inbox.waiting.append(item)
             return
@@ -82,12 +85,18 @@
         inbox.is_answering = False
         if not inbox.waiting:
             yield answer
+            yield from self._resume(inbox, answer)
             return
         item = inbox.waiting.popleft()
-        if not inbox.waiting:
-            yield session_items.ResumeClient(answer.at, answer.client)
         yield from self._pass_on(inbox, dataclasses.replace(item, at=answer.at))
 
+    def _resume(
+        self, inbox: Inbox, answer: session_items.SendSessionAnswer
+    ) -> Iterator[filters.Item]:
+        if inbox.is_paused:
+            inbox.is_paused = False
+            yield session_items.ResumeClient(answer.at, answer.client)
+
     def _pass_on(
         self, inbox: Inbox, item: ClientRequest
     ) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -214,6 +214,11 @@
             return answers.failure(
                 session, statement, sessions.Failure.INVALID, now
             )
+        if self._shutdown.is_draining(now):
+            # It may take longer than this host still runs.
+            return answers.failure(
+                session, statement, sessions.Failure.BUSY, now
+            )
         session.state = OPEN
         session.begin_statement = statement
         session.began_at = now
--- a/tests/lib/stopping_world.py
+++ b/tests/lib/stopping_world.py
@@ -26,6 +26,8 @@
     session_items.RejectSession,
     session_items.SendSessionAnswer,
     session_items.CloseSession,
+    session_items.PauseClient,
+    session_items.ResumeClient,
     session_items.StopListening,
     process.Stopped,
 )
@@ -79,6 +81,14 @@
         item = session_items.StatementReceived(self.now, client, statement)
         self.feed(self.hosts[HOST], item)
 
+    def is_paused(self, client: int) -> bool:
+        """Returns whether the host reads nothing more from a client."""
+        flow = (session_items.PauseClient, session_items.ResumeClient)
+        changes = [e for e in self.of_client(client) if isinstance(e, flow)]
+        return bool(changes) and isinstance(
+            changes[-1], session_items.PauseClient
+        )
+
     def run_until_stopped(self, limit_s: float) -> bool:
         """Runs until the host may exit; returns whether it may in time."""
         end = self.now + limit_s
--- a/tests/unit/test_stop_answers.py
+++ b/tests/unit/test_stop_answers.py
@@ -145,3 +145,38 @@
     world.send(1, "last", READ)
     assert world.run_until_stopped(GRACE_S - elapsed_s)
     assert world.failures_before_close(1, "last") == [None]
+
+
+# Failure: a host that is about to exit begins a transaction for a client, and
+# cuts it off 0.1 s later as one that has had its time.
+@pytest.mark.parametrize("elapsed_s", [2.6, 3.04])
+def test_transaction_that_begins_while_draining_is_refused(elapsed_s):
+    world = stopping_world.StoppingWorld()
+    world.start_session(1)
+    world.start_session(2)
+    world.stop()
+    world.statement_duration_s = 1.0
+    world.run(LATE_S)
+    world.send(1, "busy", READ)
+    world.run(elapsed_s - LATE_S)
+    world.send(2, "begin", BEGIN)
+    assert world.failures_before_close(2, "begin") == [BUSY]
+
+
+# Failure: a client that always has its next statement sent is not closed during
+# a stop, and the exit cuts off its last one.
+def test_client_that_sends_ahead_is_closed_behind_an_answer():
+    world = stopping_world.StoppingWorld()
+    world.statement_duration_s = 0.05
+    world.connect(1)
+    world.start_session(1)
+    world.stop()
+    for number in range(int(GRACE_S / 0.05)):
+        if world.of_type(session_items.CloseSession):
+            break
+        if not world.is_paused(1):
+            world.send(1, f"{number}-a", READ)
+            world.send(1, f"{number}-b", READ)
+        world.run(0.05)
+    assert world.run_until_stopped(GRACE_S)
+    assert world.stopped_at() - stopping_world.STOP_AT < GRACE_S * 0.6
