--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -1,13 +1,23 @@
-"""Builds the log events about connections."""
+"""Builds the log events about connections, statements and the stop."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import session_items
+from fescueshunt.core import process, session_items, sessions
 
 if TYPE_CHECKING:
-    from fescueshunt.sessions import pool, pools
+    from collections.abc import Collection
+
+    from fescueshunt.sessions import items, pool, pools
+    from fescueshunt.sessions import session as client_session
+
+# The names of the events by the step of a graceful stop.
+STOP_EVENTS = {
+    process.StopAsked: "stop_started",
+    session_items.StopListening: "stop_draining",
+    process.Stopped: "stop_completed",
+}
 
 
 def pool_sizes(
@@ -37,3 +47,47 @@
         "failures": conn_pool.reconnect.failures,
     }
     return session_items.LogDecision(item.at, "link_failed", "", details)
+
+
+def statement_failed(item: items.JobFinished) -> session_items.LogDecision:
+    """Returns the event of a statement that failed."""
+    job = item.job
+    details = {
+        "outcome": item.failure.value,
+        "why": item.detail,
+        "route": job.route.name,
+        "database": job.route.database,
+        "verb": job.statement.verb.value,
+        "in_transaction": job.in_transaction,
+        "upstream": item.upstream,
+        "tries": job.attempts,
+        "sent": job.statement_sent,
+        "took_s": round(item.at - job.arrived_at, 4),
+    }
+    return session_items.LogDecision(
+        item.at, "statement_failed", job.statement.statement_id, details
+    )
+
+
+def stop_progress(
+    event: str,
+    open_sessions: Collection[client_session.Session],
+    elapsed_s: float,
+    now: float,
+) -> session_items.LogDecision:
+    """Returns an event with the sessions that a graceful stop still has.
+
+    Args:
+      event: the name of the event.
+      open_sessions: the sessions that are open.
+      elapsed_s: the time since the stop started; seconds.
+      now: the current time; local clock, seconds.
+    """
+    idle = sessions.TransactionState.IDLE
+    details = {
+        "elapsed_s": round(elapsed_s, 4),
+        "sessions": len(open_sessions),
+        "in_flight": sum(each.job is not None for each in open_sessions),
+        "in_transaction": sum(each.state is not idle for each in open_sessions),
+    }
+    return session_items.LogDecision(now, event, "", details)
