--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/admin.py
@@ -72,10 +72,11 @@
         conn = AdminConn(transport_conn)
         self._conns[conn_id] = conn
         try:
-            async for envelope in transport_conn.receive():
-                self._handle_message(conn_id, conn, envelope)
-                if conn.denied_count >= MAX_DENIED_PER_CONN:
-                    return
+            async with transport_conn.answering():
+                async for envelope in transport_conn.receive():
+                    self._handle_message(conn_id, conn, envelope)
+                    if conn.denied_count >= MAX_DENIED_PER_CONN:
+                        return
         finally:
             del self._conns[conn_id]
 
@@ -91,6 +92,7 @@
                 answer = statements.OperatorAnswer(self._metrics.table())
                 _enqueue(conn, envelope.seq, answer)
             case statements.Statement() as statement:
+                conn.transport_conn.expect_answer(envelope.seq)
                 self._feed_statement(
                     conn_id, conn.operator, envelope.seq, statement
                 )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -20,6 +20,7 @@
 from fescueshunt.sessions import (
     answers,
     items,
+    jobs,
     readiness,
     reports,
     shutdown,
@@ -30,8 +31,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# The fraction of its latency objective that a statement may wait in the queue.
-MAX_WAIT_SHARE = 0.5
+    ClientEnd = (
+        session_items.SessionClosed
+        | session_items.RequestMalformed
+        | session_items.ClientDisconnected
+    )
+
 IDLE = sessions.TransactionState.IDLE
 OPEN = sessions.TransactionState.OPEN
 FAILED = sessions.TransactionState.FAILED
@@ -55,13 +60,14 @@
             case session_items.SessionRequested():
                 yield from self._open_session(item)
             case session_items.SendSessionAnswer():
-                yield from self._record_answer(item)
+                yield from self._close_after_answer(item)
                 yield item
             case (
                 session_items.SessionClosed()
+                | session_items.RequestMalformed()
                 | session_items.ClientDisconnected()
             ):
-                yield from self._end_session(item.client, item.at)
+                yield from self._end_session(item)
             case items.TransactionLost():
                 self._mark_transaction_lost(item.client)
             case routes.RoutesView():
@@ -93,7 +99,7 @@
             failure = sessions.Failure.NO_DATABASE
         else:
             session = client_session.Session(
-                item.client, item.route, item.account, idle_since=item.at
+                item.client, item.route, item.account, opened_at=item.at
             )
             self._sessions[item.client] = session
             if self._shutdown.is_stopping:
@@ -104,27 +110,41 @@
             item.at, item.client, failure, item.route
         )
 
-    def _end_session(self, client: int, now: float) -> Iterator[filters.Item]:
+    def _end_session(self, item: ClientEnd) -> Iterator[filters.Item]:
+        match item:
+            case session_items.SessionClosed():
+                yield session_items.CloseSession(item.at, item.client)
+            case session_items.RequestMalformed():
+                yield session_items.RejectSession(
+                    item.at,
+                    item.client,
+                    sessions.Failure.INVALID,
+                    item.detail,
+                )
+        yield from self._remove_session(item.client, item.at)
+
+    def _remove_session(
+        self, client: int, now: float
+    ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
-    def _record_answer(
+    def _close_after_answer(
         self, answer: session_items.SendSessionAnswer
     ) -> Iterator[filters.Item]:
         """Closes the session of the answer if this host is draining."""
         session = self._sessions.get(answer.client)
-        if session is None:
+        if session is None or session.state is not IDLE:
             return
-        session.idle_since = answer.at
-        if self._shutdown.is_draining(answer.at) and session.state is IDLE:
+        if self._shutdown.is_draining(answer.at):
             yield from self._close_session(session, answer.at)
 
     def _close_session(
         self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
         yield session_items.CloseSession(now, session.client)
-        yield from self._end_session(session.client, now)
+        yield from self._remove_session(session.client, now)
 
     def _receive_statement(
         self, item: session_items.StatementReceived
@@ -132,9 +152,6 @@
         session = self._sessions.get(item.client)
         if session is None:
             return
-        if session.job is not None:
-            yield session_items.CloseSession(item.at, item.client)
-            return
         statement = item.statement
         if session.state is FAILED:
             yield from self._receive_in_failed_transaction(
@@ -251,49 +268,10 @@
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
-        session.job = self._make_job(session, statement, route, prepared, now)
+        session.job = jobs.make_job(session, statement, route, prepared, now)
         session.job.limit_deadline(self._shutdown.statement_deadline)
         yield items.JobSubmitted(now, session.job)
 
-    def _make_job(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        route: routes.Route,
-        prepared: sessions.Prepared | None,
-        now: float,
-    ) -> items.StatementJob:
-        in_transaction = session.state is OPEN
-        writes = statement.verb is sessions.Verb.WRITE or (
-            prepared is not None and prepared.writes
-        )
-        may_read_replica = not writes and (
-            session.read_only or not in_transaction
-        )
-        begins = in_transaction and not session.begun_upstream
-        primary_reads = route.consistency is routes.Consistency.PRIMARY
-        own_writes = route.consistency is routes.Consistency.OWN_WRITES
-        return items.StatementJob(
-            client=session.client,
-            account=session.account,
-            statement=statement,
-            route=route,
-            rank=route.rank,
-            settings=sessions.SessionSettings(session.values, session.prepared),
-            prepared=prepared,
-            arrived_at=now,
-            read_started_at=session.began_at if in_transaction else now,
-            max_wait_s=route.target_s * MAX_WAIT_SHARE,
-            queue_deadline=now + route.target_s * MAX_WAIT_SHARE,
-            answer_deadline=now + route.timeout_s,
-            begin_statement=session.begin_statement if begins else None,
-            in_transaction=in_transaction,
-            read_only=in_transaction and session.read_only,
-            needs_primary=primary_reads or not may_read_replica,
-            writes=writes,
-            own_commit_position=session.last_commit if own_writes else None,
-        )
-
     def _finish_job(self, item: items.JobFinished) -> Iterator[filters.Item]:
         job = item.job
         session = self._sessions.get(job.client)
@@ -367,7 +345,7 @@
             return
         for session in list(self._sessions.values()):
             if session.job is None and self._shutdown.should_close(
-                now, session.idle_since, session.state is not IDLE
+                now, session.opened_at, session.state is not IDLE
             ):
                 yield from self._close_session(session, now)
 
@@ -375,6 +353,8 @@
         if isinstance(item, process.StopAsked):
             self._shutdown.start(item.at)
             self._limit_deadlines()
+        elif isinstance(item, session_items.StopListening):
+            self._shutdown.stop_listening()
         yield self._stop_event(reports.STOP_EVENTS[type(item)], item.at)
 
     def _limit_deadlines(self) -> None:
