Name and explain what a newcomer stumbled over in the stop of a host

Cause: the review's last point: names (in_flight, ignores_requests), two margins without a line on why they differ, two policies that seem to be one.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -86,7 +86,7 @@
         self._transport: asyncio.Transport | None = None
         self._linger_timer: asyncio.TimerHandle | None = None
         self._has_started = False
-        self._has_ended = False
+        self._ignores_requests = False
         self._has_read_all = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -94,7 +94,7 @@
         self._listener = self._accept(_LineProtocolClient(transport, self))
 
     def data_received(self, data: bytes) -> None:
-        if self._has_ended:
+        if self._ignores_requests:
             return
         try:
             for line in self._splitter.split(data):
@@ -109,7 +109,7 @@
         return self._linger_timer is None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._has_ended = True
+        self._ignores_requests = True
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         self._listener.on_disconnected()
@@ -144,7 +144,7 @@
             self._transport.close()
 
     def _handle_line(self, line: str) -> None:
-        if self._has_ended:
+        if self._ignores_requests:
             return
         if not self._has_started:
             self._listener.on_session_started(*lines.decode_start(line))
@@ -162,5 +162,5 @@
 
     def _start_ignoring(self) -> bool:
         """Ignores further requests; returns whether none were ignored yet."""
-        has_ended, self._has_ended = self._has_ended, True
-        return not has_ended
+        was_ignoring, self._ignores_requests = self._ignores_requests, True
+        return not was_ignoring
--- a/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
@@ -29,12 +29,12 @@
     """The requests of one client.
 
     Attributes:
-      is_answering: whether a statement was passed on and not yet answered.
+      in_flight: whether a statement was passed on and not yet answered.
       is_paused: whether nothing more is read from the client.
       waiting: the requests that follow that statement.
     """
 
-    is_answering: bool = False
+    in_flight: bool = False
     is_paused: bool = False
     waiting: collections.deque[ClientRequest] = dataclasses.field(
         default_factory=collections.deque
@@ -66,7 +66,7 @@
 
     def _receive(self, item: ClientRequest) -> Iterator[filters.Item]:
         inbox = self._inboxes.setdefault(item.client, Inbox())
-        if inbox.is_answering:
+        if inbox.in_flight:
             if not inbox.is_paused:
                 inbox.is_paused = True
                 yield session_items.PauseClient(item.at, item.client)
@@ -82,7 +82,7 @@
         if inbox is None:
             yield answer
             return
-        inbox.is_answering = False
+        inbox.in_flight = False
         if not inbox.waiting:
             yield answer
             yield from self._resume(inbox, answer)
@@ -100,5 +100,5 @@
     def _pass_on(
         self, inbox: Inbox, item: ClientRequest
     ) -> Iterator[filters.Item]:
-        inbox.is_answering = isinstance(item, session_items.StatementReceived)
+        inbox.in_flight = isinstance(item, session_items.StatementReceived)
         yield item
--- a/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/shutdown.py
@@ -13,16 +13,22 @@
 OUT_OF_ROTATION_S = 2.5
 # The first statement of a session arrives within this time of its opening.
 FIRST_STATEMENT_S = 0.25
-# Open transactions may continue during the first half of the grace period, and
-# the listener may stay open as long.
+# Open transactions may continue during the first half of the grace period, with
+# a little time to spare, and the listener may stay open as long.
 TRANSACTION_GRACE_SHARE = 0.52
+# How long before the end of the grace period statements have to be answered.
 STATEMENT_MARGIN_S = 0.7
+# How long before it the process exits even if a client still reads answers.
 EXIT_MARGIN_S = 0.3
 NEVER = float("inf")
 
 
 class Shutdown:
-    """Decides how long sessions may continue during a graceful stop."""
+    """Decides how long sessions may continue during a graceful stop.
+
+    Each filter that takes part in the stop has one of its own and updates it
+    from the items that it sees.
+    """
 
     def __init__(self, grace_s: float) -> None:
         self._grace_s = grace_s
--- a/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
@@ -2,7 +2,8 @@
 
 Only once the listener is closed is the number of connections final, so the
 process exits when the last of them has ended after that, and not while one may
-still carry a request.
+still carry a request. It exits at the latest shortly before the grace period
+ends, as the platform then kills it.
 """
 
 from __future__ import annotations
