Give no loopback address to two servers of a deployment

Cause: free_address asks the kernel for a free port and gives it back before the server binds it, so the next call may draw the same one.

Ruled out: outgoing connections, which have another source address; another worker of the tests, as the address is derived from the process id.

Change: an address that was returned before is drawn again, up to 100 times.

Conclusion: a fault of the stand-ins, not of the proxy.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/fleet.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import os
 import pathlib
 import signal
@@ -29,9 +30,12 @@
 STOP_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 5.0
 SEED_COUNT = 3
+MAX_PORT_DRAWS = 100
 CHANGER_TOKEN = "changer-of-stand-ins"
 READER_TOKEN = "reader-of-stand-ins"
 
+_given_addresses: set[str] = set()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetOptions:
@@ -103,13 +107,22 @@
 
     The IP address is derived from the process id. Outgoing connections use
     127.0.0.1 as their source, so none of them can take the port before a server
-    binds it.
+    binds it. No address is returned twice, as the first server may not have
+    bound it yet.
+
+    Raises:
+      OSError: no port is free that was not returned before.
     """
     pid = os.getpid()
     host = f"127.{64 + (pid >> 16) % 64}.{pid >> 8 & 255}.{pid & 255}"
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return f"{host}:{sock.getsockname()[1]}"
+    for _ in range(MAX_PORT_DRAWS):
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            address = f"{host}:{sock.getsockname()[1]}"
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address
+    raise OSError(errno.EADDRINUSE, f"no free port is left at {host}")
 
 
 @contextlib.contextmanager
