Split the pins of open transactions out of the route filter

Ruled out: a change of behaviour; code moved, and the two searches of all pins became methods. Change: request/pins.py, TransactionPins. Conclusion: nothing else changes.

--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -24,7 +24,7 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import choose, hints, items, outcome
+from fescueshunt.request import choose, hints, items, outcome, pins
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -32,8 +32,7 @@
 RETRY_DELAY_S = 0.05
 FORWARD_DEADLINE_MARGIN_S = 0.02
 MAX_IMMEDIATE_RETRIES = 3
-OPEN_TRANSACTION_KINDS = frozenset({request.Kind.STEP, request.Kind.ROLLBACK})
-KINDS_LOST_WITH_HOME = OPEN_TRANSACTION_KINDS | {request.Kind.BEGIN}
+KINDS_LOST_WITH_HOME = pins.OPEN_TRANSACTION_KINDS | {request.Kind.BEGIN}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,14 +43,6 @@
     home: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pin:
-    """The caller connection and home proxy to which a transaction is pinned."""
-
-    conn: int
-    home: str
-
-
 @dataclasses.dataclass(slots=True)
 class RouteState:
     """State of routing.
@@ -62,7 +53,7 @@
       briefs: the newest known state of each group, by database.
       forwards: forwarded work without an answer, by the key of the work.
       delayed: the work to retry later, each with the time of its retry.
-      pinned: the open transactions of callers, by transaction id.
+      pins: the open transactions of callers.
       hints: the upstreams to avoid for overload.
     """
 
@@ -73,7 +64,9 @@
     delayed: list[tuple[float, items.Work]] = dataclasses.field(
         default_factory=list
     )
-    pinned: dict[bytes, Pin] = dataclasses.field(default_factory=dict)
+    pins: pins.TransactionPins = dataclasses.field(
+        default_factory=pins.TransactionPins
+    )
     hints: hints.OverloadHints = dataclasses.field(
         default_factory=hints.OverloadHints
     )
@@ -138,7 +131,7 @@
         if isinstance(work.origin, items.PeerOrigin):
             yield items.ArrivedAtHome(now, work, work.upstream)
             return
-        if self._is_pinned(work):
+        if self._state.pins.is_pinned(work):
             yield from self._route_pinned(work, now)
             return
         database = self._state.settings.database(work.req.database)
@@ -172,53 +165,20 @@
             overloaded_upstreams,
         )
 
-    def _is_pinned(self, work: items.Work) -> bool:
-        """Returns whether `work` must go to the home proxy of its transaction.
-
-        A COMMIT of an unknown transaction goes to the primary, where the ledger
-        decides its outcome.
-        """
-        if work.req.kind is request.Kind.COMMIT:
-            return self._find_pin(work) is not None
-        return work.req.kind in OPEN_TRANSACTION_KINDS
-
-    def _find_pin(self, work: items.Work) -> Pin | None:
-        """Returns the pin of the transaction that `work` belongs to, or None.
-
-        Only the connection that opened a transaction may continue it.
-        """
-        pin = self._state.pinned.get(work.req.transaction)
-        if pin is None or pin.conn != work.origin.conn:
-            return None
-        return pin
-
     def _route_pinned(
         self, work: items.Work, now: float
     ) -> Iterator[filters.Item]:
-        pin = self._find_pin(work)
+        pin = self._state.pins.find(work)
         if pin is None:
             yield outcome.refuse(now, work, errors.TransactionLostError())
             return
         if work.req.kind is not request.Kind.STEP:
-            yield self._unpin(now, work.req.transaction)
+            yield self._state.pins.remove(work.req.transaction, now)
         yield from self._send_to_home(work, "", pin.home, now)
 
-    def _pin(self, work: items.Work, home: str, now: float) -> filters.Item:
-        transaction_id = work.req.request_id
-        self._state.pinned[transaction_id] = Pin(work.origin.conn, home)
-        return items.TransactionOpened(
-            now, items.TransactionSide.ENTRY, transaction_id
-        )
-
-    def _unpin(self, now: float, transaction: bytes) -> filters.Item:
-        self._state.pinned.pop(transaction, None)
-        return items.TransactionEnded(
-            now, items.TransactionSide.ENTRY, transaction
-        )
-
     def _handle_ended(self, item: items.RequestEnded) -> Iterator[filters.Item]:
         """Abandons a transaction after the first failure of a statement."""
-        pin = self._state.pinned.get(item.transaction)
+        pin = self._state.pins.get(item.transaction)
         if pin is None or not item.failed:
             return
         is_from_caller = isinstance(item.origin, items.CallerOrigin)
@@ -229,8 +189,8 @@
         self, now: float, transaction: bytes
     ) -> Iterator[filters.Item]:
         """Makes the home proxy roll back a transaction."""
-        home = self._state.pinned[transaction].home
-        yield self._unpin(now, transaction)
+        home = self._state.pins.get(transaction).home
+        yield self._state.pins.remove(transaction, now)
         if home == self._local_proxy.name:
             yield items.TransactionAbandoned(now, "", transaction)
             return
@@ -240,9 +200,8 @@
     def _abandon_all(
         self, item: core_items.CallerClosed
     ) -> Iterator[filters.Item]:
-        for transaction, pin in list(self._state.pinned.items()):
-            if pin.conn == item.conn:
-                yield from self._abandon(item.at, transaction)
+        for transaction in self._state.pins.of_caller(item.conn):
+            yield from self._abandon(item.at, transaction)
 
     def _send_to_home(
         self, work: items.Work, upstream: str, home: str, now: float
@@ -251,11 +210,11 @@
             yield from self._delay_retry(work, now)
             return
         if work.req.kind is request.Kind.BEGIN:
-            if work.req.request_id in self._state.pinned:
+            if work.req.request_id in self._state.pins:
                 error = errors.RequestIdReusedError()
                 yield outcome.refuse(now, work, error)
                 return
-            yield self._pin(work, home, now)
+            yield self._state.pins.add(work, home, now)
         if home == self._local_proxy.name:
             yield items.ArrivedAtHome(now, work, upstream)
             return
@@ -329,11 +288,11 @@
             return
         if item.brief is not None:
             self._state.briefs[item.brief.database] = item.brief
-        if work.req.kind in OPEN_TRANSACTION_KINDS:
+        if work.req.kind in pins.OPEN_TRANSACTION_KINDS:
             yield outcome.refuse(item.at, work, errors.TransactionLostError())
             return
-        if work.req.request_id in self._state.pinned:
-            yield self._unpin(item.at, work.req.request_id)
+        if work.req.request_id in self._state.pins:
+            yield self._state.pins.remove(work.req.request_id, item.at)
         retried = dataclasses.replace(work, attempts=work.attempts + 1)
         if retried.attempts <= MAX_IMMEDIATE_RETRIES and _has_known_target(
             retried, item
@@ -365,9 +324,8 @@
         for forward in lost_forwards:
             del self._state.forwards[forward.work.key]
             yield from self._retry_lost_forward(forward.work, home, now)
-        for transaction, pin in list(self._state.pinned.items()):
-            if pin.home == home:
-                yield from self._abandon(now, transaction)
+        for transaction in self._state.pins.at_home(home):
+            yield from self._abandon(now, transaction)
 
     def _retry_lost_forward(
         self, work: items.Work, home: str, now: float
