Tell a caller that a request crossing the close of a proxy has not run

What callers saw: a request sent while a stopping proxy closes its connection is neither run nor answered, and its caller gets connection_lost, outcome unknown, so a write can't be sent again safely without asking for its outcome.

Cause: the close says nothing of what the proxy had ignored, though a stopping proxy knows: it stops reading in the step in which it finds that it has answered all it read.

Ruled out: close code 1001 as the sign, as the library also sends it for connections that are still open when a process fails; answers to such requests, as WebSocket has none behind a close frame; an unanswered request behind the time-out, which may run.

Change: close code 4001 says that all that ran is answered. It is sent only by listeners that record each request and if no answer is missing. The caller library turns it into StoppingError, not run, for its open calls; the benchmark's writers connect again then.

Evidence: test_request_that_crosses_the_close_of_a_stopping_proxy_has_not_run failed before ("Outcome.UNKNOWN is Outcome.NOT_RUN") and passes. With the check for missing answers taken out, test_request_that_a_stopping_proxy_fails_to_answer_is_in_doubt fails.

Conclusion: no request that a proxy has read ends without a statement of its outcome.

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/writers.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/bench/writers.py
@@ -18,6 +18,7 @@
 WRITE_DELAY_S = 0.005
 RECONNECT_DELAY_S = 0.05
 WRITE_TIMEOUT_S = 5.0
+ERRORS_OF_LOST_PROXY = (errors.ConnectionLostError, errors.StoppingError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,11 +73,11 @@
 ) -> None:
     """Writes new keys through one proxy until cancelled.
 
-    Reconnects if the connection is lost.
+    Reconnects if the connection is lost or the proxy stops.
     """
     number = 0
     while True:
-        with contextlib.suppress(errors.ConnectionLostError):
+        with contextlib.suppress(*ERRORS_OF_LOST_PROXY):
             async with caller.session(address, name) as session:
                 while True:
                     number += 1
@@ -110,7 +111,7 @@
         case errors.Outcome.NOT_RUN:
             write_log.unknown.discard(key)
             write_log.not_run.add(key)
-    if isinstance(answer.error, errors.ConnectionLostError):
+    if isinstance(answer.error, ERRORS_OF_LOST_PROXY):
         raise answer.error
 
 
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/channel.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/channel.py
@@ -30,6 +30,7 @@
         Raises:
           ConnectionLostError: if the connection is closed, or if no answer
             arrives within `timeout_s` seconds.
+          StoppingError: if the other end stops and has ignored `message`.
           FrameError: if `message` cannot be encoded; it was not sent.
           FescueshuntError: the error that the peer sent as its answer.
         """
@@ -65,10 +66,10 @@
             async for envelope in self._conn.receive():
                 self._dispatch_answer(envelope)
         except errors.FrameError as exc:
-            self._fail_pending_calls(str(exc))
+            self._fail_pending_calls(errors.ConnectionLostError(str(exc)))
         finally:
             self._closed.set()
-            self._fail_pending_calls("closed")
+            self._fail_pending_calls(self._close_error())
 
     def _dispatch_answer(self, envelope: codec.Envelope) -> None:
         if envelope.seq == 0 and isinstance(envelope.message, failure.Failure):
@@ -77,11 +78,16 @@
         if fut is not None and not fut.done():
             fut.set_result(envelope.message)
 
-    def _fail_pending_calls(self, reason: str) -> None:
-        """Fails the pending calls; the peer may or may not have run them."""
+    def _close_error(self) -> errors.FescueshuntError:
+        """Returns what the close of the connection says of pending calls."""
+        if self._conn.is_closed_with_all_answered:
+            return errors.StoppingError()
+        return errors.ConnectionLostError("closed")
+
+    def _fail_pending_calls(self, error: errors.FescueshuntError) -> None:
         for fut in self._pending_calls.values():
             if not fut.done():
-                fut.set_exception(errors.ConnectionLostError(reason))
+                fut.set_exception(error)
 
     def _handle_encode_error(
         self, envelope: codec.Envelope, error: errors.FrameError
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -38,6 +38,9 @@
 GOING_AWAY = 1001
 PROTOCOL_ERROR = 1002
 TRY_AGAIN_LATER = 1013
+# Sent only behind the answers to all requests that had an effect or will have
+# one. WebSocket libraries close with GOING_AWAY also when a process fails.
+ALL_ANSWERED = 4001
 # A frame of up to twice the maximum size is read, so that the peer receives a
 # typed error. A larger frame only closes the connection.
 MAX_READ_BYTES = 2 * codec.MAX_FRAME_BYTES
@@ -94,6 +97,7 @@
         self._has_pending = asyncio.Event()
         self._is_sending = False
         self._unanswered: set[int] = set()
+        self._is_answering = False
         self._is_finished = False
         self._progress = asyncio.Event()
         self.on_encode_error: EncodeErrorHandler = _replace_with_failure
@@ -103,6 +107,11 @@
         """The WebSocket close code, or None while the connection is open."""
         return self._websocket.close_code
 
+    @property
+    def is_closed_with_all_answered(self) -> bool:
+        """Whether the other end has closed and ran nothing unanswered."""
+        return self._websocket.close_code == ALL_ANSWERED
+
     def enqueue(self, envelope: codec.Envelope) -> None:
         """Queues a message for sending.
 
@@ -129,9 +138,12 @@
     async def answering(self) -> AsyncIterator[None]:
         """Sends all expected answers before the context exits.
 
-        An invalid frame ends the context too, as the requests before it must be
-        answered. A connection that closes, or a time-out, ends the wait.
+        The caller calls `expect_answer` for each request that it receives
+        within the context. An invalid frame ends the context too, as the
+        requests before it must be answered. A connection that closes, or a
+        time-out, ends the wait.
         """
+        self._is_answering = True
         try:
             yield
         except errors.FrameError:
@@ -142,12 +154,15 @@
     async def finish(self) -> None:
         """Sends all expected answers, then closes the connection.
 
-        A frame that arrives after the last answer was sent is not read, so the
-        peer can rely on an answer to every request that took effect.
+        A frame that arrives after the last answer was sent is ignored. The
+        close code ALL_ANSWERED tells the peer that none of its requests in such
+        frames was run. It is sent only if each request is within `answering`
+        and no answer is missing after the time-out.
         """
         await self._send_expected_answers()
         self._is_finished = True
-        await self.close(GOING_AWAY)
+        all_answered = self._is_answering and not self._has_unsent_answers()
+        await self.close(ALL_ANSWERED if all_answered else GOING_AWAY)
 
     async def _send_expected_answers(self) -> None:
         limits = self._limits or ListenerLimits()
--- a/tests/functional/test_pending_answers.py
+++ b/tests/functional/test_pending_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import hashlib
 import itertools
 
@@ -12,6 +13,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import filters, items, request, statements
+from fescueshunt_cli import caller
 from fescueshunt_proxy._internal import access, admin, callers, metrics, runtime
 from fescueshunt_wire import admin as messages
 from fescueshunt_wire import codec, failure
@@ -248,3 +250,55 @@
             return receiving.result()
 
     assert len(asyncio.run(run())) == answerer.count > 0
+
+
+# Guards against a caller that can't tell whether its request was run, as it
+# crossed the close of the connection by a stopping proxy.
+def test_request_that_crosses_the_close_of_a_stopping_proxy_has_not_run():
+    answerer = Answerer()
+    pipe = filters.Pipe((answerer,), ACCEPTS)
+
+    async def run() -> request.Answer:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = callers.CallerConnections(core_runtime)
+        async with contextlib.AsyncExitStack() as listener:
+            address = await listener.enter_async_context(
+                connections.serving(ADDRESS)
+            )
+            async with (
+                caller.session(address) as session,
+                asyncio.TaskGroup() as tasks,
+            ):
+                tasks.create_task(listener.aclose())
+                return await session.write("s", "d", SELECT)
+
+    answer = asyncio.run(run())
+    assert answerer.count == 0
+    assert answer.outcome is errors.Outcome.NOT_RUN
+
+
+# Guards against a close that calls a request ignored which the proxy has taken
+# and not answered in time, so that a caller would run it twice.
+def test_request_that_a_stopping_proxy_fails_to_answer_is_in_doubt():
+    pipe = filters.Pipe((Answerer(delayed=True),), ACCEPTS)
+    limits = dataclasses.replace(
+        callers.LISTENER_LIMITS, answer_timeout_s=DELAY_S
+    )
+
+    async def run() -> request.Answer:
+        core_runtime = runtime.Runtime(filters.Core((pipe,)))
+        connections = callers.CallerConnections(core_runtime, limits)
+        async with contextlib.AsyncExitStack() as listener:
+            address = await listener.enter_async_context(
+                connections.serving(ADDRESS)
+            )
+            async with (
+                caller.session(address) as session,
+                asyncio.TaskGroup() as tasks,
+            ):
+                write = tasks.create_task(session.write("s", "d", SELECT))
+                await asyncio.sleep(DELAY_S)
+                await listener.aclose()
+                return await write
+
+    assert asyncio.run(run()).outcome is errors.Outcome.UNKNOWN
