Count silent former members for the fence of a failover

Callers could lose acknowledged commits: a primary confirmed them together with a replica that its hosts could not reach, then it crashed, and the other replica, which lacked them, was promoted.

Cause: a member without an entry is dropped after 4 s of silence, though it may run and acknowledge commits with the primary. "All members but one" was then counted among the two that were left, so that one fenced replica sufficed.

Ruled out: the check right before the promotion. It confirms the fences that were taken, and these did hold.

Change: the view of a replica set names the former members that may still run, and the fence counts them as not fenced, for a minute or until another upstream is listed at their address. A host that has watched the entries for less than that may not know of such a member, so it needs two fenced members, or the old primary. The price: with a crashed primary and a silent replica, the remaining one waits.

--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -10,6 +10,11 @@
 # members have reported no higher term. A host that promotes an upstream
 # waits for the same time after it has fenced the members.
 CONFIRMATION_TTL_S = 0.3
+# A former member that does not answer may still run for this long after its
+# entry was removed.
+FORMER_MEMBER_TTL_S = 60.0
+# The members that have a commit when it is acknowledged.
+COMMIT_MEMBERS = 2
 NEVER = float("-inf")
 
 
@@ -95,6 +100,10 @@
         primary.
       is_failing_over: whether the primary is being replaced.
       samples: position samples, oldest first.
+      silent: the ids of former members that may still run. They do not answer,
+        and may acknowledge commits with each other or with a member.
+      watched_since: when this host first read entries, in seconds on the
+        local clock. It knows of no former member from before that time.
     """
 
     database: str
@@ -104,6 +113,8 @@
     confirmed_until: float
     is_failing_over: bool
     samples: tuple[PositionSample, ...]
+    silent: frozenset[str] = frozenset()
+    watched_since: float = NEVER
 
     def member(self, upstream: str) -> MemberView | None:
         """Returns the member with the id `upstream`, or None."""
--- a/packages/fescueshunt/src/fescueshunt/replicas/items.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/items.py
@@ -14,10 +14,14 @@
     Attributes:
       database: the database of the replica set.
       entries: the entries of all members that serve or may serve.
-      silent: how many members were dropped because they did not answer. They
-        may still run, and acknowledge commits with each other or with a member.
+      silent: the ids of former members that were dropped because they did not
+        answer. They may still run, and acknowledge commits with each other or
+        with a member.
+      watched_since: when this host first read entries, in seconds on the
+        local clock.
     """
 
     database: str
     entries: tuple[replica_sets.UpstreamEntry, ...]
-    silent: int = 0
+    silent: frozenset[str]
+    watched_since: float
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -3,8 +3,8 @@
 An upstream whose entry was removed may only have lost its connection to the
 store and could still acknowledge commits. It is therefore polled, and it stays
 a member until it is known to be gone or has not answered for
-UNLISTED_TIMEOUT_S. Even then it may still run, so it is counted as silent for
-FORGET_AFTER_S.
+UNLISTED_TIMEOUT_S. Even then it may still run, so it is reported as silent for
+FORMER_MEMBER_TTL_S, or until another upstream has its address.
 An entry whose replica set is not in the operator's document belongs to another
 program and is ignored.
 """
@@ -27,7 +27,6 @@
     from collections.abc import Iterator
 
 UNLISTED_TIMEOUT_S = 4.0
-FORGET_AFTER_S = 60.0
 POLL_INTERVAL_S = 1.0
 NOT_LISTED = "not listed"
 
@@ -59,6 +58,7 @@
         self._upstreams: dict[str, KnownUpstream] = {}
         self._silent_upstreams: dict[str, KnownUpstream] = {}
         self._databases: frozenset[str] = frozenset()
+        self._watched_since = replica_sets.NEVER
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the members of a replica set whenever they change."""
@@ -108,6 +108,8 @@
     def _update(
         self, entry: replica_sets.UpstreamEntry, now: float
     ) -> Iterator[filters.Item]:
+        if self._watched_since == replica_sets.NEVER:
+            self._watched_since = now
         state = self._upstreams.get(entry.upstream)
         if state is not None and state.entry == entry:
             if state.unlisted_at is not None:
@@ -123,6 +125,7 @@
             entry, draining_since=draining_since
         )
         self._silent_upstreams.pop(entry.upstream, None)
+        yield from self._forget_replaced(entry.address, now)
         yield from self._members_of(entry.database, now)
 
     def _mark_unlisted(
@@ -168,9 +171,25 @@
         expired = [
             upstream
             for upstream, state in self._silent_upstreams.items()
-            if now - state.unlisted_at > FORGET_AFTER_S
+            if now - state.unlisted_at > replica_sets.FORMER_MEMBER_TTL_S
         ]
-        for upstream in expired:
+        yield from self._forget(expired, now)
+
+    def _forget_replaced(
+        self, address: str, now: float
+    ) -> Iterator[filters.Item]:
+        """Forgets silent upstreams whose address another upstream now has."""
+        replaced = [
+            upstream
+            for upstream, state in self._silent_upstreams.items()
+            if state.entry.address == address
+        ]
+        yield from self._forget(replaced, now)
+
+    def _forget(
+        self, upstreams: list[str], now: float
+    ) -> Iterator[filters.Item]:
+        for upstream in upstreams:
             forgotten = self._silent_upstreams.pop(upstream)
             yield from self._members_of(forgotten.entry.database, now)
 
@@ -190,8 +209,11 @@
             for state in self._upstreams.values()
             if state.entry.database == database
         )
-        silent = sum(
-            state.entry.database == database
-            for state in self._silent_upstreams.values()
+        silent = frozenset(
+            upstream
+            for upstream, state in self._silent_upstreams.items()
+            if state.entry.database == database
+        )
+        yield items.MembersChanged(
+            now, database, members, silent, self._watched_since
         )
-        yield items.MembersChanged(now, database, members, silent)
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -26,8 +26,6 @@
 
 MAX_SAMPLES = 64
 SAMPLE_INTERVAL_S = 0.05
-# The members that have a commit when it is acknowledged.
-COMMIT_MEMBERS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +34,8 @@
 
     Attributes:
       members: the members by upstream id.
-      silent: how many former members may still run.
+      silent: the ids of former members that may still run.
+      watched_since: when this host first read entries.
       record: the leadership record in the store, or None.
       published: the primary in the last published view.
       term: the highest known term.
@@ -46,7 +45,8 @@
     members: dict[str, primary_state.TrackedMember] = dataclasses.field(
         default_factory=dict
     )
-    silent: int = 0
+    silent: frozenset[str] = frozenset()
+    watched_since: float = replica_sets.NEVER
     record: leadership.Record | None = None
     published: primary_state.PrimaryState = primary_state.NO_PRIMARY
     term: int = 0
@@ -93,6 +93,7 @@
         before = state.members
         state.members = {}
         state.silent = item.silent
+        state.watched_since = item.watched_since
         for entry in item.entries:
             self._database_of[entry.upstream] = item.database
             previous = before.get(entry.upstream)
@@ -255,8 +256,9 @@
         key=lambda member: member.requested_at,
         reverse=True,
     )
-    running = len(state.members) + state.silent
-    needed = max(running - COMMIT_MEMBERS + 1, COMMIT_MEMBERS)
+    running = len(state.members) + len(state.silent)
+    commit_members = replica_sets.COMMIT_MEMBERS
+    needed = max(running - commit_members + 1, commit_members)
     if len(reporting) >= needed:
         newest = reporting[:needed]
         end = max(member.status.received for member in newest)
@@ -295,4 +297,6 @@
         state.published.confirmed_until,
         state.record is not None and state.record.is_failing_over,
         tuple(state.samples),
+        state.silent,
+        state.watched_since,
     )
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -84,7 +84,7 @@
         self._database = view.database
         self._members = {m.upstream: m.entry for m in view.members}
         self._old_term = view.term
-        self._fence = fence.Fence(self._members, self.old_primary, view.term)
+        self._fence = fence.fence_for(view, self.old_primary, now)
         self._record_revision = record.revision if record else 0
         self._new_term = 0
         self._fenced_at = 0.0
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -3,7 +3,8 @@
 A commit is acknowledged only when the primary and at least one replica have it.
 Once all members but one are paused or have stepped down, no commit can be
 acknowledged in the old term, and the highest log position among the fenced
-members covers every acknowledged commit.
+members covers every acknowledged commit. Former members that may still run
+count as members that can't be fenced.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from fescueshunt.core import position, replica_sets, session_items, sessions
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Collection, Iterator, Mapping
 
     from fescueshunt.core import filters
 
@@ -46,6 +47,13 @@
       term: The term with which the members are paused.
       final_positions: The final log position of each fenced member.
       old_primary_stepped_down: Whether the old primary has stepped down.
+
+    Args:
+      members: The members that can be fenced, by id.
+      old_primary: The id of the primary to replace.
+      old_term: The highest known term.
+      silent: The ids of former members that may still run.
+      min_required: The fewest members that must be fenced.
     """
 
     def __init__(
@@ -53,11 +61,15 @@
         members: Mapping[str, replica_sets.UpstreamEntry],
         old_primary: str,
         old_term: int,
+        silent: Collection[str] = (),
+        min_required: int = 1,
     ) -> None:
         self.term = old_term + 1
         self.final_positions: dict[str, position.Position] = {}
         self.old_primary_stepped_down = False
         self._members = members
+        self._running = {*members, *silent}
+        self._min_required = min_required
         self._old_primary = old_primary
         self._old_term = old_term
         self._former_primaries: set[str] = set()
@@ -136,11 +148,11 @@
     def required(self) -> int:
         """The number of members that must be fenced.
 
-        This is all but one. An old primary that is no longer a member may still
-        be running, so in that case every member must be fenced.
+        This is all but one of those that may run. If the old primary is not
+        known to be one of them, every other one must be fenced.
         """
-        allowed_missing = 1 if self._old_primary in self._members else 0
-        return max(len(self._members) - allowed_missing, 1)
+        allowed_missing = 1 if self._old_primary in self._running else 0
+        return max(len(self._running) - allowed_missing, self._min_required)
 
     def keep_old_primary_only(self) -> None:
         """Keeps only the old primary, which by itself has every commit."""
@@ -169,3 +181,19 @@
                 upstream,
             ),
         )
+
+
+def fence_for(
+    view: replica_sets.ReplicaSetView, old_primary: str, now: float
+) -> Fence:
+    """Returns the fence to replace `old_primary`, with no member fenced yet.
+
+    A host that has not watched the entries for long may not know of a former
+    member that still runs. Such a member may acknowledge commits with the
+    primary, so that one fenced replica alone does not suffice.
+    """
+    min_required = replica_sets.COMMIT_MEMBERS
+    if now - view.watched_since > replica_sets.FORMER_MEMBER_TTL_S:
+        min_required = 1
+    entries = {member.upstream: member.entry for member in view.members}
+    return Fence(entries, old_primary, view.term, view.silent, min_required)
--- a/spec/takeover/removals.py
+++ b/spec/takeover/removals.py
@@ -11,11 +11,17 @@
 from spec.takeover.steps import Bounds
 
 ONE_ATTEMPT = Bounds(attempts=1)
+ONE_ATTEMPT_AFTER_A_DROP = Bounds(attempts=1, drops=True)
 ONE_ATTEMPT_WITH_RESTART = Bounds(attempts=1, restarts=1)
 TWO_ATTEMPTS = Bounds(attempts=2)
 OTHER_PROMOTIONS = Bounds(attempts=2, writes=False, elsewhere=True)
 
-CHECKED = (ONE_ATTEMPT_WITH_RESTART, TWO_ATTEMPTS, OTHER_PROMOTIONS)
+CHECKED = (
+    ONE_ATTEMPT_WITH_RESTART,
+    ONE_ATTEMPT_AFTER_A_DROP,
+    TWO_ATTEMPTS,
+    OTHER_PROMOTIONS,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +57,7 @@
 
 REMOVALS = (
     Removal(Rule.WHOLE_FENCE, ONE_ATTEMPT, Property.KEPT),
+    Removal(Rule.SILENT_COUNTS, ONE_ATTEMPT_AFTER_A_DROP, Property.KEPT),
     Removal(Rule.NEWEST, ONE_ATTEMPT, Property.KEPT),
     Removal(Rule.FENCE_HOLDS, ONE_ATTEMPT_WITH_RESTART, Property.KEPT),
     Removal(Rule.DUTY_CHECK, OTHER_PROMOTIONS, Property.TOKENS),
--- a/spec/takeover/rules.py
+++ b/spec/takeover/rules.py
@@ -12,6 +12,7 @@
     """A rule of the takeover protocol."""
 
     WHOLE_FENCE = "a promotion needs a fence of all members but one"
+    SILENT_COUNTS = "a member that was dropped as silent counts for the fence"
     NEWEST = "the member with the highest position is promoted"
     FENCE_HOLDS = "each fence is confirmed right before the promotion"
     DUTY_CHECK = "the duty is confirmed right before the promotion"
--- a/spec/takeover/states.py
+++ b/spec/takeover/states.py
@@ -120,6 +120,8 @@
       promotions: the tokens of the promotion calls in order, including calls
         for other replica sets.
       restarts_left: the number of restarts that may still happen.
+      dropped: the member that the holders have dropped as silent, or None. It
+        still runs.
     """
 
     members: tuple[Member, ...]
@@ -132,6 +134,7 @@
     stale_commits: int = 0
     promotions: tuple[int, ...] = ()
     restarts_left: int = 0
+    dropped: int | None = None
 
 
 def highest_term(state: State) -> int:
--- a/spec/takeover/steps.py
+++ b/spec/takeover/steps.py
@@ -25,12 +25,14 @@
       restarts: the number of restarts of paused replicas.
       writes: whether clients write.
       elsewhere: whether holders also promote in other replica sets.
+      drops: whether a replica may be dropped as silent before an attempt.
     """
 
     attempts: int = 1
     restarts: int = 0
     writes: bool = True
     elsewhere: bool = False
+    drops: bool = False
 
     def initial(self) -> State:
         """Returns the initial state: member 0 is the primary of term 1."""
@@ -59,6 +61,7 @@
         return [
             *self._write_steps(state),
             *self._replication_steps(state),
+            *self._drop_steps(state),
             *self._duty_steps(state),
             *self._attempt_steps(state),
             *self._reader_steps(state),
@@ -135,6 +138,14 @@
                         ),
                     )
 
+    def _drop_steps(self, state: State) -> Iterator[Step]:
+        has_begun = any(a.stage is not Stage.IDLE for a in state.attempts)
+        if not self.bounds.drops or has_begun or state.dropped is not None:
+            return
+        for index in MEMBERS:
+            if index != states.FIRST_PRIMARY:
+                yield f"drop {index}", state._replace(dropped=index)
+
     # Holders of the failover duty.
 
     def _duty_steps(self, state: State) -> Iterator[Step]:
@@ -170,6 +181,7 @@
         if (
             attempt.final_positions[index] is not None
             or member.term >= attempt.term
+            or index == state.dropped
         ):
             return
         if member.is_primary:
@@ -233,8 +245,7 @@
 
     def _may_promote(self, state: State, holder: int) -> bool:
         attempt = state.attempts[holder]
-        required = 2 if Rule.WHOLE_FENCE in self.rules else 1
-        if len(attempt.fenced_members) < required:
+        if len(attempt.fenced_members) < self._required_fences(state):
             return False
         if Rule.FENCE_HOLDS in self.rules and not _fence_holds(state, holder):
             return False
@@ -245,6 +256,15 @@
         must_wait = Rule.CONFIRM_WAIT in self.rules
         return not (must_wait and state.reader.confirmed)
 
+    def _required_fences(self, state: State) -> int:
+        if Rule.WHOLE_FENCE not in self.rules:
+            return 1
+        is_one_uncounted = (
+            state.dropped is not None and Rule.SILENT_COUNTS not in self.rules
+        )
+        counted = len(MEMBERS) - is_one_uncounted
+        return counted - 1
+
     # The reader.
 
     def _reader_steps(self, state: State) -> Iterator[Step]:
--- a/tests/lib/hosted_faults.py
+++ b/tests/lib/hosted_faults.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from fescueshunt.core import store_items
+from fescueshunt.replicas import membership
 from lib import hosted_world
 
 STORE = hosted_world.STORE
@@ -90,6 +92,31 @@
     _partition(world, duration_s, name, separated_nodes)
 
 
+def lose_member(
+    world: hosted_world.World, name: str, duration_s: float
+) -> None:
+    """Cuts a member off from the hosts and the store until it is dropped.
+
+    It stays connected to the other members. Its entry returns with it.
+    """
+    dropped_for_s = duration_s + membership.UNLISTED_TIMEOUT_S
+    _partition(world, dropped_for_s, name, sorted(world.hosts))
+    for host in list(world.hosts.values()):
+        world.feed(host, store_items.EntryRemoved(world.now, name))
+    world.call_later(dropped_for_s, world.publish_entries)
+
+
+def _lose_replica(world: hosted_world.World, duration_s: float) -> None:
+    replicas = [m.name for m in world.replicas.members.values() if m.up]
+    name = world.rng.choice([n for n in replicas if n != _primary_name(world)])
+    lose_member(world, name, duration_s)
+
+
+def _primary_name(world: hosted_world.World) -> str:
+    primary = world.replicas.primary()
+    return primary.name if primary is not None else ""
+
+
 def _freeze_host(world: hosted_world.World, duration_s: float) -> None:
     world.freeze(world.rng.choice(sorted(world.hosts)), duration_s)
 
@@ -171,6 +198,7 @@
     "freeze_holder": _freeze_holder,
     "kill": _restart_host,
     "kill_holder": _restart_holder,
+    "lose_replica": _lose_replica,
     "revoke": _revoke_lease,
     "lose_answers": _lose_store_answers,
     "lag": _delay_replicas,
--- a/tests/lib/takeover_replayer.py
+++ b/tests/lib/takeover_replayer.py
@@ -119,6 +119,7 @@
       duty_token: The fencing token of the current holder.
       acked: The tags of the acknowledged writes.
       tokens: The fencing tokens of the promotions, in order.
+      silent: The members that the holders have dropped; they still run.
     """
 
     def __init__(self, holder_count: int) -> None:
@@ -147,6 +148,7 @@
         self.confirmed_until = replica_sets.NEVER
         self.acked: set[str] = set()
         self.tokens: list[int] = []
+        self.silent: frozenset[str] = frozenset()
 
     def run_step(self, label: str) -> None:
         """Runs the step with this label, as far as the real code allows it."""
@@ -172,10 +174,19 @@
                 None,
             )
             for member in self.replicas.members.values()
+            if member.name not in self.silent
         )
         term = max(m.term for m in self.replicas.members.values())
         return replica_sets.ReplicaSetView(
-            self.now, DATABASE, members, FIRST_PRIMARY, term, 0.0, False, ()
+            self.now,
+            DATABASE,
+            members,
+            FIRST_PRIMARY,
+            term,
+            0.0,
+            False,
+            (),
+            self.silent,
         )
 
     def run_call(
@@ -260,6 +271,9 @@
     def _restart(self, number: str) -> None:
         self.replicas.members[member_name(number)].paused_term = 0
 
+    def _drop(self, number: str) -> None:
+        self.silent |= {member_name(number)}
+
     # Holders of the failover duty.
 
     def _next_holder(self) -> None:
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from fescueshunt.core import position, replica_sets, sessions
 from fescueshunt.takeover import fence
 
@@ -52,6 +54,61 @@
     assert not attempt_fence.old_primary_stepped_down
 
 
+def _fence_all(attempt_fence: fence.Fence, *upstreams: str) -> None:
+    for upstream in upstreams:
+        paused = _status(REPLICA, OLD_TERM, paused_term=attempt_fence.term)
+        attempt_fence.record_reply(upstream, paused)
+
+
+# Guards against lost commits: a silent member may hold commits that the only
+# member fenced lacks.
+def test_silent_member_counts_as_one_that_is_not_fenced():
+    members = {name: MEMBERS[name] for name in ("current", "replica")}
+    attempt_fence = fence.Fence(members, "current", OLD_TERM, {"former"})
+    _fence_all(attempt_fence, "replica")
+    assert not attempt_fence.is_complete()
+    stepped_down = _status(REPLICA, OLD_TERM)
+    attempt_fence.record_reply("current", stepped_down)
+    assert attempt_fence.is_complete()
+
+
+def test_silent_old_primary_is_the_one_that_may_be_missing():
+    members = {name: MEMBERS[name] for name in ("former", "replica")}
+    attempt_fence = fence.Fence(members, "current", OLD_TERM, {"current"})
+    _fence_all(attempt_fence, "former")
+    assert not attempt_fence.is_complete()
+    _fence_all(attempt_fence, "replica")
+    assert attempt_fence.is_complete()
+
+
+# Guards against lost commits: a host that started while an entry was missing
+# does not know of the member that holds commits with the primary.
+@pytest.mark.parametrize(
+    ("watched_s", "required"),
+    [(1.0, 2), (replica_sets.FORMER_MEMBER_TTL_S + 1.0, 1)],
+)
+def test_one_replica_suffices_only_if_no_former_member_can_run(
+    watched_s, required
+):
+    now = 100.0
+    members = tuple(
+        replica_sets.MemberView(MEMBERS[name], None, now, None)
+        for name in ("current", "replica")
+    )
+    view = replica_sets.ReplicaSetView(
+        now,
+        "db",
+        members,
+        "current",
+        OLD_TERM,
+        now,
+        False,
+        (),
+        watched_since=now - watched_s,
+    )
+    assert fence.fence_for(view, "current", now).required == required
+
+
 def test_primary_of_a_newer_term_is_the_new_one():
     attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM)
     result = attempt_fence.record_reply("replica", _status(PRIMARY, NEW_TERM))
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -24,11 +24,11 @@
 
 
 def _entry(
-    upstream: str, database: str = DATABASE
+    upstream: str, database: str = DATABASE, address: str = ADDRESS
 ) -> replica_sets.UpstreamEntry:
     role = sessions.ReplicaRole.REPLICA
     return replica_sets.UpstreamEntry(
-        upstream, database, ADDRESS, "z", 2, False, role
+        upstream, database, address, "z", 2, False, role
     )
 
 
@@ -122,6 +122,20 @@
     assert _members(after) == ["u0", "u2"]
 
 
+def test_silent_upstream_may_run_until_another_one_has_its_address():
+    harness = MembershipHarness()
+    moved = _entry("u1", address="127.0.0.1:2")
+    harness.feed(store_items.EntryChanged(0.5, moved))
+    harness.feed(store_items.EntryRemoved(1.0, "u1"))
+    emitted, _ = harness.pass_time(1.0, 6.0, answers=False)
+    assert _changes(emitted)[-1].silent == {"u1"}
+    elsewhere = store_items.EntryChanged(6.0, _entry("u3"))
+    assert _changes(harness.feed(elsewhere))[-1].silent == {"u1"}
+    replacement = _entry("u4", address=moved.address)
+    emitted = harness.feed(store_items.EntryChanged(6.0, replacement))
+    assert _changes(emitted)[-1].silent == frozenset()
+
+
 def test_fence_needs_every_replica_once_the_old_primary_is_dropped():
     members = {name: _entry(name) for name in ("u1", "u2")}
     assert fence.Fence(members, "u0", 2).required == 2
--- a/tests/unit/test_stale_reads.py
+++ b/tests/unit/test_stale_reads.py
@@ -135,7 +135,7 @@
     host.feed(store_items.EntryRemoved(host.now, PRIMARY))
     host.run(membership.UNLISTED_TIMEOUT_S + 2.0)
     assert host.view.position_as_of(1.0) is None
-    host.run(membership.FORGET_AFTER_S)
+    host.run(replica_sets.FORMER_MEMBER_TTL_S)
     assert host.view.position_as_of(host.now - 0.5) is not None
 
 
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from fescueshunt.core import store_items
-from lib import hosted_clients, hosted_world
+from fescueshunt.replicas import membership
+from lib import hosted_clients, hosted_faults, hosted_world
 
 # The expected time of a promotion, plus the 2 s that the target allows.
 MAX_OUTAGE_S = hosted_world.PROMOTION_S + 2.0
@@ -84,3 +85,21 @@
     )
     assert first_ack_at - crashed_at < MAX_OUTAGE_S + store_items.LEASE_TTL_S
     assert hosted_clients.find_violations(world, history) == []
+
+
+# Guards against lost commits: a member that was dropped because it was silent
+# was left out of the fence, and a replica without its commits was promoted.
+def test_replica_is_not_promoted_while_a_silent_member_may_have_commits():
+    world = hosted_world.World()
+    world.run(1.0)
+    history = hosted_clients.run_clients(world)
+    world.run(2.0)
+    world.partition("u0", "u1")
+    hosted_faults.lose_member(world, "u2", 6.0)
+    world.run(membership.UNLISTED_TIMEOUT_S + 2.0)
+    world.crash("u0")
+    world.run(3.5)
+    assert world.replicas.promotions == []
+    world.run(4.5)
+    assert world.replicas.primary().name == "u2"
+    assert hosted_clients.find_violations(world, history) == []
--- a/tests/unit/test_takeover_spec.py
+++ b/tests/unit/test_takeover_spec.py
@@ -6,7 +6,7 @@
 from spec.takeover import removals
 
 from fescueshunt.core import store_items
-from fescueshunt.takeover import promotion_check
+from fescueshunt.takeover import fence, promotion_check
 from lib import takeover_replayer
 
 
@@ -46,6 +46,16 @@
     return group.find_violations()
 
 
+def test_without_counting_silent_members_a_replica_loses_a_commit(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    def required(self):
+        return len(self._members) - 1
+
+    monkeypatch.setattr(fence.Fence, "required", property(required))
+    assert _replay_violations("silent_counts") == ["lost first"]
+
+
 def test_without_confirmed_fences_a_restarted_replica_loses_a_commit(
     monkeypatch: pytest.MonkeyPatch,
 ):
