Split the wait for acknowledgements out of the failover attempt

Who still relies on the old primary, and whose lease is revoked, is a job of its own; so is whether the candidate drains.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -2,11 +2,8 @@
 
 The attempt first writes to the store that the primary is being replaced. Every
 host that sees this stops using the old primary and acknowledges; a host that
-does not acknowledge loses its lease. At the same time the members are fenced. A
-commit is acknowledged only when the primary and at least one replica have it.
-Once all members but one are fenced, no further commit can be acknowledged in
-the old term, and the highest log position among the fenced members covers every
-acknowledged commit.
+does not loses its lease. The members are fenced, so that the old term has no
+further commits. Then the newest one is promoted.
 """
 
 from __future__ import annotations
@@ -22,8 +19,8 @@
     sessions,
     store_items,
 )
+from fescueshunt.takeover import acknowledgements, fence, promotion_check
 from fescueshunt.takeover import cause as causes
-from fescueshunt.takeover import fence, promotion_check
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,8 +31,6 @@
 RETRY_INTERVAL_S = 0.3
 RECORD_WRITE_TIMEOUT_S = 1.5
 CLOCK_MARGIN_S = 0.05
-# The lease of a host that has not acknowledged by then is revoked.
-REVOKE_LEASES_AFTER_S = 0.5
 ACKNOWLEDGE_TIMEOUT_S = 6.0
 NEW_PRIMARY_TIMEOUT_S = 3.0
 PROMOTE_TIMEOUT_S = 12.0
@@ -89,7 +84,9 @@
         self._new_term = 0
         self._fenced_at = 0.0
         self._pending_outcome: str = ""
-        self._leases_revoked = False
+        self._acknowledgements = acknowledgements.Acknowledgements(
+            view.database
+        )
         self._check: promotion_check.PromotionCheck | None = None
         self._check_rounds = 0
         self._step = Step.ANNOUNCING
@@ -119,8 +116,6 @@
             case filters.Tick():
                 yield from self._tick(item.at, hosts)
 
-    # Announcement and record.
-
     def _write_record(
         self, phase: leadership.Phase, upstream: str, now: float
     ) -> filters.Item:
@@ -146,6 +141,7 @@
         self._record_revision = item.revision
         match self._step:
             case Step.ANNOUNCING:
+                self._acknowledgements.announced_revision = item.revision
                 self._enter_step(Step.FENCING, item.at)
                 yield from self._send_fence_calls(item.at)
             case Step.RECORDING:
@@ -237,25 +233,14 @@
     def _tick_waiting(
         self, now: float, elapsed_s: float, hosts: participants.Participants
     ) -> Iterator[filters.Item]:
-        unacknowledged = hosts.unacknowledged(
-            self._database, self._record_revision
-        )
-        if (
-            unacknowledged
-            and elapsed_s > REVOKE_LEASES_AFTER_S
-            and not self._leases_revoked
-        ):
-            self._leases_revoked = True
-            for lease in unacknowledged.values():
-                yield store_items.EndLease(now, lease)
+        yield from self._acknowledgements.revoke_late(elapsed_s, hosts, now)
         if elapsed_s > ACKNOWLEDGE_TIMEOUT_S:
             yield from self._abort("hosts did not acknowledge", now)
             return
         fenced_for_s = now - self._fenced_at
         confirmation_wait_s = replica_sets.CONFIRMATION_TTL_S + CLOCK_MARGIN_S
         if (
-            not unacknowledged
-            and hosts.have_removed_leases_expired(now)
+            self._acknowledgements.are_complete(hosts, now)
             and fenced_for_s > confirmation_wait_s
         ):
             yield from self._start_check(now)
@@ -265,7 +250,9 @@
         if self._check_rounds >= MAX_CHECK_ROUNDS:
             yield from self._refence_unconfirmed(now)
             return
-        if self._is_candidate_also_leaving(self._fence.choose_candidate()):
+        is_leaving = self.cause is causes.Cause.LEAVING
+        if is_leaving and self._fence.is_candidate_draining():
+            # One leaving primary would replace another.
             yield from self._abort("no staying replica is up to date", now)
             return
         self._check_rounds += 1
@@ -283,14 +270,6 @@
         self._enter_step(Step.FENCING, now)
         yield from self._send_fence_calls(now)
 
-    def _is_candidate_also_leaving(self, candidate: str) -> bool:
-        """Returns whether one leaving primary would replace another."""
-        return (
-            self.cause is causes.Cause.LEAVING
-            and self._members[candidate].draining
-            and candidate != self.old_primary
-        )
-
     def _handle_duty_read(
         self, item: store_items.KeyRead, duty: items.DutyView
     ) -> Iterator[filters.Item]:
@@ -359,8 +338,6 @@
         self._enter_step(Step.FOLLOWING, item.at)
         self._next_retry_at = item.at
 
-    # Waiting for the new primary.
-
     def _tick_promoting(self, now: float) -> Iterator[filters.Item]:
         if now - self._fenced_at > PROMOTE_TIMEOUT_S:
             self.outcome = "promotion not answered"
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -182,6 +182,12 @@
             ),
         )
 
+    def is_candidate_draining(self) -> bool:
+        """Returns whether the candidate is a replica that is draining."""
+        candidate = self.choose_candidate()
+        is_replica = candidate != self._old_primary
+        return is_replica and self._members[candidate].draining
+
 
 def fence_for(
     view: replica_sets.ReplicaSetView, old_primary: str, now: float
