Retry the writes at a replaced primary as soon as it is replaced

Trace, from recordings of all proxies in that run (seconds of the run): 589.8 the primary's process gets no processor and falls silent for 4.5 s 590.90 the watchers have promoted another upstream; the home knows it 592.05 to 592.34 the calls of the four writes that hold the slots time out at the home, 2.0 s after they were sent 592.33 to 594.65 the writes queued behind them are routed again, one of them 4.7 s after it arrived, as the home first tried to open connections to the silent upstream 594.3 the entry's deadlines of 5 s, or the callers' own 5.25 s, pass; the new primary had answered from 590.9 to 592.0 So the home's step timed out, and the rest followed. The restart by itself doesn't cause it; it only adds to the load.

Cause: a home kept work at an upstream that it knew to be replaced. What was queued there stayed in the queue, and what ran stayed until the timeout of its call.

Ruled out: a shorter timeout of calls, as a long statement is allowed; a lost answer of the entry, since all that it sent or owed is in the recordings; the requester's grace of 0.25 s, as it only decides which of the two errors is told.

Now the queue returns the work that waits for a replaced primary, and a write that runs in an older term is retried at once: not run if its commit was not sent, in doubt and settled by the ledger of the new primary if it was, as after a timeout.

Without the change the two new tests fail: no answer within the rank's target after the promotion, and no retry of the queued work.

--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -23,7 +23,13 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import connection_pool, items, outcome, surge
+from fescueshunt.request import (
+    connection_pool,
+    items,
+    outcome,
+    route,
+    surge,
+)
 
 if TYPE_CHECKING:
     import random
@@ -42,6 +48,7 @@
       settings: the settings in force.
       fleet: the newest view of the proxies.
       surge: the changes made by the calendar days in force.
+      primaries: the newest known primary of each database.
       pools: the pools by (database, upstream).
       pool_by_conn: the pool of each connection, by connection id.
     """
@@ -49,6 +56,7 @@
     settings: document.Document = document.Document()
     fleet: views.FleetView = views.FleetView(0.0, ())
     surge: surge.SurgeView = surge.SurgeView(0.0)
+    primaries: dict[str, str] = dataclasses.field(default_factory=dict)
     pools: dict[tuple[str, str], connection_pool.ConnectionPool] = (
         dataclasses.field(default_factory=dict)
     )
@@ -93,6 +101,9 @@
                 self._update_view(item)
                 yield item
                 yield from self._handle_tick(item.at)
+            case views.GroupView():
+                yield item
+                yield from self._handle_group_view(item)
             case _:
                 yield item
 
@@ -235,6 +246,25 @@
             for work in pool.queue.clear():
                 yield _make_retry(item.at, work, pool, item.error)
 
+    def _handle_group_view(
+        self, view: views.GroupView
+    ) -> Iterator[filters.Item]:
+        """Returns the work that waits for a replaced primary.
+
+        The replaced primary may be silent, and each call to it may then take
+        until its timeout.
+        """
+        previous = self._state.primaries.get(view.database, view.primary)
+        if view.primary:
+            self._state.primaries[view.database] = view.primary
+        pool = self._state.pools.get((view.database, previous))
+        if pool is None or view.primary in ("", previous):
+            return
+        brief = route.group_brief(view)
+        for work in pool.queue.clear():
+            retried = dataclasses.replace(work, error=errors.NoPrimaryError())
+            yield items.RetryNeeded(view.at, retried, brief)
+
     def _handle_tick(self, now: float) -> Iterator[filters.Item]:
         for key, pool in list(self._state.pools.items()):
             for work in pool.queue.remove_expired(now):
--- a/packages/fescueshunt/src/fescueshunt/request/write.py
+++ b/packages/fescueshunt/src/fescueshunt/request/write.py
@@ -97,9 +97,24 @@
             case views.GroupView():
                 self._groups[item.database] = item
                 yield item
+                yield from self._retry_replaced(item)
             case _:
                 yield item
 
+    def _retry_replaced(self, view: views.GroupView) -> Iterator[filters.Item]:
+        """Retries the writes that run at a primary of an older term.
+
+        The call in flight may be silent until its timeout. A write whose commit
+        was sent is in doubt until the new primary has settled it.
+        """
+        for running in list(self._running.values()):
+            is_affected = running.work.req.database == view.database
+            if is_affected and running.term < view.term:
+                yield from self._release_connection(
+                    running, view.at, reusable=False
+                )
+                yield self._retry(view.at, running, errors.NoPrimaryError())
+
     def _begin(self, item: items.Started) -> Iterator[filters.Item]:
         if item.at >= item.work.deadline:
             yield items.ConnectionReleased(item.at, item.conn, reusable=True)
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -100,6 +100,38 @@
     assert cluster.rows() == (["once"] if outcome_answer.error is None else [])
 
 
+# Guards against writes whose outcome stays unknown because they wait for calls
+# to a primary that has fallen silent, although another one has been promoted.
+@pytest.mark.parametrize("lost", ["open", "committed"])
+def test_writes_at_a_silent_primary_run_at_the_promoted_one(
+    cluster, home, lost
+):
+    silenced = cluster.primary()
+
+    def silence(message):
+        if _write_phase(message) == lost:
+            silenced.alive = False
+        return None if silenced.alive else []
+
+    cluster.delivery_hook = silence
+    slots = simulation.SETTINGS.groups[0].slots
+    tags = [f"write-{number}" for number in range(2 * slots)]
+    seqs = [
+        cluster.send(home, 1, scenarios.write_request(cluster, tag, caller=tag))
+        for tag in tags
+    ]
+    while silenced.alive:
+        cluster.run(simulation.HOP_DELAY_S)
+    cluster.delivery_hook = lambda _: None
+    while cluster.primary() is silenced:
+        cluster.run(simulation.HOP_DELAY_S)
+    cluster.run(simulation.SETTINGS.ranks[0].target_s)
+    answers = [cluster.answers.get((home, 1, seq)) for seq in seqs]
+    outcomes = [answer and answer.outcome for answer in answers]
+    assert outcomes == [errors.Outcome.DONE] * len(tags)
+    assert sorted(cluster.rows()) == sorted(tags)
+
+
 def test_first_attempt_after_the_tombstone_is_refused(cluster, home, other):
     req = scenarios.write_request(cluster, "never")
     outcome_answer = cluster.execute(
--- a/tests/unit/test_pools.py
+++ b/tests/unit/test_pools.py
@@ -154,6 +154,23 @@
     assert [e.work.key for e in retried] == [work.key]
 
 
+# Guards against work that waits at a primary that has fallen silent until its
+# deadline, although another upstream has been promoted.
+def test_work_queued_at_a_replaced_primary_is_routed_again():
+    home = make_home()
+    home.feed(views.GroupView(0.0, "db", primary="u1"))
+    work = work_factory.make_work(0.0)
+    home.feed(items.Assigned(0.0, work, "u1"))
+    for primary in ("u1", ""):
+        view = views.GroupView(0.1, "db", primary=primary)
+        assert home.feed(view) == [view]
+    effects = home.feed(views.GroupView(0.2, "db", primary="u2"))
+    retried = [e for e in effects if isinstance(e, items.RetryNeeded)]
+    assert [e.work.key for e in retried] == [work.key]
+    assert retried[0].brief.primary == "u2"
+    assert not retried[0].work.in_doubt
+
+
 def test_timed_out_call_does_not_count_as_service_time():
     home = make_home()
     home.settle()
