Answer the requests that wait for a database that is removed

Callers saw: no answer. A request without a primary waits 50 ms between its attempts; if its database was removed from the settings meanwhile (by a roll-forward to a revision without it, or by another writer of the store), its next attempt raised AttributeError in the filter `route`. The request was gone, and with it every other request whose attempt was due at the same tick, and the drain of a stopping proxy waited 75 s for them.

The same in the filter `queue`: a request that an entry with older settings forwards for an upstream, or a database, that its home has dropped raised as soon as the pool of the upstream was gone. The entry answered that one at its deadline.

Ruled out by reading: a service, rank or group that is removed, as a request keeps those that it was admitted with, and validation keeps the group of every database.

Now the entry refuses such a request, unknown if an attempt of it is in doubt, and the home returns it to its entry. The pool of a removed upstream still serves what has a connection.

Without the change 4 of the 6 new cases fail with AttributeError; a removed upstream that the entry itself waits for was handled before.

--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -134,7 +134,7 @@
                 self._local_proxy.name,
             )
             if home == self._local_proxy.name and not upstream.draining:
-                pool = self._get_or_create_pool(database.name, upstream.name)
+                pool = self._get_or_create_pool(database, upstream)
                 pool.min_connections = self._min_connections(pool)
         floors = dict(self._state.surge.floors)
         for pool in self._state.pools.values():
@@ -147,25 +147,42 @@
         return min(max(pool.slots, surge_min), pool.max_connections)
 
     def _get_or_create_pool(
-        self, database: str, upstream: str
+        self, database: document.Database, upstream: document.Upstream
     ) -> connection_pool.ConnectionPool:
-        key = (database, upstream)
-        declared_database = self._state.settings.database(database)
-        group = self._state.settings.group(declared_database.group)
+        key = (database.name, upstream.name)
+        group = self._state.settings.group(database.group)
         pool = self._state.pools.get(key)
         if pool is None:
             pool = connection_pool.ConnectionPool(
-                database, upstream, "", 0, 0, self._make_schedule()
+                *key, "", 0, 0, self._make_schedule()
             )
             self._state.pools[key] = pool
-        pool.address = declared_database.find(upstream).address
+        pool.address = upstream.address
         pool.slots = self._homes.slots(group, self._state.fleet)
         pool.max_connections = self._homes.connections(group, self._state.fleet)
         return pool
 
+    def _find_pool(
+        self, database_name: str, upstream_name: str
+    ) -> connection_pool.ConnectionPool | None:
+        """Returns the pool of an upstream; None if it is no longer declared.
+
+        A removed upstream keeps its pool as long as it has connections.
+        """
+        pool = self._state.pools.get((database_name, upstream_name))
+        database = self._state.settings.database(database_name)
+        upstream = database.find(upstream_name) if database else None
+        if pool is not None or upstream is None:
+            return pool
+        return self._get_or_create_pool(database, upstream)
+
     def _enqueue(self, item: items.Assigned) -> Iterator[filters.Item]:
-        key = (item.work.req.database, item.upstream)
-        pool = self._state.pools.get(key) or self._get_or_create_pool(*key)
+        pool = self._find_pool(item.work.req.database, item.upstream)
+        if pool is None:
+            error = errors.NoRouteError("the upstream was removed")
+            work = dataclasses.replace(item.work, error=error, suggested="")
+            yield items.RetryNeeded(item.at, work)
+            return
         if pool.is_unreachable(item.at):
             error = errors.ConnectionLostError(pool.upstream)
             yield _make_retry(item.at, item.work, pool, error)
--- a/packages/fescueshunt/src/fescueshunt/request/route.py
+++ b/packages/fescueshunt/src/fescueshunt/request/route.py
@@ -21,9 +21,7 @@
     request,
     views,
 )
-from fescueshunt.core import (
-    items as core_items,
-)
+from fescueshunt.core import items as core_items
 from fescueshunt.request import choose, hints, items, outcome, pins
 
 if TYPE_CHECKING:
@@ -135,6 +133,10 @@
             yield from self._route_pinned(work, now)
             return
         database = self._state.settings.database(work.req.database)
+        if database is None:
+            error = errors.RequestInvalidError("unknown database")
+            yield outcome.refuse(now, work, error)
+            return
         upstream_name = self._choose_upstream(work, database, now)
         if upstream_name in self._state.hints.overloaded_upstreams(work, now):
             yield outcome.refuse(now, work, _overloaded_error(work))
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -100,6 +100,39 @@
     assert cluster.rows() == (["once"] if outcome_answer.error is None else [])
 
 
+# Guards against requests that are never answered because an operator removed
+# the database, or the upstream, that they wait for.
+@pytest.mark.parametrize("removed", ["database", "upstream"])
+@pytest.mark.parametrize("kind", [Kind.WRITE, Kind.READ])
+def test_requests_that_wait_for_what_is_removed_are_answered(
+    cluster, kind, removed
+):
+    make_request = {
+        Kind.WRITE: lambda: scenarios.write_request(cluster, "waits"),
+        Kind.READ: lambda: scenarios.read_request(cluster),
+    }[kind]
+    for upstream_name in cluster.upstreams:
+        cluster.upstreams[upstream_name].alive = False
+    cluster.run(2.0)
+    seqs = [
+        (name, cluster.send(name, 1, make_request()))
+        for name in cluster.proxies
+    ]
+    cluster.run(0.1)
+    database = cluster.settings.databases[0]
+    kept = dataclasses.replace(database, upstreams=database.upstreams[1:])
+    settings = dataclasses.replace(
+        cluster.settings,
+        revision=2,
+        databases=() if removed == "database" else (kept,),
+    )
+    for name in cluster.proxies:
+        cluster.feed(name, items.SettingsRead(cluster.now, settings, 2))
+    cluster.run(6.0)
+    answers = [cluster.answers.get((name, 1, seq)) for name, seq in seqs]
+    assert all(answer and answer.error for answer in answers)
+
+
 # Guards against writes whose outcome stays unknown because they wait for calls
 # to a primary that has fallen silent, although another one has been promoted.
 @pytest.mark.parametrize("lost", ["open", "committed"])
--- a/tests/unit/test_pools.py
+++ b/tests/unit/test_pools.py
@@ -1,5 +1,6 @@
 """Tests of connection pools: limits, moves of the home proxy, back-off."""
 
+import dataclasses
 import random
 
 import pytest
@@ -171,6 +172,23 @@
     assert not retried[0].work.in_doubt
 
 
+# Guards against a forwarded request without an answer because its entry doesn't
+# know yet that the upstream, or the database, was removed.
+@pytest.mark.parametrize("kept", [(), (document.Database("db", "g", ()),)])
+def test_work_for_a_removed_upstream_is_routed_again(kept):
+    home = make_home()
+    settings = dataclasses.replace(DOCUMENT, databases=kept)
+    home.feed(views.SettingsView(0.0, settings))
+    for conn in sorted(home.open):
+        error = errors.ConnectionLostError("removed")
+        home.feed(core_items.UpstreamFailed(0.1, conn, error))
+    home.feed(filters.Tick(0.2, 0.0))
+    work = work_factory.make_work(0.2)
+    (retried,) = home.feed(items.Assigned(0.2, work, "u1"))
+    assert isinstance(retried, items.RetryNeeded)
+    assert retried.work.key == work.key
+
+
 def test_timed_out_call_does_not_count_as_service_time():
     home = make_home()
     home.settle()
