Don't refuse a session's read while the primary's status is out of date

All upstreams ran and had the writes.

Cause, from the recordings: the home's process got no processor for 0.5 to 0.7 s, so its status polls (0.6 s) ended unanswered and every upstream counted as failing until the next poll. The read found no replica, was sent on to the primary, and the primary's home refused it at once for good, though a write in the same place is returned and tried again until its deadline.

Now the home of the primary returns such a read to its entry, which tries again every 50 ms until the deadline, if the primary's last status may be out of date: there is none, newer ones are missing, or it misses the write of the token. A read that a failover has made impossible, or whose age limit a primary with a current status can't meet, is refused at once as before.

Without the change the new test ends with TooStaleError at the home and at the other entry.

--- a/packages/fescueshunt/src/fescueshunt/request/eligibility.py
+++ b/packages/fescueshunt/src/fescueshunt/request/eligibility.py
@@ -151,18 +151,24 @@
         view: views.GroupView,
     ) -> filters.Item:
         if view.primary == upstream:
-            return self._refuse_stale(now, work, view)
+            return self._handle_stale_primary(now, work, view)
         excluded = work.excluded | {upstream}
         alternative = choose.find_fresh_replica(work, view, now, excluded)
         return self._make_retry(
             now, work, upstream, view, alternative or view.primary
         )
 
-    def _refuse_stale(
+    def _handle_stale_primary(
         self, now: float, work: items.Work, view: views.GroupView
     ) -> filters.Item:
+        """Returns the read until its deadline if a newer status may admit it.
+
+        It is refused if the primary can't serve it.
+        """
         if _is_position_lost(work, view):
             return outcome.refuse(now, work, errors.PositionLostError())
+        if _is_status_behind(work, view.find(view.primary)):
+            return self._make_retry(now, work, view.primary, view, "")
         return outcome.refuse(now, work, errors.TooStaleError())
 
     def _make_retry(
@@ -188,6 +194,20 @@
         return items.RetryNeeded(now, retried, brief)
 
 
+def _is_status_behind(
+    work: items.Work, state: views.UpstreamState | None
+) -> bool:
+    """Returns whether the last status of a primary may be out of date.
+
+    This holds if there is none, if newer ones are missing, or if the status
+    misses the write that the session token names.
+    """
+    if state is None or state.status is None or state.failed_at is not None:
+        return True
+    after = work.req.after
+    return after is not None and not state.status.history.holds(after)
+
+
 def _is_position_lost(work: items.Work, view: views.GroupView) -> bool:
     """Returns whether a failover discarded the write named by the token."""
     state = view.find(view.primary)
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -6,6 +6,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import document, items, peer, process, request, upstream
+from fescueshunt.health import poller
 from fescueshunt.request import ledger
 from lib import scenarios, simulation
 
@@ -100,6 +101,31 @@
     assert cluster.rows() == (["once"] if outcome_answer.error is None else [])
 
 
+# Guards against reads that a planned stop refuses although their upstreams run,
+# since a busy home has had no status of them for a moment.
+def test_session_reads_its_write_after_statuses_were_missing(
+    cluster, home, other
+):
+    token = cluster.execute(
+        home, scenarios.write_request(cluster, "mine")
+    ).token
+    cluster.delivery_hook = lambda message: [] if message is None else None
+    cluster.run(poller.CALL_TIMEOUT_S + 0.3)
+    seqs = [
+        (
+            name,
+            cluster.send(name, 1, scenarios.read_request(cluster, after=token)),
+        )
+        for name in (home, other)
+    ]
+    cluster.run(0.2)
+    cluster.delivery_hook = lambda _: None
+    cluster.run(3.0)
+    answers = [cluster.answers[name, 1, seq] for name, seq in seqs]
+    assert [answer.error for answer in answers] == [None, None]
+    assert [answer.results[0].rows for answer in answers] == [(("mine",),)] * 2
+
+
 # Guards against requests that are never answered because an operator removed
 # the database, or the upstream, that they wait for.
 @pytest.mark.parametrize("removed", ["database", "upstream"])
