--- a/packages/fescueshunt/src/fescueshunt/request/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/request/queue.py
@@ -23,7 +23,13 @@
 from fescueshunt.core import (
     items as core_items,
 )
-from fescueshunt.request import connection_pool, items, outcome, surge
+from fescueshunt.request import (
+    connection_pool,
+    items,
+    outcome,
+    route,
+    surge,
+)
 
 if TYPE_CHECKING:
     import random
@@ -42,6 +48,7 @@
       settings: the settings in force.
       fleet: the newest view of the proxies.
       surge: the changes made by the calendar days in force.
+      primaries: the newest known primary of each database.
       pools: the pools by (database, upstream).
       pool_by_conn: the pool of each connection, by connection id.
     """
@@ -49,6 +56,7 @@
     settings: document.Document = document.Document()
     fleet: views.FleetView = views.FleetView(0.0, ())
     surge: surge.SurgeView = surge.SurgeView(0.0)
+    primaries: dict[str, str] = dataclasses.field(default_factory=dict)
     pools: dict[tuple[str, str], connection_pool.ConnectionPool] = (
         dataclasses.field(default_factory=dict)
     )
@@ -93,6 +101,9 @@
                 self._update_view(item)
                 yield item
                 yield from self._handle_tick(item.at)
+            case views.GroupView():
+                yield item
+                yield from self._handle_group_view(item)
             case _:
                 yield item
 
@@ -123,7 +134,7 @@
                 self._local_proxy.name,
             )
             if home == self._local_proxy.name and not upstream.draining:
-                pool = self._get_or_create_pool(database.name, upstream.name)
+                pool = self._get_or_create_pool(database, upstream)
                 pool.min_connections = self._min_connections(pool)
         floors = dict(self._state.surge.floors)
         for pool in self._state.pools.values():
@@ -136,25 +147,42 @@
         return min(max(pool.slots, surge_min), pool.max_connections)
 
     def _get_or_create_pool(
-        self, database: str, upstream: str
+        self, database: document.Database, upstream: document.Upstream
     ) -> connection_pool.ConnectionPool:
-        key = (database, upstream)
-        declared_database = self._state.settings.database(database)
-        group = self._state.settings.group(declared_database.group)
+        key = (database.name, upstream.name)
+        group = self._state.settings.group(database.group)
         pool = self._state.pools.get(key)
         if pool is None:
             pool = connection_pool.ConnectionPool(
-                database, upstream, "", 0, 0, self._make_schedule()
+                *key, "", 0, 0, self._make_schedule()
             )
             self._state.pools[key] = pool
-        pool.address = declared_database.find(upstream).address
+        pool.address = upstream.address
         pool.slots = self._homes.slots(group, self._state.fleet)
         pool.max_connections = self._homes.connections(group, self._state.fleet)
         return pool
 
+    def _find_pool(
+        self, database_name: str, upstream_name: str
+    ) -> connection_pool.ConnectionPool | None:
+        """Returns the pool of an upstream; None if it is no longer declared.
+
+        A removed upstream keeps its pool as long as it has connections.
+        """
+        pool = self._state.pools.get((database_name, upstream_name))
+        database = self._state.settings.database(database_name)
+        upstream = database.find(upstream_name) if database else None
+        if pool is not None or upstream is None:
+            return pool
+        return self._get_or_create_pool(database, upstream)
+
     def _enqueue(self, item: items.Assigned) -> Iterator[filters.Item]:
-        key = (item.work.req.database, item.upstream)
-        pool = self._state.pools.get(key) or self._get_or_create_pool(*key)
+        pool = self._find_pool(item.work.req.database, item.upstream)
+        if pool is None:
+            error = errors.NoRouteError("the upstream was removed")
+            work = dataclasses.replace(item.work, error=error, suggested="")
+            yield items.RetryNeeded(item.at, work)
+            return
         if pool.is_unreachable(item.at):
             error = errors.ConnectionLostError(pool.upstream)
             yield _make_retry(item.at, item.work, pool, error)
@@ -235,6 +263,25 @@
             for work in pool.queue.clear():
                 yield _make_retry(item.at, work, pool, item.error)
 
+    def _handle_group_view(
+        self, view: views.GroupView
+    ) -> Iterator[filters.Item]:
+        """Returns the work that waits for a replaced primary.
+
+        The replaced primary may be silent, and each call to it may then take
+        until its timeout.
+        """
+        previous = self._state.primaries.get(view.database, view.primary)
+        if view.primary:
+            self._state.primaries[view.database] = view.primary
+        pool = self._state.pools.get((view.database, previous))
+        if pool is None or view.primary in ("", previous):
+            return
+        brief = route.group_brief(view)
+        for work in pool.queue.clear():
+            retried = dataclasses.replace(work, error=errors.NoPrimaryError())
+            yield items.RetryNeeded(view.at, retried, brief)
+
     def _handle_tick(self, now: float) -> Iterator[filters.Item]:
         for key, pool in list(self._state.pools.items()):
             for work in pool.queue.remove_expired(now):
--- a/tests/unit/test_pools.py
+++ b/tests/unit/test_pools.py
@@ -1,5 +1,6 @@
 """Tests of connection pools: limits, moves of the home proxy, back-off."""
 
+import dataclasses
 import random
 
 import pytest
@@ -154,6 +155,40 @@
     assert [e.work.key for e in retried] == [work.key]
 
 
+# Guards against work that waits at a primary that has fallen silent until its
+# deadline, although another upstream has been promoted.
+def test_work_queued_at_a_replaced_primary_is_routed_again():
+    home = make_home()
+    home.feed(views.GroupView(0.0, "db", primary="u1"))
+    work = work_factory.make_work(0.0)
+    home.feed(items.Assigned(0.0, work, "u1"))
+    for primary in ("u1", ""):
+        view = views.GroupView(0.1, "db", primary=primary)
+        assert home.feed(view) == [view]
+    effects = home.feed(views.GroupView(0.2, "db", primary="u2"))
+    retried = [e for e in effects if isinstance(e, items.RetryNeeded)]
+    assert [e.work.key for e in retried] == [work.key]
+    assert retried[0].brief.primary == "u2"
+    assert not retried[0].work.in_doubt
+
+
+# Guards against a forwarded request without an answer because its entry doesn't
+# know yet that the upstream, or the database, was removed.
+@pytest.mark.parametrize("kept", [(), (document.Database("db", "g", ()),)])
+def test_work_for_a_removed_upstream_is_routed_again(kept):
+    home = make_home()
+    settings = dataclasses.replace(DOCUMENT, databases=kept)
+    home.feed(views.SettingsView(0.0, settings))
+    for conn in sorted(home.open):
+        error = errors.ConnectionLostError("removed")
+        home.feed(core_items.UpstreamFailed(0.1, conn, error))
+    home.feed(filters.Tick(0.2, 0.0))
+    work = work_factory.make_work(0.2)
+    (retried,) = home.feed(items.Assigned(0.2, work, "u1"))
+    assert isinstance(retried, items.RetryNeeded)
+    assert retried.work.key == work.key
+
+
 def test_timed_out_call_does_not_count_as_service_time():
     home = make_home()
     home.settle()
