Accept one connection a turn, so that a lack of descriptors passes

What callers saw: a host that had no file descriptor left answered its open sessions up to 0.79 s late, let its lease lapse ("primary not confirmed"), and went on so after the descriptors were free again: a later session got no READY within 5 s, and its log grew by about 1 MB a second.

Cause: asyncio takes the backlog of a server also as the number of accepts in one turn. On 3.11 it goes on after an accept that failed with EMFILE, and plans a retry in a second for each try: 1024 for clients, 100 for readiness, metrics, proxies and operators. The retries don't fall into one turn, as writing the reports takes longer, so each of them fails 1024 times again.

A smaller backlog of the kernel would refuse clients.

Change: one way to listen for all listeners. asyncio gets a backlog of one, so that it accepts one connection in a turn and plans one retry; the kernel keeps 1024.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -9,13 +9,13 @@
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
+from fescueshunt_wire import listening
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     from fescueshunt.core import sessions
 
-BACKLOG = 1024
 LINGER_S = 0.1
 
 
@@ -29,15 +29,18 @@
         accept: Callable[[ports.ClientConnection], ports.ClientListener],
     ) -> AsyncIterator[ports.Listener]:
         """Listens on `address` until the context manager exits."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _ClientProtocol(accept), host, int(port), backlog=BACKLOG
-        )
-        try:
-            yield _ServerListener(server)
-        finally:
-            server.close()
+        with listening.bound_socket(address) as sock:
+            server = await loop.create_server(
+                lambda: _ClientProtocol(accept),
+                sock=sock,
+                backlog=listening.ACCEPTS_PER_TURN,
+            )
+            listening.widen_backlog(sock)
+            try:
+                yield _ServerListener(server)
+            finally:
+                server.close()
 
 
 class _ServerListener(ports.Listener):
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -10,6 +10,7 @@
 import h11
 
 from fescueshunt import errors
+from fescueshunt_wire import listening
 
 if TYPE_CHECKING:
     from collections.abc import (
@@ -197,12 +198,15 @@
         finally:
             writer.close()
 
-    host, _, port = address.rpartition(":")
-    server = await asyncio.start_server(handle_connection, host, int(port))
-    try:
-        yield
-    finally:
-        server.close()
+    with listening.bound_socket(address) as sock:
+        server = await asyncio.start_server(
+            handle_connection, sock=sock, backlog=listening.ACCEPTS_PER_TURN
+        )
+        listening.widen_backlog(sock)
+        try:
+            yield
+        finally:
+            server.close()
 
 
 async def _serve_connection(
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/transport.py
@@ -15,7 +15,7 @@
 from websockets.asyncio import client, connection, server
 
 from fescueshunt import errors
-from fescueshunt_wire import codec, failure
+from fescueshunt_wire import codec, failure, listening
 
 if TYPE_CHECKING:
     from collections.abc import (
@@ -317,14 +317,18 @@
         finally:
             open_connections.discard(conn)
 
-    host, port = address.rsplit(":", 1)
-    async with server.serve(
-        serve_connection, host, int(port), **WEBSOCKET_OPTIONS
-    ) as listener:
-        bound = listener.sockets[0].getsockname()
-        yield f"{bound[0]}:{bound[1]}"
-        listener.server.close()
-        await asyncio.gather(*(conn.finish() for conn in open_connections))
+    with listening.bound_socket(address) as sock:
+        async with server.serve(
+            serve_connection,
+            sock=sock,
+            backlog=listening.ACCEPTS_PER_TURN,
+            **WEBSOCKET_OPTIONS,
+        ) as listener:
+            listening.widen_backlog(sock)
+            bound = sock.getsockname()
+            yield f"{bound[0]}:{bound[1]}"
+            listener.server.close()
+            await asyncio.gather(*(conn.finish() for conn in open_connections))
 
 
 async def _handle_connection(
