Refuse statements that come after the last time to answer them

What callers saw: a client with many statements sent ahead on a host that stops got answers to some of them; then its connection ended with the exit.

Cause: 0.7 s before the end of the grace period, statements reach their deadline and are answered. The next statement of that client was then still passed on, with a deadline in the past, and ended at the next tick, 20 ms later.

Ruled out: to drop them at the exit with an error for each; they would have been held for nothing, and the process may end only when they have left.

Change: a statement whose deadline is over when it comes to its turn is refused with the promise that it has not run. A transaction that it belongs to is rolled back.

Evidence, before: test_statements_sent_ahead_are_answered_before_the_grace_ends fails for reads and writes at both durations, test_statement_after_the_deadline_rolls_its_ transaction_back gets no answer. After: each statement has one answer.

--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -273,9 +273,15 @@
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
-        session.job = jobs.make_job(session, statement, route, prepared, now)
-        session.job.limit_deadline(self._shutdown.statement_deadline)
-        yield items.JobSubmitted(now, session.job)
+        job = jobs.make_job(session, statement, route, prepared, now)
+        job.limit_deadline(self._shutdown.statement_deadline)
+        if now >= job.answer_deadline:
+            yield from self._fail_statement(
+                session, statement, sessions.Failure.BUSY, now
+            )
+            return
+        session.job = job
+        yield items.JobSubmitted(now, job)
 
     def _finish_job(self, item: items.JobFinished) -> Iterator[filters.Item]:
         job = item.job
--- a/tests/unit/test_stop_answers.py
+++ b/tests/unit/test_stop_answers.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from fescueshunt.core import session_items, sessions
-from lib import stopping_world
+from fescueshunt.core import filters, process, session_items, sessions
+from fescueshunt.sessions import items, session_handler
+from lib import hosted_routes, stopping_world
 
 GRACE_S = 6.0
 STUCK_S = 30.0
@@ -15,6 +16,7 @@
 ROUND_TRIP_S = 0.025
 EXIT_DELAYS_S = (0.0, 0.01, 0.04)
 CLIENT_COUNT = 40
+AHEAD_COUNT = 200
 READ = sessions.Verb.READ
 WRITE = sessions.Verb.WRITE
 BEGIN = sessions.Verb.BEGIN
@@ -25,6 +27,13 @@
 BUSY = sessions.Failure.BUSY
 
 
+def _statement(
+    at: float, verb: sessions.Verb
+) -> session_items.StatementReceived:
+    statement = sessions.Statement(verb.value, verb, verb.value, "a", "1")
+    return session_items.StatementReceived(at, 1, statement)
+
+
 def _stop_with_stuck_statement(
     verbs: tuple[sessions.Verb, ...],
 ) -> stopping_world.StoppingWorld:
@@ -163,6 +172,66 @@
     assert world.failures_before_close(2, "begin") == [BUSY]
 
 
+# Failure: near the end of the grace period, a host still runs, for one tick
+# each, the statements that a client has sent ahead, and exits before the last.
+@pytest.mark.parametrize("duration_s", [0.05, STUCK_S])
+@pytest.mark.parametrize(
+    ("first", "last"), [(READ, READ), (WRITE, WRITE), (BEGIN, COMMIT)]
+)
+def test_statements_sent_ahead_are_answered_before_the_grace_ends(
+    duration_s, first, last
+):
+    world = stopping_world.StoppingWorld()
+    world.connect(1)
+    world.start_session(1)
+    world.stop()
+    world.run(LATE_S)
+    world.statement_duration_s = duration_s
+    ids = [f"a{number}" for number in range(AHEAD_COUNT)]
+    world.send(1, ids[0], first)
+    for statement_id in ids[1:-1]:
+        world.send(1, statement_id, WRITE)
+    world.send(1, ids[-1], last)
+    assert world.run_until_stopped(GRACE_S - LATE_S)
+    answer_counts = {
+        statement_id: len(world.failures_before_close(1, statement_id))
+        for statement_id in ids
+    }
+    assert answer_counts == dict.fromkeys(ids, 1)
+
+
+def _feed_handler(
+    handler: session_handler.SessionHandler, *feed: filters.Item
+) -> list[filters.Item]:
+    return [effect for item in feed for effect in handler.process(item)]
+
+
+# Failure: the transaction of a statement that comes too late to be answered
+# stays open at its upstream, though the client is told that nothing is kept.
+def test_statement_after_the_deadline_rolls_its_transaction_back():
+    handler = session_handler.SessionHandler(GRACE_S)
+    _feed_handler(
+        handler,
+        hosted_routes.routes_view(0.0),
+        session_items.SessionRequested(0.0, 1, "strict"),
+        _statement(0.1, BEGIN),
+    )
+    (submitted,) = _feed_handler(handler, _statement(0.2, WRITE))
+    reply = sessions.UpstreamReply(
+        (), "receipt", None, "", sessions.TransactionState.OPEN, None
+    )
+    _feed_handler(
+        handler,
+        items.JobFinished(0.3, submitted.job, reply, None, "", "u0"),
+        process.StopAsked(1.0),
+    )
+    rolled_back, answer = _feed_handler(
+        handler, _statement(1.0 + GRACE_S, COMMIT)
+    )
+    assert rolled_back == items.RollBackTransaction(1.0 + GRACE_S, 1)
+    assert answer.answer == sessions.SessionAnswer(failure=BUSY)
+
+
 # Failure: a client that always has its next statement sent is not closed during
 # a stop, and the exit cuts off its last one.
 def test_client_that_sends_ahead_is_closed_behind_an_answer():
