Keep a host running while its log can't be written

What callers saw: when the reader of a host's standard output ended, the host ended as well, at its next log line, with exit code 1 and all statements in flight.

Cause: the logger drops a line if the write would block, but not if it fails. Its exception passed the sink, the report of the sink's exception, which writes a line as well, the runtime, and so ended the task that feeds the ticks, and the process.

Ruled out: to catch it only in the runtime; the start and the end of a process log outside of it. To catch every exception of a report: only the log's own output can fail here, and others are faults of ours.

Change: the logger of the hosts drops and counts the lines that can't be written, for any error of the system; the runtime goes on if its report can't be written, in proxies too, which log to standard error.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/decisions.py
@@ -17,9 +17,9 @@
 class NonBlockingLogger:
     """Writes lines to a file descriptor without blocking.
 
-    If the descriptor's buffer is full because its reader does not keep up, the
-    line is dropped and counted. The next line written is preceded by one that
-    gives the number of dropped lines.
+    A line that can't be written, because the descriptor's reader does not keep
+    up or has ended, is dropped and counted. The next line written is preceded
+    by one that gives the number of dropped lines.
     """
 
     def __init__(self, fd: int) -> None:
@@ -34,11 +34,11 @@
         return cls(sys.stdout.fileno())
 
     def msg(self, line: str) -> None:
-        """Writes `line`, or drops it if the write would block."""
+        """Writes `line`, or drops it if it can't be written at once."""
         data = self._unsent + self._format_drop_notice() + line.encode() + b"\n"
         try:
             written = os.write(self._fd, data)
-        except BlockingIOError:
+        except OSError:
             self._dropped_count += 1
             return
         self._dropped_count = 0
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/runtime.py
@@ -120,5 +120,7 @@
 
     def _report_failure(self, exc: Exception) -> None:
         error_type = type(exc).__name__
-        self._logger.error("item_failed", error=error_type, exc_info=exc)
+        # A log that can't be written must not end the process.
+        with contextlib.suppress(OSError):
+            self._logger.error("item_failed", error=error_type, exc_info=exc)
         self._publish(process.ItemFailed(self.now(), error_type))
--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -27,6 +27,22 @@
     assert second_read.endswith("after\n")
 
 
+# Failure: a host ends, with all statements in flight, because the reader of its
+# log has ended or the log's device is full.
+def test_logger_drops_lines_that_cannot_be_written():
+    read_fd, write_fd = os.pipe()
+    os.close(read_fd)
+    full_fd = os.open("/dev/full", os.O_WRONLY)
+    try:
+        for fd in (write_fd, full_fd):
+            logger = decisions.NonBlockingLogger(fd)
+            logger.msg("dropped")
+            logger.msg("dropped")
+    finally:
+        os.close(write_fd)
+        os.close(full_fd)
+
+
 def test_log_lines_are_rate_limited_by_event_name():
     now = 10.0
     cfg = own_settings.OperatorSettings()
--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import pytest
+import structlog
 
 from fescueshunt.core import filters, process
 from fescueshunt_proxy._internal import metrics, runtime
@@ -59,6 +60,30 @@
     assert counters == {"items_failed.KeyError": 2}
 
 
+class _BrokenLogger:
+    """A logger whose output has been closed."""
+
+    def msg(self, message):
+        raise BrokenPipeError
+
+    error = msg
+
+
+# Failure: a sink raises, the report of it can't be written, and the exception
+# ends the task that fed the item, and with it the process.
+def test_next_item_is_processed_after_report_cannot_be_written():
+    structlog.configure(logger_factory=lambda *_: _BrokenLogger())
+    try:
+        quotients, counters = run([1.0, 0.0, 2.0], sink_fails=True)
+    finally:
+        structlog.reset_defaults()
+    assert quotients == [1.0, 0.5]
+    assert counters == {
+        "items_failed.KeyError": 2,
+        "items_failed.ZeroDivisionError": 1,
+    }
+
+
 class Raise(filters.Filter):
     """Raises KeyError at each item."""
 
