Refuse a waiting statement at its timeout

What callers saw: on a route whose latency objective is more than twice its timeout, a statement that waited for a connection was sent to the upstream when one became free after the timeout, and ended at the next tick: a read with TIMEOUT, a write in doubt, though both could have been refused as not run.

Cause: a statement may wait for half of its objective; the timeout did not limit it.

Ruled out: to check the timeout when a statement starts only; it would still wait.

--- a/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
@@ -33,6 +33,7 @@
     begins = in_transaction and not session.begun_upstream
     primary_reads = route.consistency is routes.Consistency.PRIMARY
     own_writes = route.consistency is routes.Consistency.OWN_WRITES
+    max_wait_s = min(route.target_s * MAX_WAIT_SHARE, route.timeout_s)
     return items.StatementJob(
         client=session.client,
         account=session.account,
@@ -43,8 +44,8 @@
         prepared=prepared,
         arrived_at=now,
         read_started_at=session.began_at if in_transaction else now,
-        max_wait_s=route.target_s * MAX_WAIT_SHARE,
-        queue_deadline=now + route.target_s * MAX_WAIT_SHARE,
+        max_wait_s=max_wait_s,
+        queue_deadline=now + max_wait_s,
         answer_deadline=now + route.timeout_s,
         begin_statement=session.begin_statement if begins else None,
         in_transaction=in_transaction,
--- a/tests/lib/stopping_world.py
+++ b/tests/lib/stopping_world.py
@@ -51,9 +51,10 @@
         self.client_stays_connected = False
         self.client_effects: list[filters.Item] = []
         self.sent_ids: set[str] = set()
+        self._added_routes: dict[str, routes.Route] = {}
         super().__init__(hosts=1)
         self.run(START_S)
-        self._add_patient_route()
+        self.add_route(PATIENT, PATIENT_TIMEOUT_S, PATIENT_TIMEOUT_S)
 
     def stop(self) -> None:
         """Requests a graceful stop of the host."""
@@ -131,19 +132,23 @@
                 failures.append(effect.answer.failure)
         return failures
 
-    def _add_patient_route(self) -> None:
-        route = routes.Route(
-            PATIENT,
+    def add_route(self, name: str, timeout_s: float, target_s: float) -> None:
+        """Puts another route in force, whose reads need the primary."""
+        self._added_routes[name] = routes.Route(
+            name,
             hosted_routes.DATABASE,
             routes.Consistency.PRIMARY,
-            PATIENT_TIMEOUT_S,
-            PATIENT_TIMEOUT_S,
+            timeout_s,
+            target_s,
             0,
             0.0,
         )
         view = hosted_routes.routes_view(self.now)
-        in_force = {**view.routes, PATIENT: route}
-        view = dataclasses.replace(view, version=2, routes=in_force)
+        view = dataclasses.replace(
+            view,
+            version=view.version + len(self._added_routes),
+            routes={**view.routes, **self._added_routes},
+        )
         item = routing_items.RoutesRead(self.now, view)
         self.feed(self.hosts[HOST], item)
 
