--- a/packages/fescueshunt/src/fescueshunt/sessions/session.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import sessions
+from fescueshunt.sessions import steps
 
 if TYPE_CHECKING:
     from fescueshunt.core import position, routes
@@ -44,3 +45,22 @@
     last_commit: position.Position | None = None
     opened_at: float = 0.0
     job: items.StatementJob | None = None
+
+    def record_success(
+        self, job: items.StatementJob, reply: sessions.UpstreamReply
+    ) -> None:
+        """Records that `job` succeeded with `reply`."""
+        if job.statement.verb is sessions.Verb.COMMIT:
+            self.state = sessions.TransactionState.IDLE
+            self.begun_upstream = False
+        elif job.in_transaction:
+            self.begun_upstream = True
+        if steps.commits_changes(job) and not job.read_only:
+            self.last_commit = reply.applied
+
+    def record_failure(self, statement: sessions.Statement) -> None:
+        """Records that `statement` of the open transaction failed."""
+        if statement.verb is sessions.Verb.COMMIT:
+            self.state = sessions.TransactionState.IDLE
+        else:
+            self.state = sessions.TransactionState.FAILED
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -24,7 +24,6 @@
     readiness,
     reports,
     shutdown,
-    steps,
 )
 from fescueshunt.sessions import session as client_session
 
@@ -294,10 +293,9 @@
             return
         session.job = None
         if item.failure is None:
-            self._record_success(session, job, item.reply)
+            session.record_success(job, item.reply)
         elif job.in_transaction:
-            is_commit = job.statement.verb is sessions.Verb.COMMIT
-            session.state = IDLE if is_commit else FAILED
+            session.record_failure(job.statement)
             session.begun_upstream = False
         answer = sessions.SessionAnswer(
             rows=item.reply.rows if item.reply else (),
@@ -310,20 +308,6 @@
             item.at, session.client, job.statement.statement_id, answer
         )
 
-    def _record_success(
-        self,
-        session: client_session.Session,
-        job: items.StatementJob,
-        reply: sessions.UpstreamReply,
-    ) -> None:
-        if job.statement.verb is sessions.Verb.COMMIT:
-            session.state = IDLE
-            session.begun_upstream = False
-        elif job.in_transaction:
-            session.begun_upstream = True
-        if steps.commits_changes(job) and not job.read_only:
-            session.last_commit = reply.applied
-
     def _fail_statement(
         self,
         session: client_session.Session,
@@ -332,8 +316,7 @@
         now: float,
     ) -> Iterator[filters.Item]:
         if session.state is OPEN:
-            is_commit = statement.verb is sessions.Verb.COMMIT
-            session.state = IDLE if is_commit else FAILED
+            session.record_failure(statement)
         if session.begun_upstream:
             session.begun_upstream = False
             yield items.RollBackTransaction(now, session.client)
