Watch only connections that run a call for slow upstreams

What callers saw: nothing yet, as no filter is known to fail there. After one exception at the start of a statement, a host ended no statement at its timeout any more, and rejected none that waited too long: their clients got no answer.

Cause: the connection was left idle with the statement assigned and no call to send. The watchdog took it for one that runs a call, and raised an exception at each tick, before the timeouts were looked at.

Ruled out: to undo the assignment when an exception passes; each step of a statement would need it.

Evidence, before: test_timeouts_hold_after_a_statement_failed_to_start counts six exceptions in 0.6 s and no answer to the other statement. After: one exception, and TIMEOUT.

--- a/packages/fescueshunt/src/fescueshunt/sessions/watchdog.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/watchdog.py
@@ -32,7 +32,8 @@
     for conn in pool_manager.connections.values():
         elapsed_s = now - conn.sent_at
         if (
-            conn.job is None
+            conn.state is not pool.ConnectionState.WORKING
+            or conn.job is None
             or conn.reported_slow
             or elapsed_s < SLOW_THRESHOLD_S
         ):
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -81,6 +81,7 @@
         self.promotion_time_s = PROMOTION_S
         self.store_answer_loss_rate = 0.0
         self.promotion_answers_to_lose = 0
+        self.on_exception: Callable[[Exception], None] | None = None
         members = {
             f"u{n}": replicas.Member(
                 f"u{n}",
@@ -149,7 +150,7 @@
             if not isinstance(item, filters.Tick):
                 host.deferred_items.append(item)
             return
-        for effect in host.core.feed(item):
+        for effect in host.core.feed(item, self.on_exception):
             self._execute(host, effect)
 
     def _deliver_store_changes(self, host: Host) -> None:
--- a/tests/unit/test_statement_timeout.py
+++ b/tests/unit/test_statement_timeout.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from fescueshunt.core import sessions
+from fescueshunt.sessions import dispatch
 from lib import stopping_world
 
 ROUTE = "brief"
@@ -12,6 +15,8 @@
 STUCK_S = 30.0
 # More clients than the upstream has slots and connections.
 CLIENT_COUNT = 40
+# Longer than a connection of the simulation takes to open.
+WARM_UP_S = 0.1
 BUSY = sessions.Failure.BUSY
 TIMEOUT = sessions.Failure.TIMEOUT
 
@@ -36,3 +41,27 @@
         was_sent = statement_id in world.sent_ids
         assert failures == [TIMEOUT if was_sent else BUSY], statement_id
     assert 0 < len(world.sent_ids) < CLIENT_COUNT
+
+
+# Failure: after an exception at the start of a statement, the host ends no
+# statement at its timeout any more.
+def test_timeouts_hold_after_a_statement_failed_to_start(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    world = stopping_world.StoppingWorld()
+    world.add_route(ROUTE, TIMEOUT_S, TARGET_S)
+    for client in (1, 2):
+        world.connect(client)
+        world.start_session(client, ROUTE)
+    world.statement_duration_s = STUCK_S
+    exceptions = []
+    world.on_exception = exceptions.append
+    world.send(1, "stuck", sessions.Verb.READ)
+    monkeypatch.setattr(dispatch.Dispatcher, "_run_calls", None)
+    world.send(2, "failed", sessions.Verb.READ)
+    world.run(WARM_UP_S)
+    monkeypatch.undo()
+    assert len(exceptions) == 1
+    world.run(TIMEOUT_S)
+    assert world.failures_before_close(1, "stuck") == [TIMEOUT]
+    assert len(exceptions) == 1
