Answer a statement that a fault in a filter has lost

What callers saw: nothing yet, as no such fault is known. A statement at which a filter raised an exception got no answer; its client waited until its own time-out, and a stopping host until half or the end of its grace period.

Cause: an exception drops the item, and with it what was known of the statement.

Ways weighed: (a) to answer at the exception. The item that failed may belong to another statement than those it loses, for example a reply that frees a connection for the next one, and those that it doesn't lose must not be ended. (b) The sequencer answers at a deadline. It knows what is in flight, but the deadline is that of the route that the transaction began under, and moves at a stop. (c) The session handler, which knows both, answers what is left over.

Change: by the first tick after its deadline, every statement is answered, or ended by the queue or the watchdog. What is unanswered at the next tick is lost: it is answered as in doubt, which promises nothing, its transaction is rolled back, and its session is closed behind what its client has sent by then, which is refused as not run. At a stop the deadline lies before the end of the grace period. Two things beside it that the same test found: a session whose statement was lost counted as idle in a stop, and a request was dropped if the pause of its client failed.

After: one answer each, also if the session handler or the dispatcher fails at any of the first 24 items that they yield (test_statement_is_answered_once_wherever_a_filter_fails); no promise was wrong. Not covered: a statement lost before the handler has it.

--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -69,6 +69,20 @@
     )
 
 
+def statement_lost(
+    item: session_items.StatementReceived, now: float
+) -> session_items.LogDecision:
+    """Returns the event of a statement that got no answer in time."""
+    statement = item.statement
+    details = {
+        "verb": statement.verb.value,
+        "took_s": round(now - item.at, 4),
+    }
+    return session_items.LogDecision(
+        now, "statement_lost", statement.statement_id, details
+    )
+
+
 def stop_progress(
     event: str,
     open_sessions: Collection[client_session.Session],
--- a/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/sequencer.py
@@ -67,10 +67,10 @@
     def _receive(self, item: ClientRequest) -> Iterator[filters.Item]:
         inbox = self._inboxes.setdefault(item.client, Inbox())
         if inbox.in_flight:
+            inbox.waiting.append(item)
             if not inbox.is_paused:
                 inbox.is_paused = True
                 yield session_items.PauseClient(item.at, item.client)
-            inbox.waiting.append(item)
             return
         yield from self._pass_on(inbox, item)
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/session.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session.py
@@ -27,6 +27,7 @@
       last_commit: the log position of the last commit, or None.
       opened_at: when it was opened; local clock, seconds.
       job: the statement in flight, or None.
+      is_broken: whether a statement was lost, so that no other can run.
     """
 
     client: int
@@ -45,6 +46,7 @@
     last_commit: position.Position | None = None
     opened_at: float = 0.0
     job: items.StatementJob | None = None
+    is_broken: bool = False
 
     def record_success(
         self, job: items.StatementJob, reply: sessions.UpstreamReply
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -24,6 +24,7 @@
     readiness,
     reports,
     shutdown,
+    unanswered,
 )
 from fescueshunt.sessions import session as client_session
 
@@ -48,6 +49,7 @@
         self._sessions: dict[int, client_session.Session] = {}
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
+        self._unanswered = unanswered.UnansweredStatements()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers to clients, and jobs for upstreams."""
@@ -73,6 +75,7 @@
                 self._routes = item
                 yield item
             case filters.Tick():
+                yield from self._answer_lost(item.at)
                 yield from self._close_sessions(item.at)
                 yield item
             case items.ReadinessView():
@@ -126,17 +129,22 @@
         self, client: int, now: float
     ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
+        self._unanswered.discard(client)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
     def _close_after_answer(
         self, answer: session_items.SendSessionAnswer
     ) -> Iterator[filters.Item]:
-        """Closes the session of the answer if this host is draining."""
+        """Closes the session of the answer if it can't go on here."""
+        self._unanswered.discard(answer.client)
         session = self._sessions.get(answer.client)
-        if session is None or session.state is not IDLE:
+        if session is None:
             return
-        if self._shutdown.is_draining(answer.at):
+        is_idle = session.state is IDLE
+        if session.is_broken or (
+            is_idle and self._shutdown.is_draining(answer.at)
+        ):
             yield from self._close_session(session, answer.at)
 
     def _close_session(
@@ -151,7 +159,13 @@
         session = self._sessions.get(item.client)
         if session is None:
             return
+        self._unanswered.add(item)
         statement = item.statement
+        if session.is_broken:
+            yield answers.failure(
+                session, statement, sessions.Failure.BUSY, item.at
+            )
+            return
         if session.state is FAILED:
             yield from self._receive_in_failed_transaction(
                 session, statement, item.at
@@ -322,6 +336,22 @@
             yield items.RollBackTransaction(now, session.client)
         yield answers.failure(session, statement, failure, now)
 
+    def _answer_lost(self, now: float) -> Iterator[filters.Item]:
+        """Answers the statements that a filter failed at.
+
+        What became of them is unknown, so their sessions can't go on.
+        """
+        for item in self._unanswered.find_lost(self._sessions, now):
+            self._unanswered.discard(item.client)
+            session = self._sessions[item.client]
+            session.job = None
+            session.is_broken = True
+            yield reports.statement_lost(item, now)
+            yield from self._fail_statement(
+                session, item.statement, sessions.Failure.IN_DOUBT, now
+            )
+            yield items.RollBackTransaction(now, item.client)
+
     def _mark_transaction_lost(self, client: int) -> None:
         session = self._sessions.get(client)
         if session is not None and session.begun_upstream:
@@ -338,7 +368,9 @@
         if self._shutdown.keeps_all_sessions:
             return
         for session in list(self._sessions.values()):
-            if session.job is None and self._shutdown.should_close(
+            if session.client in self._unanswered:
+                continue
+            if self._shutdown.should_close(
                 now, session.opened_at, session.state is not IDLE
             ):
                 yield from self._close_session(session, now)
