Close a client's connection only once it has received its answer

What callers saw: a client that left an answer larger than its receive buffer unread, and then sent more, lost the rest of the answer; its connection was reset.

Cause: 0.1 s after the answer had left the process for the kernel, the connection was closed. The kernel still held the answer; what the client then sent met a closed socket, the connection was reset, and what it held was dropped.

Ruled out: a longer time; a client may read as late as it likes. To close without reading; then the client's bytes are unread, and the reset comes at once.

Change: the time begins when the client's system has acknowledged all bytes, which the kernel counts per socket. The end of the stream counts as one of them and isn't waited for, so that a client that vanished while idle holds up no stop.

What it costs: a client that never reads, or that vanished while an answer was on its way, keeps its connection, as it did before with an answer that didn't fit the kernel's buffers; at a stop until shortly before the grace period ends.

Evidence, before: test_client_that_sends_more_beside_an_unread_answer_gets_it_all gets a reset in place of 10 rows of 48 KB. After: all rows.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
 import contextlib
+import fcntl
+import termios
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
@@ -17,6 +20,8 @@
     from fescueshunt.core import sessions
 
 LINGER_S = 0.1
+# The end of a stream counts as one byte that the other end has to acknowledge.
+END_OF_STREAM_BYTES = 1
 
 
 class LineProtocolFrontEnd(ports.FrontEnd):
@@ -123,7 +128,7 @@
         A connection that is closed with unread bytes is reset, and its client
         loses the answers that are still on their way. What the client sends is
         therefore read and ignored until it ends its stream as well, but only
-        for `LINGER_S` once everything is sent.
+        for `LINGER_S` once its system has received everything.
         """
         self._start_ignoring()
         if self._has_read_all:
@@ -141,11 +146,19 @@
         self._linger_timer = loop.call_later(LINGER_S, self._stop_lingering)
 
     def _stop_lingering(self) -> None:
-        if self._transport.get_write_buffer_size():
+        if self._has_unsent_bytes():
             self._start_linger_timer()
         else:
             self._transport.close()
 
+    def _has_unsent_bytes(self) -> bool:
+        """Returns whether the client's system has yet to receive bytes."""
+        sock = self._transport.get_extra_info("socket")
+        return (
+            self._transport.get_write_buffer_size() > 0
+            or _unacknowledged_bytes(sock.fileno()) > END_OF_STREAM_BYTES
+        )
+
     def _handle_line(self, line: str) -> None:
         if self._ignores_requests:
             return
@@ -167,3 +180,10 @@
         """Ignores further requests; returns whether none were ignored yet."""
         was_ignoring, self._ignores_requests = self._ignores_requests, True
         return not was_ignoring
+
+
+def _unacknowledged_bytes(fd: int) -> int:
+    """Returns how many bytes sent on a socket have not reached its peer."""
+    count = array.array("i", [0])
+    fcntl.ioctl(fd, termios.TIOCOUTQ, count)
+    return count[0]
--- a/tests/functional/test_client_disconnects.py
+++ b/tests/functional/test_client_disconnects.py
@@ -6,6 +6,7 @@
 import contextlib
 import signal
 import socket
+import time
 from collections.abc import AsyncIterator
 
 from fescueshunt_standins.hosted import deployment
@@ -19,6 +20,10 @@
 LONG_LINE_BYTES = (1 << 20) + 1
 ROW_BYTES = 48 * 1024
 ROW_COUNT = 160
+# Rows that have left the process long before the client has received them.
+SYSTEM_ROW_COUNT = 10
+# Longer than the host lingers once an answer has left the process.
+UNREAD_S = 0.5
 RECEIVE_BUFFER_BYTES = 8 * 1024
 ROUTE = "card-renew"
 COMPLETE = "COMPLETE"
@@ -180,10 +185,10 @@
     assert wrong == {}
 
 
-async def _write_rows(address: str) -> None:
+async def _write_rows(address: str, count: int = ROW_COUNT) -> None:
     """Writes the rows that make every later answer to a read large."""
     async with deployment.session(address, ROUTE) as client:
-        for number in range(ROW_COUNT):
+        for number in range(count):
             value = str(number % 10) * ROW_BYTES
             answer = await client.execute(f"WRITE a {value}")
             assert answer[-2].startswith(COMPLETE)
@@ -234,3 +239,45 @@
     ]
     assert row_counts == [ROW_COUNT] * 2, ends
     assert all(_is_answer(lines) for lines in received), ends
+
+
+# Failure: a client leaves an answer unread that has left the process, sends
+# more, and loses the rest of the answer because its connection is reset.
+def test_client_that_sends_more_beside_an_unread_answer_gets_it_all():
+    async def run() -> list[str]:
+        async with deployment.running(1) as deployed:
+            address = deployed.hosts[0].session_address
+            await _write_rows(address, SYSTEM_ROW_COUNT)
+            async with _open_session(address) as (reader, writer):
+                writer.write(b"QUERY q1 READ a\r\nTERMINATE\r\n")
+                await asyncio.sleep(UNREAD_S)
+                writer.write(b"QUERY q2 READ a\r\n")
+                await asyncio.sleep(UNREAD_S)
+                return await _read_lines_to_end(reader)
+
+    lines = asyncio.run(run())
+    ends = [line[:40] for line in lines[-2:]]
+    assert sum(line.startswith("ROW") for line in lines) == SYSTEM_ROW_COUNT, (
+        ends
+    )
+    assert _is_answer(lines), ends
+    assert _answer_count(lines) == 1
+
+
+# Failure: the end of a stream that a client has received, but never answers by
+# ending its own, keeps the connection open.
+def test_client_that_stays_connected_is_disconnected():
+    async def run() -> float:
+        async with deployment.running(1) as deployed:
+            address = deployed.hosts[0].session_address
+            async with _open_session(address) as (reader, writer):
+                started_at = time.monotonic()
+                writer.write(b"QUERY q1 READ a\r\nTERMINATE\r\n")
+                assert _is_answer(await _read_lines_to_end(reader))
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    while not writer.transport.is_closing():
+                        writer.write(b"MORE\r\n")
+                        await asyncio.sleep(0.01)
+                return time.monotonic() - started_at
+
+    assert asyncio.run(run()) < ANSWER_TIMEOUT_S
