Answer what a client has sent before a stopping host ends its session

What callers saw: a client that sends statements without waiting for the answers loses some when its host stops. Of SET, READ, WRITE in one segment to a host that is draining, the first was answered and the connection ended; of BEGIN, WRITE, COMMIT the refusal of BEGIN alone; of four reads 50 ms apart, 200 ms each, two.

Cause: the host closes a session behind its next answer and reads nothing more. What follows in the same segment is dropped if the first statement needs no upstream, and so is what arrived while the client was paused. Since two of these are more frequent: BEGIN is refused at once, and a paused client is resumed only when all that was read is answered. The same holds for idle sessions and for transactions that are cut off while a statement waits in the socket.

Ruled out: waiting for a silent client, or for a tick; it holds up the stop, and a client that waits for its answers would have its next statement refused in place of an end of its connection that it sees at once. Running what arrived: a client that always sends ahead would never be closed.

Change: the front end ends the stream once a turn of the loop has brought nothing more, and after 0.1 s at the latest. Until then what arrives is passed on, and the session handler refuses it: not run if the session was idle, aborted if its transaction was cut off. A session that is requested on such a connection is refused.

Why it works: all reading happens before the timers of the same turn, so what the kernel held at the decision is read and answered before the end of the stream. What remains is a statement that crosses the end.

Evidence: test_stopping_host_answers_statements_sent_ahead (real processes) gave 1 of 3, 1 of 3 and 2 of 4 answers before; test_statement_that_arrived_before_the_close_is_ refused and test_session_requested_on_a_closing_connection_is_refused failed too. All pass now, as do the tests of client disconnects, signals and stops.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -279,7 +279,10 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Closes the connection once all buffered data is sent."""
+        """Closes the connection once all buffered data is sent.
+
+        What the client has already sent is passed on first.
+        """
 
 
 class ClientListener(abc.ABC):
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -16,6 +16,8 @@
     from fescueshunt.core import sessions
 
 BACKLOG = 1024
+# What arrives late on a connection that ends is read for this long, first to be
+# answered, then to be ignored.
 LINGER_S = 0.1
 
 
@@ -60,7 +62,7 @@
 
     def reject(self, failure: sessions.Failure, detail: str) -> None:
         self._transport.write(lines.encode_failure(failure, detail))
-        self._protocol.finish()
+        self._protocol.finish(answers_arrived=False)
 
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
@@ -72,7 +74,7 @@
         self._transport.resume_reading()
 
     def close(self) -> None:
-        self._protocol.finish()
+        self._protocol.finish(answers_arrived=True)
 
 
 class _ClientProtocol(asyncio.Protocol):
@@ -84,8 +86,11 @@
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
         self._transport: asyncio.Transport | None = None
+        self._end_timer: asyncio.TimerHandle | None = None
         self._linger_timer: asyncio.TimerHandle | None = None
+        self._answers_until: float = 0.0
         self._has_started = False
+        self._has_received = False
         self._ignores_requests = False
         self._has_read_all = False
 
@@ -96,6 +101,7 @@
     def data_received(self, data: bytes) -> None:
         if self._ignores_requests:
             return
+        self._has_received = True
         try:
             for line in self._splitter.split(data):
                 self._handle_line(line)
@@ -110,28 +116,51 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ignores_requests = True
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        for timer in (self._end_timer, self._linger_timer):
+            if timer is not None:
+                timer.cancel()
         self._listener.on_disconnected()
 
-    def finish(self) -> None:
-        """Sends what is buffered and ends the stream, then closes.
+    def finish(self, *, answers_arrived: bool) -> None:
+        """Ends the stream behind the last answer, then closes.
 
         A connection that is closed with unread bytes is reset, and its client
         loses the answers that are still on their way. What the client sends is
         therefore read and ignored until it ends its stream as well, but only
         for `LINGER_S` once everything is sent.
+
+        Args:
+          answers_arrived: whether what has already arrived is passed on first,
+            so that it is answered.
         """
-        self._start_ignoring()
+        if not answers_arrived:
+            self._start_ignoring()
         if self._has_read_all:
             self._transport.close()
-        elif self._linger_timer is None:
+        elif self._end_timer is None:
+            loop = asyncio.get_running_loop()
+            self._answers_until = loop.time() + LINGER_S
             self._transport.resume_reading()
-            self._start_linger_timer()
-            # A client that reset its connection also makes `connection_lost`
-            # be called.
-            with contextlib.suppress(OSError):
-                self._transport.write_eof()
+            self._read_before_end()
+
+    def _read_before_end(self) -> None:
+        """Reads what has arrived, then ends the stream if that was nothing."""
+        self._has_received = False
+        loop = asyncio.get_running_loop()
+        # Timers run after what is ready to be read has been read.
+        self._end_timer = loop.call_later(0, self._end_stream)
+
+    def _end_stream(self) -> None:
+        is_over = asyncio.get_running_loop().time() >= self._answers_until
+        if self._has_received and not is_over:
+            self._read_before_end()
+            return
+        self._start_ignoring()
+        self._start_linger_timer()
+        # A client that reset its connection also makes `connection_lost` be
+        # called.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
 
     def _start_linger_timer(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -137,7 +137,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseSession(filters.Item):
-    """Closes a client's connection once all answers are sent."""
+    """Closes a client's connection once all that has arrived is answered."""
 
     client: int
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/answers.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/answers.py
@@ -34,3 +34,18 @@
     return session_items.SendSessionAnswer(
         now, session.client, statement.statement_id, answer
     )
+
+
+def refusal(
+    client: int,
+    statement: sessions.Statement,
+    reason: sessions.Failure,
+    now: float,
+) -> filters.Item:
+    """Returns the answer to a statement of a client without a session."""
+    return session_items.SendSessionAnswer(
+        now,
+        client,
+        statement.statement_id,
+        sessions.SessionAnswer(failure=reason),
+    )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -47,6 +47,8 @@
 
     def __init__(self, grace_s: float) -> None:
         self._sessions: dict[int, client_session.Session] = {}
+        # How later statements of the sessions that this host closed fail.
+        self._closed_with: dict[int, sessions.Failure] = {}
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
 
@@ -121,6 +123,8 @@
                     sessions.Failure.INVALID,
                     item.detail,
                 )
+            case session_items.ClientDisconnected():
+                self._closed_with.pop(item.client, None)
         yield from self._remove_session(item.client, item.at)
 
     def _remove_session(
@@ -143,6 +147,9 @@
     def _close_session(
         self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
+        is_idle = session.state is IDLE
+        failure = sessions.Failure.BUSY if is_idle else sessions.Failure.ABORTED
+        self._closed_with[session.client] = failure
         yield session_items.CloseSession(now, session.client)
         yield from self._remove_session(session.client, now)
 
@@ -151,6 +158,7 @@
     ) -> Iterator[filters.Item]:
         session = self._sessions.get(item.client)
         if session is None:
+            yield from self._refuse_after_close(item)
             return
         statement = item.statement
         if session.state is FAILED:
@@ -183,6 +191,14 @@
             case _:
                 yield from self._submit_statement(session, statement, item.at)
 
+    def _refuse_after_close(
+        self, item: session_items.StatementReceived
+    ) -> Iterator[filters.Item]:
+        """Refuses a statement that arrived before its client saw the close."""
+        failure = self._closed_with.get(item.client)
+        if failure is not None:
+            yield answers.refusal(item.client, item.statement, failure, item.at)
+
     def _receive_in_failed_transaction(
         self,
         session: client_session.Session,
--- a/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/stop_sequence.py
@@ -25,6 +25,7 @@
         self._clients: set[int] = set()
         self._unstarted_since: dict[int, float] = {}
         self._busy_clients: set[int] = set()
+        self._closed_clients: set[int] = set()
         self._is_stopped = False
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -45,6 +46,7 @@
             case session_items.ClientDisconnected():
                 self._clients.discard(item.client)
                 self._busy_clients.discard(item.client)
+                self._closed_clients.discard(item.client)
                 self._unstarted_since.pop(item.client, None)
                 yield item
             case process.StopAsked():
@@ -60,7 +62,7 @@
         self, item: session_items.SessionRequested
     ) -> Iterator[filters.Item]:
         self._unstarted_since.pop(item.client, None)
-        if self._is_stopped:
+        if self._is_stopped or item.client in self._closed_clients:
             yield session_items.RejectSession(
                 item.at, item.client, sessions.Failure.BUSY, item.route
             )
@@ -86,4 +88,5 @@
         for client, since in list(self._unstarted_since.items()):
             if self._shutdown.should_close(now, since, in_transaction=False):
                 del self._unstarted_since[client]
+                self._closed_clients.add(client)
                 yield session_items.CloseSession(now, client)
--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -30,6 +30,16 @@
 LOG_CHARS = 6000
 STAGGER_S = 0.011
 MEAN_GAPS_S = (0.012, 0.025, 0.05)
+# While sessions close behind their next answer and the listener is open.
+DRAINING_S = 2.6
+LONG_STATEMENT_S = 0.2
+# Statements that a client sends without waiting for answers; pauses in seconds.
+SENT_AHEAD = {
+    "first needs no upstream": (("SET z 1", "READ a", "WRITE a 1"), 0.0),
+    "whole transaction": (("BEGIN", "WRITE a 2", "COMMIT"), 0.0),
+    "at once": (("READ a",) * 4, 0.0),
+    "with pauses": (("READ a",) * 4, 0.05),
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,3 +143,47 @@
     )
     route = rng.choice((stop_load.REPLICA_ROUTE, stop_load.PRIMARY_ROUTE))
     return Arrivals(starts, route)
+
+
+async def _send_ahead(
+    address: str, texts: tuple[str, ...], interval_s: float
+) -> int:
+    """Sends statements to a draining host; returns the number of answers."""
+    async with deployment.session(address, stop_load.PRIMARY_ROUTE) as client:
+        await asyncio.sleep(LEAD_S + DRAINING_S)
+        for number, text in enumerate(texts):
+            client.writer.write(f"QUERY q{number} {text}\r\n".encode())
+            await asyncio.sleep(interval_s)
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return (await client.reader.read()).count(stop_load.READY)
+
+
+async def _count_answers_to_sent_ahead() -> dict[str, int]:
+    async with deployment.running(
+        1, statement_duration_s=LONG_STATEMENT_S
+    ) as deployed:
+        (host,) = deployed.hosts
+        address = host.session_address
+        async with asyncio.TaskGroup() as tasks:
+            clients = {
+                name: tasks.create_task(_send_ahead(address, texts, interval_s))
+                for name, (texts, interval_s) in SENT_AHEAD.items()
+            }
+            # An open transaction keeps the listener, so idle sessions stay.
+            async with deployment.session(
+                address, stop_load.PRIMARY_ROUTE
+            ) as holder:
+                await holder.execute("BEGIN")
+                await asyncio.sleep(LEAD_S)
+                host.popen.send_signal(signal.SIGTERM)
+                await holder.reader.read()
+    return {name: client.result() for name, client in clients.items()}
+
+
+# Failure: a stopping host closes a session behind an answer though the client
+# has sent more meanwhile, which gets no answer.
+def test_stopping_host_answers_statements_sent_ahead():
+    counts = asyncio.run(_count_answers_to_sent_ahead())
+    assert counts == {
+        name: len(texts) for name, (texts, _) in SENT_AHEAD.items()
+    }
--- a/tests/unit/test_stop_answers.py
+++ b/tests/unit/test_stop_answers.py
@@ -180,3 +180,40 @@
         world.run(0.05)
     assert world.run_until_stopped(GRACE_S)
     assert world.stopped_at() - stopping_world.STOP_AT < GRACE_S * 0.6
+
+
+def _failures(
+    world: stopping_world.StoppingWorld, client: int, statement_id: str
+) -> list[sessions.Failure | None]:
+    return [
+        effect.answer.failure
+        for effect in world.of_client(client)
+        if isinstance(effect, session_items.SendSessionAnswer)
+        and effect.statement_id == statement_id
+    ]
+
+
+# Failure: a statement that has arrived when the host closes its session is
+# dropped without an answer.
+@pytest.mark.parametrize(
+    ("first", "failure"),
+    [(sessions.Verb.SET_VALUE, BUSY), (BEGIN, ABORTED)],
+    ids=["idle", "in_transaction"],
+)
+def test_statement_that_arrived_before_the_close_is_refused(first, failure):
+    world = stopping_world.StoppingWorld()
+    world.client_stays_connected = True
+    world.connect(1)
+    world.start_session(1)
+    world.send(1, "first", first)
+    world.stop()
+    while not any(
+        isinstance(effect, session_items.CloseSession)
+        for effect in world.of_client(1)
+    ):
+        world.run(stopping_world.TICK_S)
+    world.send(1, "second", WRITE)
+    world.send(1, "third", COMMIT)
+    assert _failures(world, 1, "second") == [failure]
+    assert _failures(world, 1, "third") == [failure]
+    assert not {"second", "third"} & world.sent_ids
--- a/tests/unit/test_stop_sequence.py
+++ b/tests/unit/test_stop_sequence.py
@@ -59,6 +59,18 @@
     assert closed.at < world.stopped_at() < closed.at + EXIT_S
 
 
+# Failure: a host opens a session on a connection that it is closing, whose end
+# cuts off the session's first statement.
+def test_session_requested_on_a_closing_connection_is_refused():
+    world = _stop_with_late_connection()
+    world.client_stays_connected = True
+    while not world.of_type(session_items.CloseSession):
+        world.run(stopping_world.TICK_S)
+    world.start_session(1)
+    (effect,) = world.of_client(1)[1:]
+    assert isinstance(effect, session_items.RejectSession)
+
+
 # Failure: a host exits though a connection still has to deliver an answer.
 def test_host_waits_for_a_connection_that_is_still_open():
     world = _stop_with_late_connection()
