Block signals while a stopped host exits

What callers saw: nothing lost.

Cause: the event loop restores the signals' default actions when it closes, and the interpreter then takes some more milliseconds to end.

Ruled out: an end before the last connection: `stopped` is logged before that. To set the signals to be ignored after the loop has closed leaves a gap in between.

Change: the root blocks the three handled signals once it has logged `stopped`, while the loop's handlers are still in place. What arrives then stays pending.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/root.py
@@ -38,6 +38,7 @@
 TICK_INTERVAL_S = 0.02
 MS_PER_S = 1000
 SUCCESS = 0
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 async def run(
@@ -72,6 +73,8 @@
         connections=client_connections.open_count,
         unanswered=client_connections.unanswered,
     )
+    # The event loop removes its handlers when it closes.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     return SUCCESS
 
 
--- a/tests/functional/test_hosted_signals.py
+++ b/tests/functional/test_hosted_signals.py
@@ -1,4 +1,4 @@
-"""Signals to a host that has only just begun to listen."""
+"""Signals to a host that has only just begun to listen, or that exits."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 LISTEN_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.0002
 READY_TIMEOUT_S = 5.0
+SIGNAL_INTERVAL_S = 0.0005
 STOP_TIMEOUT_S = 8.0
 
 
@@ -89,3 +90,33 @@
 def test_starting_host_stops_gracefully_on_sigterm():
     ends = asyncio.run(_signal_hosts(signal.SIGTERM))
     assert [end for end in ends if end[1] != 0] == []
+
+
+def _signal_until_ended(host: deployment.HostProcess, number_sent: int) -> int:
+    """Stops a host, sends a signal until it ends; returns its exit code."""
+    host.popen.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + STOP_TIMEOUT_S
+    while host.popen.poll() is None:
+        assert time.monotonic() < deadline, "the host has not ended"
+        host.popen.send_signal(number_sent)
+        time.sleep(SIGNAL_INTERVAL_S)
+    return host.popen.poll()
+
+
+async def _signal_ending_hosts() -> list[int]:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    async with deployment.running(len(numbers)) as deployed:
+        return await asyncio.gather(
+            *(
+                asyncio.to_thread(_signal_until_ended, host, number_sent)
+                for host, number_sent in zip(
+                    deployed.hosts, numbers, strict=True
+                )
+            )
+        )
+
+
+# Failure: a signal that arrives while a stopped host exits kills it, so that a
+# graceful stop looks like a crash.
+def test_signals_during_the_exit_do_not_kill_a_stopped_host():
+    assert asyncio.run(_signal_ending_hosts()) == [0, 0, 0]
