--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -19,6 +19,7 @@
 )
 from fescueshunt.sessions import (
     answers,
+    closed_sessions,
     items,
     jobs,
     readiness,
@@ -47,6 +48,7 @@
 
     def __init__(self, grace_s: float) -> None:
         self._sessions: dict[int, client_session.Session] = {}
+        self._closed_sessions = closed_sessions.ClosedSessions()
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
         self._unanswered = unanswered.UnansweredStatements()
@@ -123,6 +125,8 @@
                     sessions.Failure.INVALID,
                     item.detail,
                 )
+            case session_items.ClientDisconnected():
+                self._closed_sessions.discard(item.client)
         yield from self._remove_session(item.client, item.at)
 
     def _remove_session(
@@ -150,6 +154,7 @@
     def _close_session(
         self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
+        self._closed_sessions.add(session)
         yield session_items.CloseSession(now, session.client)
         yield from self._remove_session(session.client, now)
 
@@ -158,6 +163,7 @@
     ) -> Iterator[filters.Item]:
         session = self._sessions.get(item.client)
         if session is None:
+            yield from self._closed_sessions.refuse(item)
             return
         self._unanswered.add(item)
         statement = item.statement
