--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -215,7 +215,11 @@
 
 
 def _unacknowledged_bytes(fd: int) -> int:
-    """Returns how many bytes sent on a socket have not reached its peer."""
+    """Returns how many bytes sent on a socket have not reached its peer.
+
+    Returns 0 if the system does not say.
+    """
     count = array.array("i", [0])
-    fcntl.ioctl(fd, termios.TIOCOUTQ, count)
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(fd, termios.TIOCOUTQ, count)
     return count[0]
