Answer the requests that a fault in a filter of a proxy loses

Callers saw: no answer at all to a request whose item made a filter raise, until their own time-out, and then only "connection lost". The drain of a stopping proxy counted them for 75 s.

A new filter, `watchdog`, keeps each request that a caller or a peer has sent until its end. One that has none 0.1 s after its deadline is answered: as unknown if its kind may have run, else as not run. That is within the 0.25 s that a caller waits beyond its time-out. It answers at the second tick only, as after a pause of the process the answer of another filter may still be on its way, and it drops the end of a request that it has answered, so that the drain never counts one twice.

Ruled out: a table in the border, which would have to know what each kind of request may have done; the filter `reply`, which never sees a request that an earlier filter loses; a check in each filter.

Not covered: changes of operators, whose client waits for its own time-out.

--- a/packages/fescueshunt/src/fescueshunt/request/outcome.py
+++ b/packages/fescueshunt/src/fescueshunt/request/outcome.py
@@ -82,15 +82,16 @@
     return finish(now, work, request.Answer(work.req.request_id, error=error))
 
 
+def expiry_error(req: request.Request) -> errors.FescueshuntError:
+    """Returns the error of a request whose attempt got no reply in time."""
+    if req.kind in KINDS_WITHOUT_EFFECT:
+        return errors.DeadlineError()
+    return errors.OutcomeUnknownError("no reply before the deadline")
+
+
 def expire(now: float, work: items.Work) -> items.Answered:
     """Returns the answer to work whose attempt got no reply in time."""
-    if may_have_run(work):
-        return refuse(
-            now,
-            work,
-            errors.OutcomeUnknownError("no reply before the deadline"),
-        )
-    return refuse(now, work, errors.DeadlineError())
+    return refuse(now, work, expiry_error(work.req))
 
 
 # Errors read from the ledger, after which no earlier attempt can still run.
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -22,6 +22,7 @@
     route,
     surge,
     transact,
+    watchdog,
     write,
 )
 
@@ -66,6 +67,7 @@
     """
     stages = (
         dedupe.Dedupe(),
+        watchdog.Watchdog(),
         drain.Drain(),
         surge.Surge(),
         admit.Admit(),
