Don't refuse a session's read while no majority confirms the primary

The primary's new status was there (0.2 s old) and had the write of the token, but the statuses of the two others were 3.3 s old, so no majority was known to hold the primary's last entry (623; 622 was the newest known of the others) or to support its term. A write in the same place is tried again; the read was refused for good.

Now such a read is tried again as well, until its deadline. It is refused at once only if a failover has discarded its position, or if its age limit is what a primary with current news can't meet.

--- a/packages/fescueshunt/src/fescueshunt/request/eligibility.py
+++ b/packages/fescueshunt/src/fescueshunt/request/eligibility.py
@@ -167,7 +167,7 @@
         """
         if _is_position_lost(work, view):
             return outcome.refuse(now, work, errors.PositionLostError())
-        if _is_status_behind(work, view.find(view.primary)):
+        if _may_be_admitted_later(now, work, view):
             return self._make_retry(now, work, view.primary, view, "")
         return outcome.refuse(now, work, errors.TooStaleError())
 
@@ -194,16 +194,19 @@
         return items.RetryNeeded(now, retried, brief)
 
 
-def _is_status_behind(
-    work: items.Work, state: views.UpstreamState | None
+def _may_be_admitted_later(
+    now: float, work: items.Work, view: views.GroupView
 ) -> bool:
-    """Returns whether the last status of a primary may be out of date.
+    """Returns whether the news of the primary may be out of date.
 
-    This holds if there is none, if newer ones are missing, or if the status
-    misses the write that the session token names.
+    This holds if it has no current status, if no majority has recently
+    confirmed its term, or if its status misses the write of the session token.
     """
+    state = view.find(view.primary)
     if state is None or state.status is None or state.failed_at is not None:
         return True
+    if not view.has_majority_support(now):
+        return True
     after = work.req.after
     return after is not None and not state.status.history.holds(after)
 
