Drop the answer that follows the watchdog's

A caller ignores a second answer with the same number, but the border promises one.

Now the watchdog marks its answer, and the filter `reply` drops another one to the same request. Ruled out: more ticks, or a time, between the two looks of the watchdog, since a second pause in between has the same effect.

--- a/packages/fescueshunt/src/fescueshunt/request/items.py
+++ b/packages/fescueshunt/src/fescueshunt/request/items.py
@@ -191,6 +191,7 @@
     """Work has its final answer, `latency_s` seconds after it arrived.
 
     `transaction` is the id of the transaction it belongs to, or empty.
+    `overdue` is whether the watchdog answers it; another answer may follow.
     """
 
     origin: Origin
@@ -199,6 +200,7 @@
     answer: request.Answer
     latency_s: float = 0.0
     transaction: bytes = b""
+    overdue: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/request/reply.py
+++ b/packages/fescueshunt/src/fescueshunt/request/reply.py
@@ -13,7 +13,13 @@
 
 
 class Reply(filters.Filter):
-    """Turns answered and returned work into messages to callers and peers."""
+    """Turns answered and returned work into messages to callers and peers.
+
+    The answer to a request that the watchdog has answered before is dropped.
+    """
+
+    def __init__(self) -> None:
+        self._overdue: set[tuple[items.Origin, bytes]] = set()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the message, then `RequestEnded` and the item itself.
@@ -23,6 +29,8 @@
         match item:
             case items.Answered(origin=items.BackgroundOrigin()):
                 return
+            case items.Answered() if self._is_second(item):
+                return
             case items.Answered():
                 yield _build_answer(item)
                 yield _make_ended(item)
@@ -33,6 +41,15 @@
                 )
         yield item
 
+    def _is_second(self, item: items.Answered) -> bool:
+        key = (item.origin, item.answer.request_id)
+        if item.overdue:
+            self._overdue.add(key)
+            return False
+        is_second = key in self._overdue
+        self._overdue.discard(key)
+        return is_second
+
 
 def _build_answer(item: items.Answered) -> filters.Item:
     match item.origin:
--- a/packages/fescueshunt/src/fescueshunt/request/watchdog.py
+++ b/packages/fescueshunt/src/fescueshunt/request/watchdog.py
@@ -37,7 +37,7 @@
 
     A request is answered at the second tick at which it is overdue. At the
     first one, after a pause of the process, its answer may still be on its
-    way. The end of a request that was answered here is dropped.
+    way. Should it come later still, it is dropped, as is the second end.
     """
 
     def __init__(self) -> None:
@@ -95,4 +95,5 @@
         "",
         answer,
         transaction=outcome.transaction_of(req),
+        overdue=True,
     )
--- a/tests/unit/test_watchdog.py
+++ b/tests/unit/test_watchdog.py
@@ -1,12 +1,13 @@
 """Tests that a request which a fault in a filter loses is answered."""
 
+import dataclasses
 import random
 
 import pytest
 
 from fescueshunt import errors
 from fescueshunt.core import filters, identity, items, peer, process, request
-from fescueshunt.request import admit, drain, pipe, policies, watchdog
+from fescueshunt.request import admit, drain, pipe, policies, reply, watchdog
 from fescueshunt.request import items as request_items
 from fescueshunt_wire import codec
 
@@ -112,6 +113,19 @@
     assert harness.effects_of(process.Stopped)
 
 
+# Guards against a second answer to a request that was only delayed, by a pause
+# of the process.
+def test_late_answer_is_dropped():
+    stage = reply.Reply()
+    origin = request_items.CallerOrigin(1, 1)
+    answer = request.Answer(bytes(16))
+    late = request_items.Answered(TIMEOUT_S, origin, "d", "", answer)
+    first = dataclasses.replace(late, overdue=True)
+    sent = [list(stage.process(item)) for item in (first, late)]
+    assert isinstance(sent[0][0], items.AnswerCaller)
+    assert sent[1] == []
+
+
 # Guards against an answer that is counted twice, so that a stop ends before
 # another request is answered.
 def test_request_ends_once():
