Accept the connections that wait when the listener of a host closes

What callers saw: a client that connects within milliseconds of the end of a stop, and sends a statement, has its connection reset without an answer.

Cause: the kernel completes connections that the process has yet to accept. Closing the listening socket resets them. The listener closes in a turn of the loop of its own, so all that arrive after the poll of that turn wait.

Ruled out: sessions accepted after the decision to exit (none: the outcomes were answers or resets before any byte of the host); a client held up between its connect and its statement, as both are sent in one step.

Change: the listener keeps a duplicate of the listening socket while the server closes, accepts what waits until there is nothing, and closes the duplicate. These connections are clients like any other, so the process waits for them to end.

Why it works: only what arrives between the last accept, which found nothing, and the close right behind it is reset.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -314,7 +314,11 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Stops listening; the connections already accepted stay open."""
+        """Stops listening.
+
+        The connections already made stay open; those that still wait are
+        accepted.
+        """
 
 
 class FrontEnd(abc.ABC):
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -11,7 +11,8 @@
 from fescueshunt_proxy.platform import lines
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    import socket
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from fescueshunt.core import sessions
 
@@ -33,21 +34,61 @@
         """Listens on `address` until the context manager exits."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+
+        def create_protocol() -> _ClientProtocol:
+            return _ClientProtocol(accept)
+
         server = await loop.create_server(
-            lambda: _ClientProtocol(accept), host, int(port), backlog=BACKLOG
+            create_protocol, host, int(port), backlog=BACKLOG
         )
         try:
-            yield _ServerListener(server)
+            yield _ServerListener(server, create_protocol)
         finally:
             server.close()
 
 
 class _ServerListener(ports.Listener):
-    def __init__(self, server: asyncio.Server) -> None:
+    def __init__(
+        self,
+        server: asyncio.Server,
+        create_protocol: Callable[[], _ClientProtocol],
+    ) -> None:
         self._server = server
+        self._create_protocol = create_protocol
+        self._accept_tasks: list[asyncio.Task] = []
 
     def close(self) -> None:
+        """Stops listening and accepts the connections that already wait.
+
+        They would be reset, with the requests that their clients have sent.
+        """
+        listening_socks = [sock.dup() for sock in self._server.sockets]
         self._server.close()
+        loop = asyncio.get_running_loop()
+        for listening_sock in listening_socks:
+            with listening_sock:
+                waiting_socks = list(_accept_waiting(listening_sock))
+            self._accept_tasks += [
+                loop.create_task(self._connect(sock)) for sock in waiting_socks
+            ]
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            await loop.connect_accepted_socket(self._create_protocol, sock)
+
+
+def _accept_waiting(listening_sock: socket.socket) -> Iterator[socket.socket]:
+    """Yields the connections that wait to be accepted, without blocking."""
+    while True:
+        try:
+            sock, _ = listening_sock.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            return
+        sock.setblocking(False)
+        yield sock
 
 
 class _LineProtocolClient(ports.ClientConnection):
