--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -12,8 +12,9 @@
 import subprocess
 import sys
 import tempfile
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from fescueshunt import errors
 from fescueshunt_standins import fleet
 from fescueshunt_standins.hosted import lines
 from fescueshunt_wire import http
@@ -23,6 +24,8 @@
 
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 5.0
+STAND_IN_TIMEOUT_S = 20.0
+RETRY_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 6.0
 
@@ -52,18 +55,35 @@
           action: `crash` or `restart`.
           upstream: the name of the upstream.
         """
-        target = f"/stand-in/{action}?name={upstream}"
-        client = http.Client(self.platform_address)
-        response = await client.call("POST", target, ANSWER_TIMEOUT_S)
-        assert response.status == 200
+        await self._call_stand_in("POST", f"{action}?name={upstream}")
+
+    async def change_routes(self, timeout_ms: int) -> None:
+        """Gives all routes another timeout."""
+        await self._call_stand_in("POST", f"routes?timeout_ms={timeout_ms}")
 
     async def read_statement_ids(self) -> set[str]:
         """Returns the ids of the clients' statements that reached upstreams."""
+        return set((await self._call_stand_in("GET", "statements"))["ids"])
+
+    async def read_committed_values(self) -> list[str]:
+        """Returns the values in the latest log of a member, in order."""
+        return (await self._call_stand_in("GET", "statements"))["committed"]
+
+    async def _call_stand_in(self, method: str, call: str) -> dict[str, Any]:
+        """Calls the stand-in; repeats a call that a busy machine held up."""
         client = http.Client(self.platform_address)
-        target = "/stand-in/statements"
-        response = await client.call("GET", target, ANSWER_TIMEOUT_S)
-        assert response.status == 200
-        return set(json.loads(response.body)["ids"])
+        target = f"/stand-in/{call}"
+        async with asyncio.timeout(STAND_IN_TIMEOUT_S):
+            while True:
+                try:
+                    response = await client.call(
+                        method, target, ANSWER_TIMEOUT_S
+                    )
+                except errors.ConnectionLostError:
+                    await asyncio.sleep(RETRY_INTERVAL_S)
+                    continue
+                assert response.status == 200
+                return json.loads(response.body)
 
 
 @contextlib.contextmanager
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -2,9 +2,10 @@
 
 The key-value store and the promotion call share one HTTP address. Each upstream
 listens on an address of its own. `POST /stand-in/crash?name=` and
-`POST /stand-in/restart?name=` crash and restart an upstream;
+`POST /stand-in/restart?name=` crash and restart an upstream, and
+`POST /stand-in/routes?timeout_ms=` changes the configuration document.
 `GET /stand-in/statements` returns the ids of the statements that clients sent
-and that arrived at an upstream.
+and that arrived at an upstream, and the values in the latest log of a member.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
 TICK_S = 0.01
 PROMOTION_DELAY_S = 0.2
 DATABASE = "renew-1"
+TIMEOUT_MS = 1000
 MAX_WAIT_S = 30.0
 ROUTES = (
     ("card-renew", "primary", 0),
@@ -52,17 +54,19 @@
         self.addresses: dict[str, str] = {}
         self.listeners: dict[str, lines.MemberListener] = {}
         self._published_entries: dict[str, str] = {}
+        self._routes_version = 0
 
     def _schedule(self, delay_s: float, call: Any) -> None:
         asyncio.get_running_loop().call_later(delay_s, call)
 
-    def publish_routes(self) -> None:
+    def publish_routes(self, timeout_ms: int = TIMEOUT_MS) -> None:
         """Writes the operator's configuration document to the store."""
+        self._routes_version += 1
         routes = [
             {
                 "db_name": name,
                 "route_type": route_type,
-                "timeout_ms": 1000,
+                "timeout_ms": timeout_ms,
                 "target_latency_ms": 500,
                 "priority": 0,
                 "service": DATABASE,
@@ -71,7 +75,11 @@
             for name, route_type, max_staleness_ms in ROUTES
         ]
         services = [{"name": DATABASE, "max_conns": 30, "sync_replicas": 1}]
-        document = {"version": 1, "routes": routes, "services": services}
+        document = {
+            "version": self._routes_version,
+            "routes": routes,
+            "services": services,
+        }
         self._write_key("op/config", json.dumps(document))
 
     def publish_entries(self) -> None:
@@ -134,6 +142,9 @@
                 return self._promote_upstream(body["id"])
             case "GET", ["stand-in", "statements"]:
                 return self._list_statements()
+            case "POST", ["stand-in", "routes"]:
+                self.publish_routes(int(params["timeout_ms"]))
+                return _json_response()
             case "POST", ["stand-in", action]:
                 return self._crash_or_restart(action, params["name"])
         return http.Response(404, b"")
@@ -207,7 +218,10 @@
             for listener in self.listeners.values()
             for statement_id in listener.received_ids
         ]
-        return _json_response(ids=ids)
+        members = self.members.values()
+        latest = max(members, key=replicas.Member.received_position)
+        committed = [entry.tag for entry in latest.log]
+        return _json_response(ids=ids, committed=committed)
 
     def _crash_or_restart(self, action: str, name: str) -> http.Response:
         member = self.members[name]
