Count a session that a stopping host refuses as refused in its test

The whole suite, beside a load average of 37, gave 4 connections whose start of a session got ERROR BUSY, among 673; the test took only answers to the statement for an outcome. A typed refusal says that nothing ran, and the test's name and docs/design/ending.md ask for no more. The check is otherwise the same: any other end of an accepted connection fails.

Which of the two refusals it was, on a connection that closes or after the stop is complete, is not known; before both ended without an answer.

--- a/tests/functional/test_hosted_stop_end.py
+++ b/tests/functional/test_hosted_stop_end.py
@@ -23,6 +23,9 @@
 STOP_TIMEOUT_S = 15.0
 SETTLE_S = 0.2
 TEXTS = ("SET z 1", "READ a")
+ANSWERED = "answered"
+REFUSED = "refused"
+REFUSAL = f"ERROR BUSY {stop_load.REPLICA_ROUTE}\r\n".encode()
 START = f"START {stop_load.REPLICA_ROUTE} tester"
 
 
@@ -45,7 +48,7 @@
 
 
 async def _read_outcome(sock: socket.socket) -> str:
-    """Returns `answered`, or how the connection ended without an answer."""
+    """Returns how a connection ended: answered, refused, or neither."""
     received = b""
     reader, writer = await asyncio.open_connection(sock=sock)
     try:
@@ -53,10 +56,12 @@
             while received.count(stop_load.READY) < 2:
                 received += await reader.readuntil(b"\r\n")
     except (OSError, asyncio.IncompleteReadError, TimeoutError) as exc:
+        if received == REFUSAL:
+            return REFUSED
         return f"{type(exc).__name__} after {received!r}"
     finally:
         writer.close()
-    return "answered"
+    return ANSWERED
 
 
 async def _connect_until_refused(address: str) -> list[str]:
@@ -92,7 +97,9 @@
 def test_connection_at_the_end_of_a_stop_is_refused_or_answered():
     counts = asyncio.run(_stop_hosts_in_turn())
     print(counts)
-    assert set().union(*counts) == {"answered"}, counts
+    outcomes = set().union(*counts)
+    assert ANSWERED in outcomes
+    assert outcomes <= {ANSWERED, REFUSED}, counts
 
 
 class _RecordingListener(ports.ClientListener):
