--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -15,6 +15,7 @@
 from fescueshunt_wire import listening
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator, Callable
 
     from fescueshunt.core import sessions
@@ -37,25 +38,52 @@
     ) -> AsyncIterator[ports.Listener]:
         """Listens on `address` until the context manager exits."""
         loop = asyncio.get_running_loop()
+
+        def create_protocol() -> _ClientProtocol:
+            return _ClientProtocol(accept)
+
         with listening.bound_socket(address) as sock:
             server = await loop.create_server(
-                lambda: _ClientProtocol(accept),
+                create_protocol,
                 sock=sock,
                 backlog=listening.ACCEPTS_PER_TURN,
             )
             listening.widen_backlog(sock)
             try:
-                yield _ServerListener(server)
+                yield _ServerListener(server, create_protocol)
             finally:
                 server.close()
 
 
 class _ServerListener(ports.Listener):
-    def __init__(self, server: asyncio.Server) -> None:
+    def __init__(
+        self,
+        server: asyncio.Server,
+        create_protocol: Callable[[], _ClientProtocol],
+    ) -> None:
         self._server = server
+        self._create_protocol = create_protocol
+        self._accept_tasks: list[asyncio.Task] = []
 
     def close(self) -> None:
+        """Stops listening and accepts the connections that already wait.
+
+        They would be reset, with the requests that their clients have sent.
+        """
+        listening_socks = [sock.dup() for sock in self._server.sockets]
         self._server.close()
+        loop = asyncio.get_running_loop()
+        for listening_sock in listening_socks:
+            with listening_sock:
+                waiting_socks = list(listening.accept_waiting(listening_sock))
+            self._accept_tasks += [
+                loop.create_task(self._connect(sock)) for sock in waiting_socks
+            ]
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            await loop.connect_accepted_socket(self._create_protocol, sock)
 
 
 class _LineProtocolClient(ports.ClientConnection):
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/listening.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/listening.py
@@ -39,3 +39,16 @@
 def widen_backlog(sock: socket.socket) -> None:
     """Lets `BACKLOG` connections wait to be accepted."""
     sock.listen(BACKLOG)
+
+
+def accept_waiting(sock: socket.socket) -> Iterator[socket.socket]:
+    """Yields the connections that wait to be accepted, without blocking."""
+    while True:
+        try:
+            accepted, _ = sock.accept()
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            return
+        accepted.setblocking(False)
+        yield accepted
