Test a statement that a paused client sends to a stopping host

Found apart from the read before the close: a client that had sent a statement ahead is not read from while these run, and what it sent meanwhile got no answer when its session closed (2 answers of 3 before). The read before the close answers it. The other way, a sequencer that says when all that has arrived is answered, is left out: it holds the close back by two ticks with state of its own, for the same statements.

--- a/tests/functional/test_client_disconnects.py
+++ b/tests/functional/test_client_disconnects.py
@@ -12,6 +12,9 @@
 from fescueshunt_standins.hosted import deployment
 
 STATEMENT_DURATION_S = 0.05
+LONG_STATEMENT_S = 0.5
+# Just before the sessions of a stopping host close behind their answers.
+DRAINING_S = 2.4
 ANSWER_TIMEOUT_S = 3.0
 LEAD_S = 0.3
 STOP_TIMEOUT_S = 8.0
@@ -281,3 +284,25 @@
                 return time.monotonic() - started_at
 
     assert asyncio.run(run()) < ANSWER_TIMEOUT_S
+
+
+# Failure: a client of a stopping host sends a statement while it is paused
+# because it has sent another one ahead, and gets no answer to it.
+def test_statement_that_was_sent_during_a_pause_is_answered_at_a_stop():
+    async def run() -> list[str]:
+        async with deployment.running(
+            1, statement_duration_s=LONG_STATEMENT_S
+        ) as deployed:
+            (host,) = deployed.hosts
+            async with _open_session(host.session_address) as (reader, writer):
+                host.popen.send_signal(signal.SIGTERM)
+                await asyncio.sleep(DRAINING_S)
+                writer.write(b"QUERY q1 READ a\r\nQUERY q2 READ a\r\n")
+                await asyncio.sleep(LEAD_S)
+                writer.write(b"QUERY q3 WRITE a 1\r\n")
+                return await _read_lines_to_end(reader)
+
+    lines = asyncio.run(run())
+    assert _answer_count(lines) == 3, lines
+    assert lines[-1] == READY
+    assert lines[-2].startswith((COMPLETE, "ERROR BUSY"))
