Bound the exponent of the delay between connection attempts

Three host processes that lost their stand-in for 25 minutes did not stop on SIGTERM; one logged `stop_started`, then OverflowError on 28452 items, and never ended.

Cause: the delay doubles with each failure before it is capped. After 1024 failures the power exceeds a float, the tick of the sessions pipe fails, and with it each step of a stop.

Ruled out: blocked signals; the processes had none blocked and got SIGTERM.

Change: at most 64 doublings.

Evidence: test_backoff_stays_bounded_after_thousands_of_failures raised OverflowError before and passes.

--- a/packages/fescueshunt/src/fescueshunt/core/reconnect.py
+++ b/packages/fescueshunt/src/fescueshunt/core/reconnect.py
@@ -8,6 +8,9 @@
 if TYPE_CHECKING:
     import random
 
+# Few enough for the bound to stay a number.
+MAX_DOUBLINGS = 64
+
 
 @dataclasses.dataclass(slots=True)
 class ReconnectBackoff:
@@ -35,7 +38,8 @@
 
     def record_failure(self, now: float, rng: random.Random) -> None:
         """Delays the next attempt; the bound doubles with each failure."""
-        limit_s = min(self.initial_s * 2**self.failures, self.max_s)
+        doublings = min(self.failures, MAX_DOUBLINGS)
+        limit_s = min(self.initial_s * 2**doublings, self.max_s)
         self.failures += 1
         self.retry_at = now + limit_s * rng.uniform(0.5, 1.0)
 
