Bound the delay between ballots, and send ahead in one write in a test

The delay between a proxy's ballots doubled as the one between connection attempts did, without a bound on the power: after 1024 ballots for one database every further one would raise OverflowError.

--- a/packages/fescueshunt/src/fescueshunt/core/reconnect.py
+++ b/packages/fescueshunt/src/fescueshunt/core/reconnect.py
@@ -1,4 +1,4 @@
-"""Exponential back-off for connections to an upstream."""
+"""Exponential back-off between attempts."""
 
 from __future__ import annotations
 
@@ -38,11 +38,15 @@
 
     def record_failure(self, now: float, rng: random.Random) -> None:
         """Delays the next attempt; the bound doubles with each failure."""
-        doublings = min(self.failures, MAX_DOUBLINGS)
-        limit_s = min(self.initial_s * 2**doublings, self.max_s)
+        limit_s = doubled_delay_s(self.initial_s, self.failures, self.max_s)
         self.failures += 1
         self.retry_at = now + limit_s * rng.uniform(0.5, 1.0)
 
     def record_success(self) -> None:
         """Resets the failure count after a successful attempt."""
         self.failures = 0
+
+
+def doubled_delay_s(initial_s: float, doublings: int, max_s: float) -> float:
+    """Returns `initial_s` doubled so many times, at most `max_s`; seconds."""
+    return min(initial_s * 2 ** min(doublings, MAX_DOUBLINGS), max_s)
--- a/packages/fescueshunt/src/fescueshunt/failover/propose.py
+++ b/packages/fescueshunt/src/fescueshunt/failover/propose.py
@@ -18,6 +18,7 @@
     filters,
     identity,
     position,
+    reconnect,
     upstream,
     views,
 )
@@ -306,8 +307,9 @@
             self._back_off(candidacy, item.at)
 
     def _back_off(self, candidacy: Candidacy, now: float) -> None:
-        uncapped_s = BACKOFF_INITIAL_S * 2 ** (candidacy.ballot_count - 1)
-        max_wait_s = min(uncapped_s, BACKOFF_MAX_S)
+        max_wait_s = reconnect.doubled_delay_s(
+            BACKOFF_INITIAL_S, candidacy.ballot_count - 1, BACKOFF_MAX_S
+        )
         candidacy.start_at = now + self._rng.uniform(max_wait_s / 2, max_wait_s)
         candidacy.attempt = None
 
--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -157,8 +157,13 @@
     """Sends statements to a draining host; returns the number of answers."""
     async with deployment.session(address, stop_load.PRIMARY_ROUTE) as client:
         await asyncio.sleep(LEAD_S + DRAINING_S)
-        for number, text in enumerate(texts):
-            client.writer.write(f"QUERY q{number} {text}\r\n".encode())
+        lines = [
+            f"QUERY q{number} {text}\r\n".encode()
+            for number, text in enumerate(texts)
+        ]
+        # Without pauses, in one write, so that they arrive together.
+        for data in lines if interval_s else [b"".join(lines)]:
+            client.writer.write(data)
             await asyncio.sleep(interval_s)
         async with asyncio.timeout(STOP_TIMEOUT_S):
             return (await client.reader.read()).count(stop_load.READY)
