Count a replaced member until its successor is listed, and acknowledge later leases

Lost commits: a member whose address answers as another upstream was taken for gone, though that other one, not listed yet, has its log and may acknowledge commits. It counts as silent now until an entry shows its address; one whose successor is listed already does not. And a new listing restarts the time for which a host has watched the entries, as it may have missed a member that came and vanished.

Outage: a host that learned of a failover before it had a lease never acknowledged it, and was waited for until the attempt gave up after 6 s; so was one whose lease had been revoked. Each host that starts did so. Now it acknowledges under its next lease.

Beside it: a stopping host ended its lease twice, which is a priced call; the mark of a stopping host can't be the name of a zone; a client of the stop test is excused only by a delay during its own session.

Evidence: on the code before, the three new tests of the membership, that of the second end of the lease, test_host_that_starts_during_a_failover_does_not_hold_it_up and three of six cases of test_primary_is_replaced_while_hosts_are_restarted_in_turn failed. The bound of the last one allows for one change of the host that replaces the primary.

--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -102,8 +102,9 @@
       samples: position samples, oldest first.
       silent: the ids of former members that may still run. They do not answer,
         and may acknowledge commits with each other or with a member.
-      watched_since: when this host first read entries, in seconds on the
-        local clock. It knows of no former member from before that time.
+      watched_since: since when this host has read all changes of entries, in
+        seconds on the local clock. It may not know of a former member from
+        before that time.
     """
 
     database: str
@@ -113,8 +114,8 @@
     confirmed_until: float
     is_failing_over: bool
     samples: tuple[PositionSample, ...]
-    silent: frozenset[str] = frozenset()
-    watched_since: float = NEVER
+    silent: frozenset[str]
+    watched_since: float
 
     def member(self, upstream: str) -> MemberView | None:
         """Returns the member with the id `upstream`, or None."""
--- a/packages/fescueshunt/src/fescueshunt/core/store_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/store_items.py
@@ -17,8 +17,9 @@
 VOTES_PREFIX = KEY_PREFIX + "votes/"
 DUTY_KEY = KEY_PREFIX + "failover"
 LEASE_TTL_S = 1.2
-# The value of a host's key once the host no longer relies on its lease.
-STOPPING = "stopping"
+# The value of a host's key once the host no longer relies on its lease, in
+# place of its availability zone. No zone has such a name.
+STOPPING = "state=stopping"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -145,6 +145,8 @@
         ignored.
         """
         state = self._state
+        if state.stopping:
+            return
         if stored is not None and state.lease and stored.lease == state.lease:
             state.key_read_back = True
             yield self._view(now)
--- a/packages/fescueshunt/src/fescueshunt/replicas/items.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/items.py
@@ -17,8 +17,8 @@
       silent: the ids of former members that were dropped because they did not
         answer. They may still run, and acknowledge commits with each other or
         with a member.
-      watched_since: when this host first read entries, in seconds on the
-        local clock.
+      watched_since: since when this host has read all changes of entries, in
+        seconds on the local clock.
     """
 
     database: str
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -2,9 +2,10 @@
 
 An upstream whose entry was removed may only have lost its connection to the
 store and could still acknowledge commits. It is therefore polled, and it stays
-a member until it is known to be gone or has not answered for
-UNLISTED_TIMEOUT_S. Even then it may still run, so it is reported as silent for
-FORMER_MEMBER_TTL_S, or until another upstream has its address.
+a member until another upstream answers at its address or it has not answered
+for UNLISTED_TIMEOUT_S. Even then it, or its successor, may acknowledge commits,
+so it is reported as silent for FORMER_MEMBER_TTL_S, or until another upstream
+is listed at its address.
 An entry whose replica set is not in the operator's document belongs to another
 program and is ignored.
 """
@@ -99,6 +100,7 @@
     def _apply_listing(
         self, item: store_items.EntriesListed
     ) -> Iterator[filters.Item]:
+        self._watched_since = item.at
         listed = {entry.upstream for entry in item.entries}
         for upstream in self._upstreams.keys() - listed:
             yield from self._mark_unlisted(upstream, item.at)
@@ -164,7 +166,6 @@
             > UNLISTED_TIMEOUT_S
         ]
         for upstream in silent:
-            self._silent_upstreams[upstream] = self._upstreams[upstream]
             yield from self._drop(upstream, now)
 
     def _forget_silent(self, now: float) -> Iterator[filters.Item]:
@@ -194,7 +195,19 @@
             yield from self._members_of(forgotten.entry.database, now)
 
     def _drop(self, upstream: str, now: float) -> Iterator[filters.Item]:
+        """Drops a member, which counts as silent until its address is reused.
+
+        If another upstream already runs there, but is not listed yet, that one
+        may acknowledge commits.
+        """
         dropped = self._upstreams.pop(upstream)
+        is_replaced = any(
+            state.unlisted_at is None
+            and state.entry.address == dropped.entry.address
+            for state in self._upstreams.values()
+        )
+        if not is_replaced:
+            self._silent_upstreams[upstream] = dropped
         yield from self._members_of(dropped.entry.database, now)
 
     def _members_of(self, database: str, now: float) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -35,7 +35,7 @@
     Attributes:
       members: the members by upstream id.
       silent: the ids of former members that may still run.
-      watched_since: when this host first read entries.
+      watched_since: since when this host has read all changes of entries.
       record: the leadership record in the store, or None.
       published: the primary in the last published view.
       term: the highest known term.
--- a/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
@@ -25,27 +25,38 @@
     def __init__(self, host_name: str) -> None:
         self._host_name = host_name
         self._lease = 0
+        self._records: dict[str, leadership.Record] = {}
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the acknowledgements to write, then `item` itself."""
         match item:
-            case store_items.LeaseView():
+            case store_items.LeaseView() if item.lease != self._lease:
                 self._lease = item.lease
+                yield from self._acknowledge_all(item.at)
             case store_items.KeysListed():
                 for key, stored in item.keys.items():
-                    yield from self._acknowledge(key, stored, item.at)
+                    yield from self._record(key, stored, item.at)
             case store_items.KeyChanged() if item.stored is not None:
-                yield from self._acknowledge(item.key, item.stored, item.at)
+                yield from self._record(item.key, item.stored, item.at)
         yield item
 
-    def _acknowledge(
+    def _record(
         self, key: str, stored: store_items.StoredKey, now: float
     ) -> Iterator[filters.Item]:
         parsed = leadership.parse_database_record(key, stored)
-        if parsed is None or not self._lease:
-            return
-        database, record = parsed
-        if not record.is_failing_over:
+        if parsed is not None:
+            database, record = parsed
+            self._records[database] = record
+            yield from self._acknowledge(database, now)
+
+    def _acknowledge_all(self, now: float) -> Iterator[filters.Item]:
+        """Acknowledges under a new lease what was announced before it."""
+        for database in self._records:
+            yield from self._acknowledge(database, now)
+
+    def _acknowledge(self, database: str, now: float) -> Iterator[filters.Item]:
+        record = self._records[database]
+        if not record.is_failing_over or not self._lease:
             return
         yield store_items.WriteKey(
             now,
--- a/tests/lib/session_load.py
+++ b/tests/lib/session_load.py
@@ -123,6 +123,8 @@
             float("inf"),
             not primary,
             (replica_sets.PositionSample(float("inf"), start),),
+            frozenset(),
+            replica_sets.NEVER,
         )
         list(self._pools.set_members(view))
         self.queue.update_view(view)
--- a/tests/lib/stop_load.py
+++ b/tests/lib/stop_load.py
@@ -63,6 +63,7 @@
     def __init__(self, name: str, address: str, stop_at: float) -> None:
         self.sent: list[SentStatement] = []
         self.max_lag_s = 0.0
+        self._held_up_at_s = float("-inf")
         self.refused_count = 0
         self._name = name
         self._host, _, port = address.rpartition(":")
@@ -75,7 +76,10 @@
         while True:
             due_s = self._elapsed_s() + LAG_INTERVAL_S
             await self._sleep_until(due_s)
-            self.max_lag_s = max(self.max_lag_s, self._elapsed_s() - due_s)
+            lag_s = self._elapsed_s() - due_s
+            self.max_lag_s = max(self.max_lag_s, lag_s)
+            if lag_s > FIRST_STATEMENT_S:
+                self._held_up_at_s = self._elapsed_s()
 
     async def run_short_session(self, start_s: float, route: str) -> None:
         """Opens a session at `start_s` after SIGTERM for one statement."""
@@ -126,6 +130,7 @@
         texts: Iterable[str] = itertools.repeat("READ a"),
     ) -> None:
         writer = None
+        opened_at_s = self._elapsed_s()
         try:
             reader, writer = await asyncio.open_connection(
                 self._host, self._port
@@ -134,7 +139,7 @@
             welcome = await reader.readuntil(b"\r\n")
             # A client that was held up reads the end of the connection next.
             await asyncio.sleep(0)
-            was_held_up = self.max_lag_s > FIRST_STATEMENT_S
+            was_held_up = self._held_up_at_s >= opened_at_s
             if not welcome.startswith(READY) or (
                 reader.at_eof() and was_held_up
             ):
--- a/tests/lib/takeover_replayer.py
+++ b/tests/lib/takeover_replayer.py
@@ -187,6 +187,7 @@
             False,
             (),
             self.silent,
+            replica_sets.NEVER,
         )
 
     def run_call(
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -104,7 +104,8 @@
         now,
         False,
         (),
-        watched_since=now - watched_s,
+        frozenset(),
+        now - watched_s,
     )
     assert fence.fence_for(view, "current", now).required == required
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -136,6 +136,49 @@
     assert _changes(emitted)[-1].silent == frozenset()
 
 
+# Guards against lost commits: the upstream that has replaced a member, and is
+# not listed yet, may acknowledge commits with the others.
+def test_replaced_upstream_counts_as_silent_until_its_successor_is_listed():
+    harness = MembershipHarness()
+    moved = _entry("u1", address="127.0.0.1:2")
+    harness.feed(store_items.EntryChanged(0.5, moved))
+    harness.feed(store_items.EntryRemoved(1.0, "u1"))
+    call = sessions.GetStatus()
+    refused = session_items.UpstreamCallCompleted(
+        2.0, "u1", call, 2.0, None, True, True
+    )
+    emitted = harness.feed(refused)
+    assert _members(emitted) == ["u0", "u2"]
+    assert _changes(emitted)[-1].silent == {"u1"}
+    successor = _entry("u4", address=moved.address)
+    emitted = harness.feed(store_items.EntryChanged(3.0, successor))
+    assert _members(emitted) == ["u0", "u2", "u4"]
+    assert _changes(emitted)[-1].silent == frozenset()
+
+
+# Guards against an outage: a member whose successor is listed already can't
+# come back, and must not be waited for.
+def test_member_with_a_listed_successor_does_not_count_as_silent():
+    harness = MembershipHarness()
+    moved = _entry("u1", address="127.0.0.1:2")
+    harness.feed(store_items.EntryChanged(0.5, moved))
+    harness.feed(store_items.EntryRemoved(1.0, "u1"))
+    successor = _entry("u4", address=moved.address)
+    harness.feed(store_items.EntryChanged(2.0, successor))
+    emitted, _ = harness.pass_time(2.0, 8.0, answers=False)
+    assert _members(emitted) == ["u0", "u2", "u4"]
+    assert _changes(emitted)[-1].silent == frozenset()
+
+
+# Guards against lost commits: a host that could not read the entries for a
+# while may have missed a member that has come and vanished.
+def test_listing_after_a_gap_restarts_the_watch():
+    harness = MembershipHarness()
+    listed = tuple(_entry(name) for name in ("u0", "u1"))
+    emitted = harness.feed(store_items.EntriesListed(90.0, listed))
+    assert _changes(emitted)[-1].watched_since == 90.0
+
+
 def test_fence_needs_every_replica_once_the_old_primary_is_dropped():
     members = {name: _entry(name) for name in ("u1", "u2")}
     assert fence.Fence(members, "u0", 2).required == 2
--- a/tests/unit/test_presence.py
+++ b/tests/unit/test_presence.py
@@ -44,6 +44,17 @@
         assert ended == ([store_items.EndLease(1.2, LEASE)] if done else [])
 
 
+def test_stopping_host_ends_its_lease_once():
+    host_lease = _host_with_lease()
+    _feed(
+        host_lease,
+        process.StopAsked(1.0),
+        store_items.KeyWritten(1.1, KEY, True, REVISION + 1),
+    )
+    gone = store_items.KeyChanged(1.2, KEY, None, REVISION + 2)
+    assert _feed(host_lease, gone) == [gone]
+
+
 def test_host_without_a_key_ends_its_lease_at_once():
     host_lease = lease.HostLease(identity.Identity(NAME, ZONE, "address", 1))
     _feed(host_lease, store_items.LeaseGranted(0.0, LEASE, 1.0, 0.0))
--- a/tests/unit/test_stale_reads.py
+++ b/tests/unit/test_stale_reads.py
@@ -33,8 +33,9 @@
         if upstream == PRIMARY
         else sessions.ReplicaRole.REPLICA
     )
+    address = f"127.0.0.1:{int(upstream[1:]) + 1}"
     return replica_sets.UpstreamEntry(
-        upstream, hosted_routes.DATABASE, "127.0.0.1:1", "z", 2, False, role
+        upstream, hosted_routes.DATABASE, address, "z", 2, False, role
     )
 
 
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -5,13 +5,15 @@
 import itertools
 from collections.abc import Iterator
 
+import pytest
+
 from fescueshunt.core import process, store_items
 from fescueshunt.replicas import membership
+from fescueshunt.takeover import replace
 from lib import hosted_clients, hosted_faults, hosted_world
 
 # The expected time of a promotion, plus the 2 s that the target allows.
 MAX_OUTAGE_S = hosted_world.PROMOTION_S + 2.0
-STOP_INTERVAL_S = 0.6
 STOP_DURATION_S = 2.6
 
 
@@ -92,7 +94,9 @@
     assert hosted_clients.find_violations(world, history) == []
 
 
-def _stop_in_turn(world: hosted_world.World, names: Iterator[str]) -> None:
+def _stop_in_turn(
+    world: hosted_world.World, names: Iterator[str], interval_s: float
+) -> None:
     """Stops the next host and starts it again, in an endless rolling restart.
 
     Each host runs on for a while after it was asked to stop, as in production.
@@ -105,21 +109,50 @@
         world.start_host(name)
 
     world.call_later(STOP_DURATION_S, restart)
-    world.call_later(STOP_INTERVAL_S, lambda: _stop_in_turn(world, names))
+    world.call_later(
+        interval_s, lambda: _stop_in_turn(world, names, interval_s)
+    )
 
 
 # Guards against an outage of a database for as long as hosts are restarted in
 # turn: each host that had left held up the promotion for the time of a lease.
-def test_primary_is_replaced_while_hosts_are_restarted_in_turn():
+@pytest.mark.parametrize("interval_s", [0.6, 0.9])
+@pytest.mark.parametrize("phase_s", [0.0, 0.3, 0.6])
+def test_primary_is_replaced_while_hosts_are_restarted_in_turn(
+    interval_s, phase_s
+):
     world = hosted_world.World(hosts=9)
     world.run(1.0)
-    _stop_in_turn(world, itertools.cycle(sorted(world.hosts)))
+    names = itertools.cycle(sorted(world.hosts))
+    _stop_in_turn(world, names, interval_s)
+    world.run(2.0 + phase_s)
+    world.crash("u0")
+    # The host that replaces the primary may itself be stopped meanwhile.
+    world.run(MAX_OUTAGE_S + store_items.LEASE_TTL_S + replace.HANDOVER_WAIT_S)
+    assert [name for _, name, _ in world.replicas.promotions] != []
+
+
+# Guards against an outage of a failover's longest time: a host that started
+# during it had no lease to acknowledge it under, and never did so later.
+def test_host_that_starts_during_a_failover_does_not_hold_it_up():
+    world = hosted_world.World()
     world.run(2.0)
     world.crash("u0")
-    world.run(MAX_OUTAGE_S + store_items.LEASE_TTL_S)
+    while not _is_replacing(world):
+        world.run(hosted_world.TICK_S / 4)
+    world.start_host("late")
+    world.run(MAX_OUTAGE_S)
     assert [name for _, name, _ in world.replicas.promotions] != []
 
 
+def _is_replacing(world: hosted_world.World) -> bool:
+    return any(
+        decision.event == "replacing"
+        for host in world.hosts.values()
+        for decision in host.decisions
+    )
+
+
 # Guards against lost commits: a member that was dropped because it was silent
 # was left out of the fence, and a replica without its commits was promoted.
 def test_replica_is_not_promoted_while_a_silent_member_may_have_commits():
