Keep the rolling restart's short timeout and a failed seed of the soak

Its simulated restart bounds writes in virtual time, but the way through real processes had lost its bound.

--- a/tests/functional/test_rolling_restart.py
+++ b/tests/functional/test_rolling_restart.py
@@ -9,6 +9,8 @@
 import random
 import signal
 
+import pytest
+
 from fescueshunt import errors
 from fescueshunt.core import process, request
 from fescueshunt.request import drain, ledger
@@ -25,6 +27,8 @@
 READY_TIMEOUT_S = 30.0
 SHUTDOWN_TIMEOUT_S = 60.0
 SELECT_TAGS = request.Statement("SELECT tag FROM hit")
+# The timeout that the caller library gives a request.
+TIMEOUT_S = 5.0
 INSERT_SQL = "INSERT INTO hit VALUES (?)"
 
 
@@ -44,7 +48,11 @@
 
 
 async def run_caller(
-    addresses: list[str], name: str, stop: asyncio.Event, answers: list
+    addresses: list[str],
+    name: str,
+    timeout_s: float,
+    stop: asyncio.Event,
+    answers: list,
 ) -> None:
     """Writes rows and reads each back, on any proxy, until `stop` is set.
 
@@ -58,19 +66,21 @@
             tag = f"{name}-{count}"
             insert = request.Statement(INSERT_SQL, (tag,))
             write_answer = await roaming_caller.send(
-                _request(request.Kind.WRITE, insert)
+                _request(request.Kind.WRITE, insert, timeout_s)
             )
             select = request.Statement(
                 SELECT_TAGS.sql + " WHERE tag = ?", (tag,)
             )
             read_answer = await roaming_caller.send(
-                _request(request.Kind.READ, select)
+                _request(request.Kind.READ, select, timeout_s)
             )
             answers.append((tag, write_answer, read_answer))
             await asyncio.sleep(PAUSE_S)
 
 
-def _request(kind: request.Kind, statement: request.Statement):
+def _request(
+    kind: request.Kind, statement: request.Statement, timeout_s: float
+):
     service = "pay" if kind is request.Kind.WRITE else "look"
     return request.Request(
         caller.new_request_id(),
@@ -78,7 +88,7 @@
         "db",
         kind,
         (statement,),
-        timeout_s=ledger.MAX_TIMEOUT_S,
+        timeout_s=timeout_s,
     )
 
 
@@ -95,7 +105,7 @@
     return exit_code
 
 
-async def run() -> tuple[list[int], list, list[str]]:
+async def run(timeout_s: float) -> tuple[list[int], list, list[str]]:
     answers: list = []
     stop = asyncio.Event()
     async with fleets.running(simulation.SETTINGS, SITE, ZONES) as fleet:
@@ -105,7 +115,9 @@
         async with asyncio.TaskGroup() as tasks:
             for number in range(CALLERS):
                 tasks.create_task(
-                    run_caller(addresses, f"caller-{number}", stop, answers)
+                    run_caller(
+                        addresses, f"caller-{number}", timeout_s, stop, answers
+                    )
                 )
             exit_codes = [await restart(fleet, name) for name in fleet.proxies]
             stop.set()
@@ -117,8 +129,9 @@
     return exit_codes, answers, [row[0] for row in rows]
 
 
-def test_no_write_is_lost_or_run_twice_and_no_request_fails():
-    exit_codes, answers, rows = asyncio.run(run())
+@pytest.mark.parametrize("timeout_s", [TIMEOUT_S, ledger.MAX_TIMEOUT_S])
+def test_no_write_is_lost_or_run_twice_and_no_request_fails(timeout_s):
+    exit_codes, answers, rows = asyncio.run(run(timeout_s))
     assert exit_codes == [0] * len(ZONES)
     assert len(answers) > CALLERS
     assert [
--- a/tests/functional/test_stop_soak.py
+++ b/tests/functional/test_stop_soak.py
@@ -19,6 +19,10 @@
 RUNS = int(os.environ.get("STOP_SOAK_RUNS", "2"))
 # Seeds 1 and 2 found that statements sent ahead were dropped at a close.
 SEED = int(os.environ.get("STOP_SOAK_SEED", "1"))
+# Seeds that have failed, each with its cause.
+REGRESSIONS = {
+    22: "statements without an answer, in one of six runs; not known"
+}
 HOST_COUNTS = (2, 2, 3)
 STATEMENT_DURATIONS_S = (0.002, 0.02, 0.1)
 UPSTREAMS = ("u-a", "u-b", "u-c")
@@ -151,7 +155,9 @@
 
 # Failure: a statement that a host has received gets no answer, or a wrong one,
 # while hosts stop and restart, upstreams are replaced and routes change.
-@pytest.mark.parametrize("seed", range(SEED, SEED + RUNS))
+@pytest.mark.parametrize(
+    "seed", dict.fromkeys([*range(SEED, SEED + RUNS), *REGRESSIONS])
+)
 def test_clients_of_stopping_hosts_get_every_answer(seed):
     soak = asyncio.run(_soak(seed))
     answered = sum(each.answer is not None for each in soak.records.sent)
