--- a/tests/unit/test_stale_reads.py
+++ b/tests/unit/test_stale_reads.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -45,12 +46,14 @@
     Attributes:
       now: the time of the last item fed.
       received: the position of each member that answers status calls.
+      replaced: the members at whose address another upstream answers.
       view: the last view that the pipe emitted.
     """
 
     def __init__(self, *listed: str) -> None:
         self.now = 0.0
         self.received: dict[str, int] = {}
+        self.replaced: set[str] = set()
         self.view: replica_sets.ReplicaSetView | None = None
         self._pipe = pipe.build(random.Random(1))
         self.feed(hosted_routes.routes_view(self.now))
@@ -82,7 +85,12 @@
         reply = _status_reply(call.upstream, index) if index else None
         self.feed(
             session_items.UpstreamCallCompleted(
-                self.now, call.upstream, call.call, self.now, reply
+                self.now,
+                call.upstream,
+                call.call,
+                self.now,
+                reply,
+                refused=call.upstream in self.replaced,
             )
         )
 
@@ -140,6 +148,30 @@
     assert host.view.position_as_of(host.now - 0.5) is not None
 
 
+# Guards against stale reads after a member has left: it may have acknowledged
+# commits with the primary that only its successor has beside the primary.
+def test_replicas_give_no_position_before_the_successor_of_one_is_counted():
+    host = CutOffHost(PRIMARY, *REPLICAS, "u3")
+    host.received = dict.fromkeys((PRIMARY, *REPLICAS, "u3"), 849)
+    host.run(1.0)
+    host.received = dict.fromkeys(REPLICAS, 849)
+    host.replaced = {"u3"}
+    host.feed(store_items.EntryRemoved(host.now, "u3"))
+    host.run(2.0)
+    assert "u3" not in {member.upstream for member in host.view.members}
+    left_at = host.now
+    host.run(1.0)
+    assert host.view.position_as_of(left_at) is None
+    successor = dataclasses.replace(_entry("u3"), upstream="u4")
+    host.feed(store_items.EntryChanged(host.now, successor))
+    host.run(1.0)
+    assert host.view.position_as_of(left_at) is None
+    host.received["u4"] = 872
+    host.run(1.0)
+    needed = host.view.position_as_of(left_at)
+    assert needed == position.Position(FIRST_TERM, 872)
+
+
 # Guards against stale reads at a host that started while an upstream's entry
 # was missing, so that it never knew all members.
 @pytest.mark.parametrize("listed", [REPLICAS, REPLICAS[:1]])
