Take an unknown old primary for one of the silent members

While members are silent, an unknown old primary is one of them, so it is the one that may be missing. Without silent members every member must be fenced, as before.

test_unknown_old_primary_is_taken_for_the_silent_member needed 3 before.

--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -50,7 +50,7 @@
 
     Args:
       members: The members that can be fenced, by id.
-      old_primary: The id of the primary to replace.
+      old_primary: The id of the primary to replace; "" if it is unknown.
       old_term: The highest known term.
       silent: The ids of former members that may still run.
       min_required: The fewest members that must be fenced.
@@ -68,6 +68,7 @@
         self.final_positions: dict[str, position.Position] = {}
         self.old_primary_stepped_down = False
         self._members = members
+        self._silent = frozenset(silent)
         self._running = {*members, *silent}
         self._min_required = min_required
         self._old_primary = old_primary
@@ -149,9 +150,12 @@
         """The number of members that must be fenced.
 
         This is all but one of those that may run. If the old primary is not
-        known to be one of them, every other one must be fenced.
+        known to be one of them, every other one must be fenced. An unknown old
+        primary is one of the silent members, if there are any.
         """
-        allowed_missing = 1 if self._old_primary in self._running else 0
+        is_silent = not self._old_primary and bool(self._silent)
+        is_running = is_silent or self._old_primary in self._running
+        allowed_missing = 1 if is_running else 0
         return max(len(self._running) - allowed_missing, self._min_required)
 
     def keep_old_primary_only(self) -> None:
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -54,6 +54,14 @@
     assert not attempt_fence.old_primary_stepped_down
 
 
+# Guards against an outage: before the first failover of a set, no record names
+# the primary, and a crashed one is known only as a silent member.
+def test_unknown_old_primary_is_taken_for_the_silent_member():
+    members = {name: MEMBERS[name] for name in ("current", "replica")}
+    assert fence.Fence(members, "", OLD_TERM, {"former"}, 2).required == 2
+    assert fence.Fence(members, "", OLD_TERM, (), 1).required == 2
+
+
 def _fence_all(attempt_fence: fence.Fence, *upstreams: str) -> None:
     for upstream in upstreams:
         paused = _status(REPLICA, OLD_TERM, paused_term=attempt_fence.term)
