Move the close of a connection out of the platform's adapter

How long to read on, when to end the stream and when to close are rules of sockets and not of the platform, whose folder holds names, formats and calls. GracefulClose has them, with one timer in place of two.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import array
 import asyncio
 import contextlib
-import fcntl
-import termios
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
-from fescueshunt_wire import listening
+from fescueshunt_wire import graceful_close, listening
 
 if TYPE_CHECKING:
     import socket
@@ -20,12 +17,6 @@
 
     from fescueshunt.core import sessions
 
-# What arrives late on a connection that ends is read for this long, first to be
-# answered, then to be ignored.
-LINGER_S = 0.1
-# The end of a stream counts as one byte that the other end has to acknowledge.
-END_OF_STREAM_BYTES = 1
-
 
 class LineProtocolFrontEnd(ports.FrontEnd):
     """Listens for clients that use the line protocol."""
@@ -98,7 +89,7 @@
 
     def reject(self, failure: sessions.Failure, detail: str) -> None:
         self._transport.write(lines.encode_failure(failure, detail))
-        self._protocol.finish(answers_arrived=False)
+        self._protocol.close(reads_first=False)
 
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
@@ -110,7 +101,7 @@
         self._transport.resume_reading()
 
     def close(self) -> None:
-        self._protocol.finish(answers_arrived=True)
+        self._protocol.close(reads_first=True)
 
 
 class _ClientProtocol(asyncio.Protocol):
@@ -121,23 +112,20 @@
         self._accept = accept
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
-        self._transport: asyncio.Transport | None = None
-        self._end_timer: asyncio.TimerHandle | None = None
-        self._linger_timer: asyncio.TimerHandle | None = None
-        self._answers_until: float = 0.0
+        self._close: graceful_close.GracefulClose | None = None
         self._has_started = False
-        self._has_received = False
         self._ignores_requests = False
-        self._has_read_all = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
+        self._close = graceful_close.GracefulClose(
+            transport, self._start_ignoring
+        )
         self._listener = self._accept(_LineProtocolClient(transport, self))
 
     def data_received(self, data: bytes) -> None:
         if self._ignores_requests:
             return
-        self._has_received = True
+        self._close.record_received()
         try:
             for line in self._splitter.split(data):
                 self._handle_line(line)
@@ -146,78 +134,23 @@
                 self._listener.on_malformed_request(exc.detail)
 
     def eof_received(self) -> bool:
-        self._has_read_all = True
+        stays_open = self._close.record_end_of_stream()
         self._end_session()
-        return self._linger_timer is None
+        return stays_open
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ignores_requests = True
-        for timer in (self._end_timer, self._linger_timer):
-            if timer is not None:
-                timer.cancel()
+        self._close.cancel()
         self._listener.on_disconnected()
 
-    def finish(self, *, answers_arrived: bool) -> None:
-        """Ends the stream behind the last answer, then closes.
-
-        A connection that is closed with unread bytes is reset, and its client
-        loses the answers that are still on their way. What the client sends is
-        therefore read and ignored until it ends its stream as well, but only
-        for `LINGER_S` once its system has received everything.
+    def close(self, *, reads_first: bool) -> None:
+        """Closes the connection behind the last answer.
 
         Args:
-          answers_arrived: whether what has already arrived is passed on first,
-            so that it is answered.
+          reads_first: whether what has already arrived is passed on first, so
+            that it is answered.
         """
-        if not answers_arrived:
-            self._start_ignoring()
-        if self._has_read_all:
-            self._transport.close()
-        elif self._end_timer is None:
-            loop = asyncio.get_running_loop()
-            self._answers_until = loop.time() + LINGER_S
-            self._transport.resume_reading()
-            self._read_before_end()
-
-    def _read_before_end(self) -> None:
-        """Reads what has arrived, then ends the stream if that was nothing."""
-        self._has_received = False
-        loop = asyncio.get_running_loop()
-        # Timers run after what is ready to be read has been read.
-        self._end_timer = loop.call_later(0, self._end_stream)
-
-    def _end_stream(self) -> None:
-        is_over = asyncio.get_running_loop().time() >= self._answers_until
-        if self._has_received and not is_over:
-            self._read_before_end()
-            return
-        self._start_ignoring()
-        if self._has_read_all:
-            self._transport.close()
-            return
-        self._start_linger_timer()
-        # A client that reset its connection also makes `connection_lost` be
-        # called.
-        with contextlib.suppress(OSError):
-            self._transport.write_eof()
-
-    def _start_linger_timer(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._linger_timer = loop.call_later(LINGER_S, self._stop_lingering)
-
-    def _stop_lingering(self) -> None:
-        if self._has_unsent_bytes():
-            self._start_linger_timer()
-        else:
-            self._transport.close()
-
-    def _has_unsent_bytes(self) -> bool:
-        """Returns whether the client's system has yet to receive bytes."""
-        sock = self._transport.get_extra_info("socket")
-        return (
-            self._transport.get_write_buffer_size() > 0
-            or _unacknowledged_bytes(sock.fileno()) > END_OF_STREAM_BYTES
-        )
+        self._close.begin(reads_first=reads_first)
 
     def _handle_line(self, line: str) -> None:
         if self._ignores_requests:
@@ -240,14 +173,3 @@
         """Ignores further requests; returns whether none were ignored yet."""
         was_ignoring, self._ignores_requests = self._ignores_requests, True
         return not was_ignoring
-
-
-def _unacknowledged_bytes(fd: int) -> int:
-    """Returns how many bytes sent on a socket have not reached its peer.
-
-    Returns 0 if the system does not say.
-    """
-    count = array.array("i", [0])
-    with contextlib.suppress(OSError):
-        fcntl.ioctl(fd, termios.TIOCOUTQ, count)
-    return count[0]
--- /dev/null
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/graceful_close.py
@@ -0,0 +1,132 @@
+"""Closes a connection so that its peer receives everything that was sent.
+
+A connection that is closed with unread bytes is reset, and its peer loses what
+is still on the way. The stream is therefore ended first, and what the peer
+sends is read until it ends its stream as well.
+"""
+
+from __future__ import annotations
+
+import array
+import asyncio
+import contextlib
+import fcntl
+import termios
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# What arrives late on a connection that ends is read for this long, first to be
+# handled, then to be ignored.
+LINGER_S = 0.1
+# The end of a stream counts as one byte that the other end has to acknowledge.
+END_OF_STREAM_BYTES = 1
+
+
+class GracefulClose:
+    """The close of one connection.
+
+    Its protocol reports what it reads, also before the close begins.
+
+    Args:
+      transport: the transport of the connection.
+      ignore: called when what is read from then on is not handled any more.
+    """
+
+    def __init__(
+        self, transport: asyncio.Transport, ignore: Callable[[], None]
+    ) -> None:
+        self._transport = transport
+        self._ignore = ignore
+        self._timer: asyncio.TimerHandle | None = None
+        self._reads_until = 0.0
+        self._has_received = False
+        self._has_peer_ended = False
+        self._is_lingering = False
+
+    def record_received(self) -> None:
+        """Records that the protocol has read bytes."""
+        self._has_received = True
+
+    def record_end_of_stream(self) -> bool:
+        """Records that the peer has ended its stream.
+
+        Returns whether the transport has to stay open for what is still to be
+        sent.
+        """
+        self._has_peer_ended = True
+        return not self._is_lingering
+
+    def begin(self, *, reads_first: bool) -> None:
+        """Begins the close; later calls have no effect.
+
+        Args:
+          reads_first: whether what has already arrived is handled before the
+            stream ends.
+        """
+        if not reads_first:
+            self._ignore()
+        if self._has_peer_ended:
+            self._transport.close()
+        elif self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._reads_until = loop.time() + LINGER_S
+            self._transport.resume_reading()
+            self._read_before_end()
+
+    def cancel(self) -> None:
+        """Cancels the timers of a connection that is lost."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _read_before_end(self) -> None:
+        """Reads what has arrived, then ends the stream if that was nothing."""
+        self._has_received = False
+        # Timers run after what is ready to be read has been read.
+        self._call_later(0, self._end_stream)
+
+    def _end_stream(self) -> None:
+        is_over = asyncio.get_running_loop().time() >= self._reads_until
+        if self._has_received and not is_over:
+            self._read_before_end()
+            return
+        self._ignore()
+        if self._has_peer_ended:
+            self._transport.close()
+            return
+        self._is_lingering = True
+        self._call_later(LINGER_S, self._stop_lingering)
+        # A peer that reset its connection also makes `connection_lost` be
+        # called.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
+    def _stop_lingering(self) -> None:
+        if self._has_unsent_bytes():
+            self._call_later(LINGER_S, self._stop_lingering)
+        else:
+            self._transport.close()
+
+    def _call_later(self, delay_s: float, call: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, call)
+
+    def _has_unsent_bytes(self) -> bool:
+        """Returns whether the peer's system has yet to receive bytes."""
+        sock = self._transport.get_extra_info("socket")
+        return (
+            self._transport.get_write_buffer_size() > 0
+            or _unacknowledged_bytes(sock.fileno()) > END_OF_STREAM_BYTES
+        )
+
+
+def _unacknowledged_bytes(fd: int) -> int:
+    """Returns how many bytes sent on a socket have not reached its peer.
+
+    Returns 0 if the system does not say.
+    """
+    count = array.array("i", [0])
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(fd, termios.TIOCOUTQ, count)
+    return count[0]
