--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -279,7 +279,10 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Closes the connection once all buffered data is sent."""
+        """Closes the connection once all buffered data is sent.
+
+        What the client has already sent is passed on first.
+        """
 
 
 class ClientListener(abc.ABC):
@@ -311,7 +314,11 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Stops listening; the connections already accepted stay open."""
+        """Stops listening.
+
+        The connections already made stay open; those that still wait are
+        accepted.
+        """
 
 
 class FrontEnd(abc.ABC):
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -9,15 +9,14 @@
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
+from fescueshunt_wire import graceful_close, listening
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import AsyncIterator, Callable
 
     from fescueshunt.core import sessions
 
-BACKLOG = 1024
-LINGER_S = 0.1
-
 
 class LineProtocolFrontEnd(ports.FrontEnd):
     """Listens for clients that use the line protocol."""
@@ -29,23 +28,53 @@
         accept: Callable[[ports.ClientConnection], ports.ClientListener],
     ) -> AsyncIterator[ports.Listener]:
         """Listens on `address` until the context manager exits."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: _ClientProtocol(accept), host, int(port), backlog=BACKLOG
-        )
-        try:
-            yield _ServerListener(server)
-        finally:
-            server.close()
+
+        def create_protocol() -> _ClientProtocol:
+            return _ClientProtocol(accept)
+
+        with listening.bound_socket(address) as sock:
+            server = await loop.create_server(
+                create_protocol,
+                sock=sock,
+                backlog=listening.ACCEPTS_PER_TURN,
+            )
+            listening.widen_backlog(sock)
+            try:
+                yield _ServerListener(server, create_protocol)
+            finally:
+                server.close()
 
 
 class _ServerListener(ports.Listener):
-    def __init__(self, server: asyncio.Server) -> None:
+    def __init__(
+        self,
+        server: asyncio.Server,
+        create_protocol: Callable[[], _ClientProtocol],
+    ) -> None:
         self._server = server
+        self._create_protocol = create_protocol
+        self._accept_tasks: list[asyncio.Task] = []
 
     def close(self) -> None:
+        """Stops listening and accepts the connections that already wait.
+
+        They would be reset, with the requests that their clients have sent.
+        """
+        listening_socks = [sock.dup() for sock in self._server.sockets]
         self._server.close()
+        loop = asyncio.get_running_loop()
+        for listening_sock in listening_socks:
+            with listening_sock:
+                waiting_socks = list(listening.accept_waiting(listening_sock))
+            self._accept_tasks += [
+                loop.create_task(self._connect(sock)) for sock in waiting_socks
+            ]
+
+    async def _connect(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            await loop.connect_accepted_socket(self._create_protocol, sock)
 
 
 class _LineProtocolClient(ports.ClientConnection):
@@ -60,7 +89,7 @@
 
     def reject(self, failure: sessions.Failure, detail: str) -> None:
         self._transport.write(lines.encode_failure(failure, detail))
-        self._protocol.finish()
+        self._protocol.close(reads_first=False)
 
     def answer(self, statement_id: str, answer: sessions.SessionAnswer) -> None:
         self._transport.write(lines.encode_answer(answer))
@@ -72,7 +101,7 @@
         self._transport.resume_reading()
 
     def close(self) -> None:
-        self._protocol.finish()
+        self._protocol.close(reads_first=True)
 
 
 class _ClientProtocol(asyncio.Protocol):
@@ -83,19 +112,20 @@
         self._accept = accept
         self._splitter = lines.LineSplitter()
         self._listener: ports.ClientListener | None = None
-        self._transport: asyncio.Transport | None = None
-        self._linger_timer: asyncio.TimerHandle | None = None
+        self._close: graceful_close.GracefulClose | None = None
         self._has_started = False
         self._ignores_requests = False
-        self._has_read_all = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        self._transport = transport
+        self._close = graceful_close.GracefulClose(
+            transport, self._start_ignoring
+        )
         self._listener = self._accept(_LineProtocolClient(transport, self))
 
     def data_received(self, data: bytes) -> None:
         if self._ignores_requests:
             return
+        self._close.record_received()
         try:
             for line in self._splitter.split(data):
                 self._handle_line(line)
@@ -104,44 +134,23 @@
                 self._listener.on_malformed_request(exc.detail)
 
     def eof_received(self) -> bool:
-        self._has_read_all = True
+        stays_open = self._close.record_end_of_stream()
         self._end_session()
-        return self._linger_timer is None
+        return stays_open
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ignores_requests = True
-        if self._linger_timer is not None:
-            self._linger_timer.cancel()
+        self._close.cancel()
         self._listener.on_disconnected()
 
-    def finish(self) -> None:
-        """Sends what is buffered and ends the stream, then closes.
+    def close(self, *, reads_first: bool) -> None:
+        """Closes the connection behind the last answer.
 
-        A connection that is closed with unread bytes is reset, and its client
-        loses the answers that are still on their way. What the client sends is
-        therefore read and ignored until it ends its stream as well, but only
-        for `LINGER_S` once everything is sent.
+        Args:
+          reads_first: whether what has already arrived is passed on first, so
+            that it is answered.
         """
-        self._start_ignoring()
-        if self._has_read_all:
-            self._transport.close()
-        elif self._linger_timer is None:
-            self._transport.resume_reading()
-            self._start_linger_timer()
-            # A client that reset its connection also makes `connection_lost`
-            # be called.
-            with contextlib.suppress(OSError):
-                self._transport.write_eof()
-
-    def _start_linger_timer(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._linger_timer = loop.call_later(LINGER_S, self._stop_lingering)
-
-    def _stop_lingering(self) -> None:
-        if self._transport.get_write_buffer_size():
-            self._start_linger_timer()
-        else:
-            self._transport.close()
+        self._close.begin(reads_first=reads_first)
 
     def _handle_line(self, line: str) -> None:
         if self._ignores_requests:
--- a/packages/fescueshunt/src/fescueshunt/core/session_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/session_items.py
@@ -137,7 +137,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseSession(filters.Item):
-    """Closes a client's connection once all answers are sent."""
+    """Closes a client's connection once all that has arrived is answered."""
 
     client: int
 
@@ -212,7 +212,8 @@
       requested_at: when the call was sent.
       reply: the reply, or None if there was none.
       refused: whether the connection was refused because another upstream
-        answered at the address, which means that this one is gone.
+        answered at the address. This one is gone, and the other one has its
+        log.
       sent: False if no connection was free although the upstream is alive.
     """
 
--- a/tests/lib/stopping_world.py
+++ b/tests/lib/stopping_world.py
@@ -13,7 +13,7 @@
 )
 from fescueshunt.routing import items as routing_items
 from fescueshunt_standins.hosted import replicas
-from lib import hosted_routes, hosted_world, timeline
+from lib import hosted_nodes, hosted_routes, hosted_world, timeline
 
 HOST = "h0"
 PATIENT = "patient"
@@ -51,9 +51,10 @@
         self.client_stays_connected = False
         self.client_effects: list[filters.Item] = []
         self.sent_ids: set[str] = set()
+        self._added_routes: dict[str, routes.Route] = {}
         super().__init__(hosts=1)
         self.run(START_S)
-        self._add_patient_route()
+        self.add_route(PATIENT, PATIENT_TIMEOUT_S, PATIENT_TIMEOUT_S)
 
     def stop(self) -> None:
         """Requests a graceful stop of the host."""
@@ -131,23 +132,27 @@
                 failures.append(effect.answer.failure)
         return failures
 
-    def _add_patient_route(self) -> None:
-        route = routes.Route(
-            PATIENT,
+    def add_route(self, name: str, timeout_s: float, target_s: float) -> None:
+        """Puts another route in force, whose reads need the primary."""
+        self._added_routes[name] = routes.Route(
+            name,
             hosted_routes.DATABASE,
             routes.Consistency.PRIMARY,
-            PATIENT_TIMEOUT_S,
-            PATIENT_TIMEOUT_S,
+            timeout_s,
+            target_s,
             0,
             0.0,
         )
         view = hosted_routes.routes_view(self.now)
-        in_force = {**view.routes, PATIENT: route}
-        view = dataclasses.replace(view, version=2, routes=in_force)
+        view = dataclasses.replace(
+            view,
+            version=view.version + len(self._added_routes),
+            routes={**view.routes, **self._added_routes},
+        )
         item = routing_items.RoutesRead(self.now, view)
         self.feed(self.hosts[HOST], item)
 
-    def _execute(self, host: hosted_world.Host, effect: filters.Item) -> None:
+    def _execute(self, host: hosted_nodes.Host, effect: filters.Item) -> None:
         if isinstance(effect, CLIENT_EFFECTS):
             self.client_effects.append(effect)
         if isinstance(effect, CLOSING_EFFECTS) and not (
@@ -164,9 +169,9 @@
 
     def _start_call(
         self,
-        host: hosted_world.Host,
+        host: hosted_nodes.Host,
         effect: session_items.SendCall,
-        conn: hosted_world.Connection,
+        conn: hosted_nodes.Connection,
     ) -> None:
         if not isinstance(effect.call, STATEMENT_CALLS):
             super()._start_call(host, effect, conn)
