--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -19,12 +19,13 @@
 )
 from fescueshunt.sessions import (
     answers,
+    closed_sessions,
     items,
     jobs,
     readiness,
     reports,
     shutdown,
-    steps,
+    unanswered,
 )
 from fescueshunt.sessions import session as client_session
 
@@ -47,8 +48,10 @@
 
     def __init__(self, grace_s: float) -> None:
         self._sessions: dict[int, client_session.Session] = {}
+        self._closed_sessions = closed_sessions.ClosedSessions()
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
+        self._unanswered = unanswered.UnansweredStatements()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers to clients, and jobs for upstreams."""
@@ -74,6 +77,7 @@
                 self._routes = item
                 yield item
             case filters.Tick():
+                yield from self._answer_lost(item.at)
                 yield from self._close_sessions(item.at)
                 yield item
             case items.ReadinessView():
@@ -121,28 +125,36 @@
                     sessions.Failure.INVALID,
                     item.detail,
                 )
+            case session_items.ClientDisconnected():
+                self._closed_sessions.discard(item.client)
         yield from self._remove_session(item.client, item.at)
 
     def _remove_session(
         self, client: int, now: float
     ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
+        self._unanswered.discard(client)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
     def _close_after_answer(
         self, answer: session_items.SendSessionAnswer
     ) -> Iterator[filters.Item]:
-        """Closes the session of the answer if this host is draining."""
+        """Closes the session of the answer if it can't go on here."""
+        self._unanswered.discard(answer.client)
         session = self._sessions.get(answer.client)
-        if session is None or session.state is not IDLE:
+        if session is None:
             return
-        if self._shutdown.is_draining(answer.at):
+        is_idle = session.state is IDLE
+        if session.is_broken or (
+            is_idle and self._shutdown.is_draining(answer.at)
+        ):
             yield from self._close_session(session, answer.at)
 
     def _close_session(
         self, session: client_session.Session, now: float
     ) -> Iterator[filters.Item]:
+        self._closed_sessions.add(session)
         yield session_items.CloseSession(now, session.client)
         yield from self._remove_session(session.client, now)
 
@@ -151,8 +163,15 @@
     ) -> Iterator[filters.Item]:
         session = self._sessions.get(item.client)
         if session is None:
+            yield from self._closed_sessions.refuse(item)
             return
+        self._unanswered.add(item)
         statement = item.statement
+        if session.is_broken:
+            yield answers.failure(
+                session, statement, sessions.Failure.BUSY, item.at
+            )
+            return
         if session.state is FAILED:
             yield from self._receive_in_failed_transaction(
                 session, statement, item.at
@@ -273,9 +292,15 @@
                     session, statement, sessions.Failure.NO_STATEMENT, now
                 )
                 return
-        session.job = jobs.make_job(session, statement, route, prepared, now)
-        session.job.limit_deadline(self._shutdown.statement_deadline)
-        yield items.JobSubmitted(now, session.job)
+        job = jobs.make_job(session, statement, route, prepared, now)
+        job.limit_deadline(self._shutdown.statement_deadline)
+        if now >= job.answer_deadline:
+            yield from self._fail_statement(
+                session, statement, sessions.Failure.BUSY, now
+            )
+            return
+        session.job = job
+        yield items.JobSubmitted(now, job)
 
     def _finish_job(self, item: items.JobFinished) -> Iterator[filters.Item]:
         job = item.job
@@ -288,10 +313,9 @@
             return
         session.job = None
         if item.failure is None:
-            self._record_success(session, job, item.reply)
+            session.record_success(job, item.reply)
         elif job.in_transaction:
-            is_commit = job.statement.verb is sessions.Verb.COMMIT
-            session.state = IDLE if is_commit else FAILED
+            session.record_failure(job.statement)
             session.begun_upstream = False
         answer = sessions.SessionAnswer(
             rows=item.reply.rows if item.reply else (),
@@ -304,20 +328,6 @@
             item.at, session.client, job.statement.statement_id, answer
         )
 
-    def _record_success(
-        self,
-        session: client_session.Session,
-        job: items.StatementJob,
-        reply: sessions.UpstreamReply,
-    ) -> None:
-        if job.statement.verb is sessions.Verb.COMMIT:
-            session.state = IDLE
-            session.begun_upstream = False
-        elif job.in_transaction:
-            session.begun_upstream = True
-        if steps.commits_changes(job) and not job.read_only:
-            session.last_commit = reply.applied
-
     def _fail_statement(
         self,
         session: client_session.Session,
@@ -326,13 +336,28 @@
         now: float,
     ) -> Iterator[filters.Item]:
         if session.state is OPEN:
-            is_commit = statement.verb is sessions.Verb.COMMIT
-            session.state = IDLE if is_commit else FAILED
+            session.record_failure(statement)
         if session.begun_upstream:
             session.begun_upstream = False
             yield items.RollBackTransaction(now, session.client)
         yield answers.failure(session, statement, failure, now)
 
+    def _answer_lost(self, now: float) -> Iterator[filters.Item]:
+        """Answers the statements that a filter failed at.
+
+        What became of them is unknown, so their sessions can't go on.
+        """
+        for item in self._unanswered.find_lost(self._sessions, now):
+            self._unanswered.discard(item.client)
+            session = self._sessions[item.client]
+            session.job = None
+            session.is_broken = True
+            yield reports.statement_lost(item, now)
+            yield from self._fail_statement(
+                session, item.statement, sessions.Failure.IN_DOUBT, now
+            )
+            yield items.RollBackTransaction(now, item.client)
+
     def _mark_transaction_lost(self, client: int) -> None:
         session = self._sessions.get(client)
         if session is not None and session.begun_upstream:
@@ -349,7 +374,9 @@
         if self._shutdown.keeps_all_sessions:
             return
         for session in list(self._sessions.values()):
-            if session.job is None and self._shutdown.should_close(
+            if session.client in self._unanswered:
+                continue
+            if self._shutdown.should_close(
                 now, session.opened_at, session.state is not IDLE
             ):
                 yield from self._close_session(session, now)
@@ -357,16 +384,15 @@
     def _follow_stop(self, item: filters.Item) -> Iterator[filters.Item]:
         if isinstance(item, process.StopAsked):
             self._shutdown.start(item.at)
-            self._limit_deadlines()
+            for session in self._sessions.values():
+                if session.job is not None:
+                    session.job.limit_deadline(
+                        self._shutdown.statement_deadline
+                    )
         elif isinstance(item, session_items.StopListening):
             self._shutdown.stop_listening()
         yield self._stop_event(reports.STOP_EVENTS[type(item)], item.at)
 
-    def _limit_deadlines(self) -> None:
-        for session in self._sessions.values():
-            if session.job is not None:
-                session.job.limit_deadline(self._shutdown.statement_deadline)
-
     def _stop_event(self, event: str, now: float) -> filters.Item:
         elapsed_s = self._shutdown.elapsed_s(now)
         return reports.stop_progress(
