Tell commits of transactions without writes from other commits

What callers saw: a COMMIT whose connection was lost was answered as in doubt, although its transaction had only read. A client must not repeat such a transaction, as for it the COMMIT may have run.

Cause: `steps.commits_changes` took each COMMIT for one that changes data; no part knew whether the transaction had written. Ruled out: the verb of the statements that the upstream answered (the dispatcher sees a transaction only by its connection).

Change: the session records whether its transaction has sent a write, and each job of it carries that.

--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -52,6 +52,7 @@
       read_only: whether its transaction was declared read-only.
       needs_primary: whether only the primary may run it.
       writes: whether it writes data.
+      has_written: whether an earlier statement of its transaction wrote data.
       own_commit_position: the log position of the session's last commit, if
         the route makes a session's own commits visible to its reads; else
         None.
@@ -80,6 +81,7 @@
     read_only: bool
     needs_primary: bool
     writes: bool
+    has_written: bool
     own_commit_position: position.Position | None
     avoided_upstreams: set[str] = dataclasses.field(default_factory=set)
     retry_at: float = 0.0
--- a/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
@@ -52,5 +52,6 @@
         read_only=in_transaction and session.read_only,
         needs_primary=primary_reads or not may_read_replica,
         writes=writes,
+        has_written=in_transaction and session.has_written,
         own_commit_position=session.last_commit if own_writes else None,
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session.py
@@ -24,6 +24,7 @@
       began_at: when that statement arrived; local clock, seconds.
       transaction_route: the route in force when the transaction began.
       begun_upstream: whether the transaction has begun at an upstream.
+      has_written: whether the transaction has sent a write to an upstream.
       last_commit: the log position of the last commit, or None.
       opened_at: when it was opened; local clock, seconds.
       job: the statement in flight, or None.
@@ -43,6 +44,7 @@
     transaction_route: routes.Route | None = None
     read_only: bool = False
     begun_upstream: bool = False
+    has_written: bool = False
     last_commit: position.Position | None = None
     opened_at: float = 0.0
     job: items.StatementJob | None = None
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -244,6 +244,7 @@
         session.transaction_route = self._route_of(session)
         session.read_only = statement.read_only
         session.begun_upstream = False
+        session.has_written = False
         return answers.success(session, statement, now)
 
     def _roll_back(
@@ -300,6 +301,7 @@
             )
             return
         session.job = job
+        session.has_written |= job.writes
         yield items.JobSubmitted(now, job)
 
     def _finish_job(self, item: items.JobFinished) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -67,8 +67,9 @@
     """Returns whether `job` commits a change that a replica must receive."""
     if job is None:
         return False
-    is_commit = job.statement.verb is sessions.Verb.COMMIT
-    return is_commit or (job.writes and not job.in_transaction)
+    if not job.in_transaction:
+        return job.writes
+    return job.statement.verb is sessions.Verb.COMMIT and job.has_written
 
 
 def _statement_call(
--- a/tests/lib/session_load.py
+++ b/tests/lib/session_load.py
@@ -76,6 +76,7 @@
         read_only=False,
         needs_primary=True,
         writes=False,
+        has_written=False,
         own_commit_position=None,
     )
 
