Pass on receipts of commits only while the primary is relied on

Cause: the fence of a failover can end between the last check and the effect of the promotion, up to a second later, as a replica that restarts is no longer paused. The old primary then commits again. Hosts that had acknowledged the move passed the receipts on: nothing looked at the primary between the choice of an upstream for the first statement of a transaction and the answer to the client.

Ruled out: the check before the promotion (it did confirm both fences), and the acknowledgement (the hosts' views had no primary any more).

Change: `ReplicaSetView.relies_on` and `has_replaced` say what a host may take from a view. A filter of the sessions pipe, `receipts`, passes on the receipt of a commit or of a single write only while the host relies on the primary that gave it, and no newer term is known. A receipt from a former primary is in doubt at once; without a lease it waits for the status of two members, until the statement's timeout. A transaction that has written, or is to write, fails as aborted once its primary is replaced; the client may repeat it. Read-only work goes on.

Why it works: the holder calls a promotion only after every host has acknowledged the move or lost its lease, and after confirmations by status have run out. A receipt that is passed on therefore came before the call, when the commit was on the primary and on one replica, and the final check asked all members but one after that.

Related paths looked at: single writes, commits, statements sent ahead (the sequencer feeds them one by one), retries (a statement that may have committed is never sent again), the stop of a host (it gives up its lease, so its receipts need the members), lost connections (in doubt as before): all end in `JobFinished`, which the filter sees.

--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -128,6 +128,19 @@
         """Returns whether the primary is certain to be the only one now."""
         return bool(self.primary) and now < self.confirmed_until
 
+    def relies_on(self, upstream: str, now: float) -> bool:
+        """Returns whether `upstream` is certain to be the only primary now."""
+        return upstream == self.primary and self.is_confirmed(now)
+
+    def has_replaced(self, upstream: str) -> bool:
+        """Returns whether `upstream` is known not to be the primary any more.
+
+        It is not while it is being replaced, either.
+        """
+        if not self.primary:
+            return self.is_failing_over
+        return upstream != self.primary
+
     def position_as_of(self, moment: float) -> position.Position | None:
         """Returns a position that covers all commits acknowledged by `moment`.
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -24,6 +24,7 @@
     pool,
     pools,
     queue,
+    receipts,
     reports,
     retry,
     steps,
@@ -90,9 +91,12 @@
         self, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
         conn = self._held_connections.get(job.client)
-        if conn is not None:
+        if conn is not None and self._queue.can_commit(job, conn.upstream):
             yield from self._start(conn, job, None, now)
             return
+        if conn is not None:
+            yield from self._abort_transaction(conn, job, now)
+            return
         rejection = self._queue.add(job, now)
         if rejection is not None:
             yield _rejected(rejection, now)
@@ -298,6 +302,22 @@
         else:
             yield from self._close(conn, "session closed", item.at)
 
+    def _abort_transaction(
+        self, conn: pool.Connection, job: items.StatementJob, now: float
+    ) -> Iterator[filters.Item]:
+        """Fails a statement whose transaction can't be committed any more."""
+        yield items.JobFinished(
+            now,
+            job,
+            None,
+            sessions.Failure.ABORTED,
+            receipts.REPLACED,
+            conn.upstream,
+        )
+        yield from self._end_transaction(
+            items.RollBackTransaction(now, job.client)
+        )
+
     def _handle_opened(
         self, item: session_items.ConnectionOpened
     ) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -18,6 +18,7 @@
     dispatch,
     items,
     readiness,
+    receipts,
     sequencer,
     session_handler,
     stop_delay,
@@ -65,6 +66,7 @@
         stop_delay.StopDelay(),
         sequencer.RequestSequencer(),
         stop_sequence.StopSequence(grace_s),
+        receipts.ReceiptGuard(),
         session_handler.SessionHandler(grace_s),
         dispatch.Dispatcher(choose.LeastLoadedPolicy(own_identity), rng),
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -120,6 +120,16 @@
                 wait_until = view.at + job.max_wait_s
                 job.queue_deadline = min(wait_until, job.answer_deadline)
 
+    def can_commit(self, job: items.StatementJob, upstream: str) -> bool:
+        """Returns whether the transaction of `job` may still be committed.
+
+        One that writes can't be once its primary, `upstream`, is replaced.
+        """
+        if not job.writes and not steps.commits_changes(job):
+            return True
+        view = self._views.get(job.route.database)
+        return view is None or not view.has_replaced(upstream)
+
     def add(self, job: items.StatementJob, now: float) -> Rejection | None:
         """Adds a statement; returns a rejection if it would wait too long."""
         key = _subqueue_key(job)
