Send single writes only to a confirmed primary

Cause: `_primary_candidates` let single writes go to a primary that nothing confirmed, on the ground that a fenced primary can't commit. The fence covers only members that the holder of the duty knows, and only until one restarts.

Ruled out: to keep sending and only doubt the receipt (a caller may not repeat it).

Change: the exception is gone; a write waits for the status of two members as a read at the primary does, and is refused with `primary not confirmed` otherwise.

--- a/packages/fescueshunt/src/fescueshunt/sessions/choose.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/choose.py
@@ -163,9 +163,7 @@
         member, now
     ):
         return []
-    if (job.begins_transaction or not job.writes) and not view.is_confirmed(
-        now
-    ):
+    if not view.is_confirmed(now):
         return []
     return [Candidate(view.primary, None)]
 
--- a/tests/unit/test_unfenced_commits.py
+++ b/tests/unit/test_unfenced_commits.py
@@ -182,21 +182,38 @@
     assert failover.run(COMMIT).failure is ABORTED
 
 
-# Failure: a host without a lease reaches only the old primary, and passes on
-# the receipt of a commit that no host of the failover can know.
-def test_host_without_lease_does_not_vouch_for_an_unconfirmed_primary(
+# Failure: a host without a lease reaches only the old primary, sends a write
+# there, and passes on the receipt; the commit is lost.
+def test_host_without_lease_refuses_writes_at_an_unconfirmed_primary(
     failover: UnfencedReplica,
 ):
     failover.lose_primary()
     failover.world.partition(failover.host, hosted_world.STORE, *REPLICAS)
     failover.wait_for_promotion()
     failover.restart_other_replica()
-    answers = failover.send(WRITE, "unseen")
-    failover.world.run(TIMEOUT_S + ANSWER_S)
-    assert answers[0].failure in (BUSY, IN_DOUBT)
+    assert failover.run(WRITE, "unseen").failure is BUSY
     assert "unseen" not in failover.kept_tags()
 
 
+# Failure: a host without a lease takes a replica that has restarted, and that
+# is no longer fenced, for one that confirms the old primary.
+def test_host_without_lease_does_not_trust_a_restarted_replica(
+    failover: UnfencedReplica,
+):
+    failover.lose_primary()
+    failover.world.partition(failover.host, hosted_world.STORE)
+    failover.wait_for_promotion()
+    (_, target, _) = failover.world.replicas.promotions[0]
+    failover.world.partition(failover.host, target)
+    failover.restart_other_replica()
+    acknowledged = {
+        tag
+        for tag in ("first", "second", "third")
+        if failover.run(WRITE, tag).failure is None
+    }
+    assert acknowledged <= failover.kept_tags()
+
+
 # Failure: while the store is away, commits are in doubt although the members
 # confirm their primary.
 def test_receipts_are_passed_on_while_the_store_is_away(
