Take a held receipt out before it is passed on

Cause: `ReceiptGuard` removed the results that it had passed on only after the last of them. If a later filter fails at one of them, the pipe's work on the item ends, and the same results would be passed on again at the next tick. A second result of a session that had begun another transaction meanwhile would roll that back.

Change: each result is taken out first; what is lost to a fault is answered in doubt by the session handler, as for other statements. `StatementQueue.can_commit` is `may_continue` now, as it also decides about writes.

Evidence: test_result_is_passed_on_once_although_a_later_filter_fails fails without it.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -91,7 +91,7 @@
         self, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
         conn = self._held_connections.get(job.client)
-        if conn is not None and self._queue.can_commit(job, conn.upstream):
+        if conn is not None and self._queue.may_continue(job, conn.upstream):
             yield from self._start(conn, job, None, now)
             return
         if conn is not None:
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -120,10 +120,11 @@
                 wait_until = view.at + job.max_wait_s
                 job.queue_deadline = min(wait_until, job.answer_deadline)
 
-    def can_commit(self, job: items.StatementJob, upstream: str) -> bool:
-        """Returns whether the transaction of `job` may still be committed.
+    def may_continue(self, job: items.StatementJob, upstream: str) -> bool:
+        """Returns whether `job` may run in its transaction at `upstream`.
 
-        One that writes can't be once its primary, `upstream`, is replaced.
+        Once its primary is replaced, a transaction can't write or commit writes
+        any more.
         """
         if not job.writes and not steps.commits_changes(job):
             return True
--- a/packages/fescueshunt/src/fescueshunt/sessions/receipts.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/receipts.py
@@ -69,21 +69,23 @@
                 yield item
 
     def _release(self, database: str, now: float) -> Iterator[filters.Item]:
-        """Yields the results that need not wait any longer."""
+        """Yields the results that need not wait any longer.
+
+        A result is taken out before it is yielded, so that none is yielded
+        twice if a later filter fails.
+        """
         held = self._held[database]
-        waiting = []
-        for result in held.results:
+        results, held.results = held.results, []
+        for result in results:
+            reason = self._reason_for_doubt(result, now)
             if self._is_proved(result, now):
                 yield dataclasses.replace(result, at=now)
-                continue
-            reason = self._reason_for_doubt(result, now)
-            if reason:
+            elif reason:
                 yield _in_doubt(result, reason, now)
             else:
-                waiting.append(result)
-        held.results = waiting
+                held.results.append(result)
         elapsed_s = now - held.status_requested_at
-        if waiting and elapsed_s >= STATUS_REQUEST_INTERVAL_S:
+        if held.results and elapsed_s >= STATUS_REQUEST_INTERVAL_S:
             held.status_requested_at = now
             yield session_items.ConfirmationRequested(now, database)
 
--- a/tests/unit/test_receipts.py
+++ b/tests/unit/test_receipts.py
@@ -154,3 +154,12 @@
     guard.feed(_result(writes=False))
     guard.feed(failed)
     assert guard.failures() == [None, sessions.Failure.FAILED]
+
+
+# Failure: a later filter fails at a result, and the result is passed on again
+# at the next tick, when its client's session may be in another transaction.
+def test_result_is_passed_on_once_although_a_later_filter_fails():
+    guard = receipts.ReceiptGuard()
+    list(guard.process(_view(0.0)))
+    assert isinstance(next(guard.process(_result())), items.JobFinished)
+    assert list(guard.process(_view(TICK_S))) == [_view(TICK_S)]
