Log fences, promotion calls and their answers

A fence that is complete is logged with the position of each member, a promotion call with its target and token, an answer with its result, which is "unknown" where none came.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -19,7 +19,12 @@
     sessions,
     store_items,
 )
-from fescueshunt.takeover import acknowledgements, fence, promotion_check
+from fescueshunt.takeover import (
+    acknowledgements,
+    fence,
+    promotion_check,
+    reports,
+)
 from fescueshunt.takeover import cause as causes
 
 if TYPE_CHECKING:
@@ -194,8 +199,18 @@
                 yield from self._abort("terms keep rising", now)
             case fence.FenceResult.FENCED if self._step is Step.FENCING:
                 if self._fence.is_complete():
-                    self._fenced_at = now
-                    self._enter_step(Step.WAITING, now)
+                    yield from self._wait_for_hosts(now)
+
+    def _wait_for_hosts(self, now: float) -> Iterator[filters.Item]:
+        """Begins to wait until no host relies on the old primary."""
+        self._fenced_at = now
+        self._enter_step(Step.WAITING, now)
+        yield reports.fence_completed(
+            self._database,
+            self._fence.term,
+            self._fence.final_positions,
+            now,
+        )
 
     # Waiting, checks and promotion.
 
@@ -225,8 +240,7 @@
         elif self._fence.old_primary_stepped_down:
             # The old primary by itself has every commit and accepts no more.
             self._fence.keep_old_primary_only()
-            self._fenced_at = now
-            self._enter_step(Step.WAITING, now)
+            yield from self._wait_for_hosts(now)
         else:
             yield from self._abort("no fence", now)
 
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -17,7 +17,14 @@
     session_items,
     store_items,
 )
-from fescueshunt.takeover import attempt, cause, items, participants, repair
+from fescueshunt.takeover import (
+    attempt,
+    cause,
+    items,
+    participants,
+    repair,
+    reports,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -42,6 +49,7 @@
         self._detectors: dict[str, cause.CauseDetector] = {}
         self._attempts: dict[str, attempt.Attempt] = {}
         self._retry_at: dict[str, float] = {}
+        self._called_at: dict[str, float] = {}
         self._repair = repair.ReplicaRepair()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -69,6 +77,8 @@
                 self._repair.record_status(item)
                 yield from self._advance_all(item)
             case store_items.PromotionCompleted():
+                called_at = self._called_at.pop(item.database, None)
+                yield reports.promotion_answered(item, called_at)
                 yield from self._advance(item.database, item)
             case store_items.KeyRead() | store_items.KeyWritten():
                 yield from self._advance_all(item)
@@ -153,7 +163,11 @@
     def _relay_effects(
         self, database: str, effects: Iterator[filters.Item], now: float
     ) -> Iterator[filters.Item]:
-        yield from effects
+        for effect in effects:
+            yield effect
+            if isinstance(effect, store_items.CallPromotion):
+                self._called_at[database] = now
+                yield reports.promotion_called(effect)
         current = self._attempts.get(database)
         if current is not None and current.outcome:
             yield from self._end_attempt(database, current.outcome, now)
