Reproduce promotions that take effect late in the simulation

What the users saw: 50 and 115 acknowledged commits were not in the log of a promoted upstream. Cause, as shown here: a call for a promotion whose outcome its holder did not learn is treated as one that was never sent. It may arrive after the holder has died, given up the duty, ended its attempt, or called for another upstream, or after a later failover if it was repeated and the repetition was carried out first.

tests/lib/promotion_network.py carries the calls: each may arrive late and unanswered, and commits that clients know of are compared with the log of the promoted member as a promotion takes effect. Tokens are checked over all calls that arrive, refused ones too. The stand-in replica set is unchanged.

--- a/tests/lib/hosted_clients.py
+++ b/tests/lib/hosted_clients.py
@@ -183,6 +183,7 @@
 def run_clients(world: hosted_world.World, count: int = 6) -> ClientHistory:
     """Schedules clients; returns the history that they fill during the run."""
     history = ClientHistory()
+    world.promotion_network.acknowledged_at = history.acknowledged_at
     tags = itertools.count(1)
     for number in range(count):
         Client(world, history, number + 1, tags)
@@ -193,7 +194,8 @@
     world: hosted_world.World, history: ClientHistory
 ) -> list[str]:
     """Returns all violations, comparing the history with the primary's log."""
-    violations = list(history.violations)
+    network = world.promotion_network
+    violations = [*history.violations, *network.violations]
     primary = world.replicas.primary()
     if primary is None:
         return [*violations, "no primary at the end"]
@@ -207,7 +209,7 @@
     committed_refusals = sorted(history.refused_tags & set(tags))
     if committed_refusals:
         violations.append(f"kept though refused: {committed_refusals[:3]}")
-    tokens = [token for _, _, token in world.replicas.promotions]
+    tokens = [call.token for call in network.arrived]
     if tokens != sorted(tokens):
         violations.append(f"fencing tokens went back: {tokens}")
     return violations
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -22,13 +22,19 @@
 from fescueshunt.routing import items as routing_items
 from fescueshunt.sessions import items as pipe_items
 from fescueshunt_standins.hosted import kv, replicas, statements
-from lib import hosted_nodes, hosted_routes, hosted_store, timeline
+from lib import (
+    hosted_nodes,
+    hosted_routes,
+    hosted_store,
+    promotion_network,
+    timeline,
+)
 
 TICK_S = 0.02
 LATENCY_S = 0.001
 STORE_DELAY_S = 0.004
 STORE_TIMEOUT_S = 1.0
-CALL_TIMEOUT_S = 0.8
+CALL_TIMEOUT_S = promotion_network.CALL_TIMEOUT_S
 PROMOTION_S = 0.3
 DATABASE = hosted_routes.DATABASE
 ROUTES = hosted_routes.ROUTES
@@ -63,6 +69,7 @@
         self.replicas = replicas.ReplicaSet(
             members, self.reaches, self.call_later
         )
+        self.promotion_network = promotion_network.PromotionNetwork(self)
         self.draining: set[str] = set()
         self.hosts: dict[str, hosted_nodes.Host] = {}
         for number in range(hosts):
@@ -184,7 +191,9 @@
                 if answer is not None:
                     self.call_later(LATENCY_S, lambda: answer(effect.answer))
             case store_items.CallPromotion():
-                self._promote(host, effect)
+                self.promotion_network.send(
+                    effect, lambda answer: self._feed_now(host, answer)
+                )
             case session_items.LogDecision():
                 host.decisions.append(effect)
             case pipe_items.ReadinessView():
@@ -228,26 +237,6 @@
         if item is not None:
             self.feed(host, dataclasses.replace(item, at=self.now))
 
-    def _promote(
-        self, host: hosted_nodes.Host, effect: store_items.CallPromotion
-    ) -> None:
-        if self.promotion_answers_to_lose:
-            self.promotion_answers_to_lose -= 1
-            unknown = store_items.PromotionCompleted(
-                self.now, effect.database, effect.upstream, None, "lost"
-            )
-            self.call_later(
-                CALL_TIMEOUT_S, lambda: self._feed_now(host, unknown)
-            )
-            return
-        done = self.replicas.promote(
-            effect.upstream, self.promotion_time_s, self.now, effect.token
-        )
-        answer = store_items.PromotionCompleted(
-            self.now, effect.database, effect.upstream, done, ""
-        )
-        self.call_later(2 * LATENCY_S, lambda: self._feed_now(host, answer))
-
     # Upstreams.
 
     def _open(
