Reset the connection of a call that ends without an answer

Cause: http.Client gave up a call with writer.close(), which delivers what the transport and the kernel have buffered. A process that is killed closes its connections the same way, and one that stands still gives nothing up.

Fix: SO_LINGER of 0 is set on a connection while a call on it is unanswered, so a close, also by the end of the process, resets it and drops what the kernel holds. It is aborted rather than closed, as a transport would flush its own buffer first. TCP_USER_TIMEOUT of 1 s, shorter than the next holder waits, lets the kernel give up by itself. Connections without an open call end as before.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -10,7 +10,7 @@
 import h11
 
 from fescueshunt import errors
-from fescueshunt_wire import listening
+from fescueshunt_wire import abrupt_close, listening
 
 if TYPE_CHECKING:
     from collections.abc import (
@@ -22,6 +22,7 @@
 
 READ_BYTES = 1 << 16
 OPEN_TIMEOUT_S = 1.0
+DELIVERY_TIMEOUT_MS = 1000
 MAX_IDLE_CONNECTIONS = 2
 INTERNAL_SERVER_ERROR = 500
 
@@ -46,8 +47,9 @@
 class Client:
     """A client for one address, with a pool of idle connections.
 
-    A connection serves one call at a time. It is closed if a call on it ends
-    without a complete response.
+    A connection serves one call at a time. If a call ends without a complete
+    response, also because the process ends, its connection is reset, so that
+    the kernel doesn't deliver the request later.
     """
 
     def __init__(self, address: str) -> None:
@@ -99,6 +101,7 @@
             reader, writer = await asyncio.open_connection(
                 self._host, self._port
             )
+        abrupt_close.set_delivery_timeout(writer.transport, DELIVERY_TIMEOUT_MS)
         return _Connection(reader, writer)
 
     def _release_connection(self, conn: _Connection) -> None:
@@ -143,8 +146,11 @@
         if body:
             data += self._protocol.send(h11.Data(body))
         data += self._protocol.send(h11.EndOfMessage())
+        abrupt_close.set_reset_on_close(self._writer.transport, True)
         self._writer.write(data)
-        return await self._read_response()
+        response = await self._read_response()
+        abrupt_close.set_reset_on_close(self._writer.transport, False)
+        return response
 
     async def _read_response(self) -> Response:
         status, chunks = 0, []
@@ -173,7 +179,8 @@
             self._protocol.receive_data(await self._reader.read(READ_BYTES))
 
     def close(self) -> None:
-        self._writer.close()
+        """Closes the connection; resets it if a call is unanswered."""
+        self._writer.transport.abort()
 
 
 @contextlib.asynccontextmanager
