Reset connections to upstreams when they are closed

Seen by callers: a pause or step-down that a host had given up at its deadline could act seconds later, on a primary that was in service again.

Cause: a connection was aborted, which drops the transport's buffer, but the kernel still delivered what it held. The same happened when the process was killed.

Fix: SO_LINGER of 0 from the start of the session, as a call may be in flight whenever the process ends, and setting it for each statement costs two system calls. PROTOCOL.md rolls back a connection that is closed; it tells no difference between a close and a reset, and docs/design/ending.md counts on none.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -8,6 +8,7 @@
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import lines
+from fescueshunt_wire import abrupt_close
 
 if TYPE_CHECKING:
     from fescueshunt.core import replica_sets, sessions
@@ -16,7 +17,11 @@
 
 
 class LineProtocolConnector(ports.UpstreamConnector):
-    """Opens connections that name the expected upstream in their start line."""
+    """Opens connections that name the expected upstream in their start line.
+
+    They are reset when they are closed, also by the end of the process, so that
+    the kernel doesn't deliver a call later that this host has given up.
+    """
 
     async def connect(
         self,
@@ -40,6 +45,7 @@
             )
         except (OSError, ValueError, OverflowError) as exc:
             raise errors.ConnectionLostError(str(exc)) from exc
+        abrupt_close.set_reset_on_close(transport, True)
         start_line = lines.encode_start(
             entry.database, PROXY_ACCOUNT, entry.upstream
         )
