Don't send waiting control requests after their deadline

Seen by callers: an upstream could step down or pause for a host that had given the call up: a request that waited for a connection was sent as soon as one was free, however late. Ticks expire waiting requests, but after a stall of the process the reply that frees a connection may come before the next tick.

Cause: Dispatcher._release took the first waiting request without a look at its deadline.

Fix: it expires the overdue ones first, with the function that the tick uses, so their senders learn at once that they were not sent.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -266,6 +266,7 @@
         conn.client = None
         conn.set_state(pool.ConnectionState.IDLE, now)
         conn_pool = self._pools.by_upstream[conn.upstream]
+        yield from asks.expire_waiting((conn_pool,), now)
         if conn_pool.waiting_requests:
             yield from self._send_control_request(
                 conn, conn_pool.waiting_requests.popleft(), now
--- a/tests/lib/crowded_upstream.py
+++ b/tests/lib/crowded_upstream.py
@@ -60,6 +60,40 @@
     failure: sessions.Failure | None
 
 
+def single_upstream_views(
+    host_names: list[str], slots: int, max_connections: int
+) -> tuple[filters.Item, ...]:
+    """Returns what a dispatcher needs to know to use one primary."""
+    policy = routes.ReplicaSetPolicy(DATABASE, max_connections, 1)
+    entry = replica_sets.UpstreamEntry(
+        PRIMARY,
+        DATABASE,
+        "127.0.0.1:2",
+        "z",
+        slots,
+        False,
+        sessions.ReplicaRole.PRIMARY,
+    )
+    member = replica_sets.MemberView(entry, None, 0.0, None)
+    view = replica_sets.ReplicaSetView(
+        0.0,
+        DATABASE,
+        (member,),
+        PRIMARY,
+        1,
+        float("inf"),
+        False,
+        (replica_sets.PositionSample(float("inf"), START),),
+        frozenset(),
+        replica_sets.NEVER,
+    )
+    return (
+        routes.RoutesView(0.0, 1, {}, {DATABASE: policy}, 3.0),
+        store_items.LiveHostsView(0.0, frozenset(host_names)),
+        view,
+    )
+
+
 class CrowdedUpstream(timeline.VirtualClock):
     """Hosts that share one upstream.
 
@@ -108,33 +142,8 @@
         arrive()
 
     def _configure(self, host: int, slots: int) -> None:
-        policy = routes.ReplicaSetPolicy(DATABASE, self._max_connections, 1)
-        entry = replica_sets.UpstreamEntry(
-            PRIMARY,
-            DATABASE,
-            "127.0.0.1:2",
-            "z",
-            slots,
-            False,
-            sessions.ReplicaRole.PRIMARY,
-        )
-        member = replica_sets.MemberView(entry, None, 0.0, None)
-        view = replica_sets.ReplicaSetView(
-            0.0,
-            DATABASE,
-            (member,),
-            PRIMARY,
-            1,
-            float("inf"),
-            False,
-            (replica_sets.PositionSample(float("inf"), START),),
-            frozenset(),
-            replica_sets.NEVER,
-        )
-        for item in (
-            routes.RoutesView(0.0, 1, {}, {DATABASE: policy}, 3.0),
-            store_items.LiveHostsView(0.0, frozenset(self._names)),
-            view,
+        for item in single_upstream_views(
+            self._names, slots, self._max_connections
         ):
             self._feed(host, item)
 
