Write a promotion call to the record before it is sent

What callers saw: acknowledged commits were gone after a failover; the users lost 50 and 115 on one promotion.

Cause: a call for a promotion whose outcome the holder doesn't know was treated as one that was never sent. The attempt ended, or its holder did; the next one resumed members, recorded the old primary or promoted another member, and the first call took effect seconds later, without what had been committed since.

Ruled out as the whole cause: a fence that ends before the effect (about ten commits, not the traffic of seconds). An out-of-date record, whose primary counts as fenced without a pause, follows from the same cause and is closed with it.

Change: - The record names the calls, with token and count, and is written before each call, in a transaction that fails if the duty or the record has changed. The next holder reads them there. - Until a call has taken effect, was refused, or can't arrive any more (8 s), no other member is promoted or recorded; nobody resumes members or records the old primary. The next holder sends no call meanwhile, as its token is higher. - With such calls the recorded primary is paused like the others; if it has a newer term it was itself promoted. - A write of the record without an answer is read and repeated, and doesn't end the attempt. A call is not sent later than 0.5 s after its record, also by a host that stood still. An answer of 500 or above no longer counts as a refusal. - The attempt is split: promotion, record_writer and promotion_calls are modules of their own. A host acknowledges each announcement once, however often its record is written.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/ports.py
@@ -154,7 +154,12 @@
 
     @abc.abstractmethod
     async def write_key(
-        self, key: str, value: str | None, lease: int, expected: int | None
+        self,
+        key: str,
+        value: str | None,
+        lease: int,
+        expected: int | None,
+        guard: store_items.KeyRevision | None = None,
     ) -> int | None:
         """Writes or removes a key, if its revision is as expected.
 
@@ -164,10 +169,11 @@
           lease: id of the lease to which the key is attached; 0 for no lease.
           expected: revision that the key must have, 0 if it must not exist;
             None writes unconditionally.
+          guard: another key that must have a certain revision, or None.
 
         Returns:
-          The revision of the write, or None if the key's revision differed
-          from `expected`.
+          The revision of the write, or None if the revision of a key was not
+          as expected.
 
         Raises:
           LeaseEndedError: if the lease does not exist.
@@ -195,7 +201,12 @@
 
     @abc.abstractmethod
     async def promote(
-        self, database: str, upstream: str, holder: str, token: int
+        self,
+        database: str,
+        upstream: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> str:
         """Makes `upstream` the primary of `database`.
 
@@ -204,11 +215,13 @@
           upstream: the member to promote.
           holder: host that holds the right to promote.
           token: fencing token of the holder.
+          may_send: whether the call may still be sent; asked right before.
 
         Returns:
           "" on success, else the reason for the refusal.
 
         Raises:
+          CallNotSentError: if the call was not sent in time.
           ConnectionLostError: if the outcome is unknown.
         """
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/store_client.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/store_client.py
@@ -213,7 +213,7 @@
         revision = 0
         try:
             written_revision = await self._store.write_key(
-                item.key, item.value, item.lease, item.expected
+                item.key, item.value, item.lease, item.expected, item.guard
             )
             done, revision = written_revision is not None, written_revision or 0
         except errors.LeaseEndedError:
@@ -221,7 +221,7 @@
         except errors.StoreUnavailableError:
             done = None
         now = self._runtime.now()
-        return store_items.KeyWritten(now, item.key, done, revision)
+        return store_items.KeyWritten(now, item.key, done, revision, item)
 
     async def _read_key(self, item: store_items.ReadKey) -> object:
         sent_at = self._runtime.now()
@@ -237,9 +237,15 @@
         done: bool | None = None
         try:
             detail = await self._promotions.promote(
-                item.database, item.upstream, item.holder, item.token
+                item.database,
+                item.upstream,
+                item.holder,
+                item.token,
+                lambda: self._runtime.now() <= item.send_before,
             )
             done = not detail
+        except errors.CallNotSentError as exc:
+            done, detail = False, str(exc)
         except errors.ConnectionLostError as exc:
             detail = exc.detail
         return store_items.PromotionCompleted(
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/promotions.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/promotions.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
+from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import store_messages
 from fescueshunt_wire import http
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CALL_TIMEOUT_S = 0.8
 OK = 200
 
@@ -19,14 +25,24 @@
         self._client = http.Client(address)
 
     async def promote(
-        self, database: str, upstream: str, holder: str, token: int
+        self,
+        database: str,
+        upstream: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> str:
-        """Promotes an upstream; returns "" on success, else the HTTP status."""
+        """Promotes an upstream; returns "" on success, else the HTTP status.
+
+        The outcome of a call that failed in the service is unknown.
+        """
         body = msgspec.json.encode(
             store_messages.PromotionRequest(database, upstream)
         )
         headers = {"Duty-Holder": holder, "Fencing-Token": str(token)}
         response = await self._client.call(
-            "POST", "/promotion", CALL_TIMEOUT_S, body, headers
+            "POST", "/promotion", CALL_TIMEOUT_S, body, headers, may_send
         )
+        if response.status >= http.INTERNAL_SERVER_ERROR:
+            raise errors.ConnectionLostError(f"status {response.status}")
         return "" if response.status == OK else f"status {response.status}"
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/store.py
@@ -96,12 +96,21 @@
         )
 
     async def write_key(
-        self, key: str, value: str | None, lease: int, expected: int | None
+        self,
+        key: str,
+        value: str | None,
+        lease: int,
+        expected: int | None,
+        guard: store_items.KeyRevision | None = None,
     ) -> int | None:
         """Writes or removes a key, if its revision is as expected."""
         body = store_messages.Transaction([], [], [])
         if expected is not None:
             body.expected.append(store_messages.ExpectedRevision(key, expected))
+        if guard is not None:
+            body.expected.append(
+                store_messages.ExpectedRevision(guard.key, guard.revision)
+            )
         if value is None:
             body.remove.append(key)
         else:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/kv.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/kv.py
@@ -77,12 +77,14 @@
 
         Returns:
           Whether the write took place, and the revision of the store after it.
-          The write fails, and the revision is 0, if the expected revision does
+          The write fails, and the revision is 0, if an expected revision does
           not match or the lease has ended.
         """
         current = self.keys.get(item.key)
-        revision = current.revision if current else 0
-        if item.expected is not None and item.expected != revision:
+        if item.expected not in (None, self._revision_of(item.key)):
+            return False, 0
+        guard = item.guard
+        if guard is not None and guard.revision != self._revision_of(guard.key):
             return False, 0
         if item.lease and item.lease not in self.lease_expiries:
             return False, 0
@@ -96,6 +98,10 @@
         self._put(item.key, stored)
         return True, self.revision
 
+    def _revision_of(self, key: str) -> int:
+        stored = self.keys.get(key)
+        return stored.revision if stored is not None else 0
+
     def _put(self, key: str, stored: store_items.StoredKey | None) -> None:
         self.revision += 1
         if stored is None:
--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -66,10 +66,21 @@
         timeout_s: float,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response:
         """Sends a request and returns the response.
 
+        Args:
+          method: the request's method.
+          target: the path and query string.
+          timeout_s: time limit of the call, in seconds.
+          body: the request's body.
+          headers: further headers by name.
+          may_send: if given, it is asked on a connection right before the
+            request is sent.
+
         Raises:
+          CallNotSentError: if `may_send` returned False.
           ConnectionLostError: if the connection fails, or if no complete
             response arrives within `timeout_s` seconds.
         """
@@ -77,6 +88,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._acquire_connection()
+                if may_send is not None and not may_send():
+                    conn.close()
+                    raise errors.CallNotSentError
                 response = await conn.call(
                     method, target, self._address, body, headers or {}
                 )
--- a/packages/fescueshunt/src/fescueshunt/core/store_items.py
+++ b/packages/fescueshunt/src/fescueshunt/core/store_items.py
@@ -124,11 +124,13 @@
       done: True if the key was written, False if the condition did not hold,
         None if the outcome is unknown.
       revision: the revision of the write if it was done.
+      write: the write that this answers.
     """
 
     key: str
     done: bool | None
     revision: int
+    write: WriteKey | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -186,6 +188,14 @@
     lease: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRevision:
+    """A key and the revision that it must have; 0 if it must not exist."""
+
+    key: str
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteKey(filters.Item):
     """Writes a key.
@@ -195,12 +205,14 @@
       lease: the id of the lease to bind the key to; 0 if there is none.
       expected: the revision that the key must have for the write to succeed; 0
         if the key must not exist; None to write unconditionally.
+      guard: another key on which the write depends, or None.
     """
 
     key: str
     value: str | None
     lease: int
     expected: int | None
+    guard: KeyRevision | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,12 +229,15 @@
     Attributes:
       holder: the host that holds the failover duty.
       token: a fencing token that increases with each change of holder.
+      send_before: the call must not be sent after this time, in seconds on the
+        local clock.
     """
 
     database: str
     upstream: str
     holder: str
     token: int
+    send_before: float
 
 
 # Views.
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -90,6 +90,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class CallNotSentError(FescueshuntError):
+    """A call was not sent, since it could no longer be sent in time."""
+
+    code = "call_not_sent"
+
+
 class SettingsError(FescueshuntError):
     """A setting is missing or invalid."""
 
--- a/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/acknowledge.py
@@ -26,6 +26,7 @@
         self._host_name = host_name
         self._lease = 0
         self._records: dict[str, leadership.Record] = {}
+        self._acknowledged: dict[str, int] = {}
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the acknowledgements to write, then `item` itself."""
@@ -51,6 +52,7 @@
 
     def _acknowledge_all(self, now: float) -> Iterator[filters.Item]:
         """Acknowledges under a new lease what was announced before it."""
+        self._acknowledged.clear()
         for database in self._records:
             yield from self._acknowledge(database, now)
 
@@ -58,10 +60,14 @@
         record = self._records[database]
         if not record.is_failing_over or not self._lease:
             return
+        announcement = record.announcement or record.revision
+        if self._acknowledged.get(database) == announcement:
+            return
+        self._acknowledged[database] = announcement
         yield store_items.WriteKey(
             now,
             leadership.ack_key(database, self._host_name),
-            str(record.revision),
+            str(announcement),
             self._lease,
             None,
         )
--- a/packages/fescueshunt/src/fescueshunt/takeover/acknowledgements.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/acknowledgements.py
@@ -24,11 +24,11 @@
     """The acknowledgements of one announced change of primary.
 
     Attributes:
-      announced_revision: The revision of the record that announces it.
+      announcement: The revision of the record that announces it.
     """
 
     def __init__(self, database: str) -> None:
-        self.announced_revision = 0
+        self.announcement = 0
         self._database = database
         self._are_leases_revoked = False
 
@@ -57,4 +57,4 @@
 
     def _missing(self, hosts: participants.Participants) -> Mapping[str, int]:
         """Returns the leases of the hosts that have not acknowledged."""
-        return hosts.unacknowledged(self._database, self.announced_revision)
+        return hosts.unacknowledged(self._database, self.announcement)
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -23,6 +23,13 @@
 MAX_TERM_RAISES = 4
 
 
+def get_status(upstream: str, now: float) -> session_items.CallUpstream:
+    """Returns a call that asks a member for its status."""
+    return session_items.CallUpstream(
+        now, upstream, sessions.GetStatus(), now + CALL_TIMEOUT_S
+    )
+
+
 class FenceResult(enum.Enum):
     """The result of a fence call to one member.
 
@@ -54,6 +61,10 @@
       old_term: The highest known term.
       silent: The ids of former members that may still run.
       min_required: The fewest members that must be fenced.
+      is_old_primary_certain: Whether no later primary can have been promoted.
+        Otherwise the old primary may receive from one, and must be paused, or
+        may itself have been promoted once more.
+      recorded_term: The term of the leadership record, 0 if there is none.
     """
 
     def __init__(
@@ -63,6 +74,9 @@
         old_term: int,
         silent: Collection[str] = (),
         min_required: int = 1,
+        *,
+        is_old_primary_certain: bool = True,
+        recorded_term: int = 0,
     ) -> None:
         self.term = old_term + 1
         self.final_positions: dict[str, position.Position] = {}
@@ -73,7 +87,11 @@
         self._min_required = min_required
         self._old_primary = old_primary
         self._old_term = old_term
-        self._former_primaries: set[str] = set()
+        self._is_old_primary_certain = is_old_primary_certain
+        self._recorded_term = recorded_term
+        self._acting_primaries = (
+            {old_primary} if is_old_primary_certain else set()
+        )
         self._term_raises = 0
 
     def pending_calls(self, now: float) -> Iterator[filters.Item]:
@@ -92,7 +110,7 @@
 
         A former primary steps down first and is paused as a replica then.
         """
-        if upstream == self._old_primary or upstream in self._former_primaries:
+        if upstream in self._acting_primaries:
             return sessions.StepDown(self.term)
         return sessions.Pause(self.term)
 
@@ -103,21 +121,22 @@
         if self.leads(upstream, status):
             return FenceResult.LEADS
         is_primary = status.role is sessions.ReplicaRole.PRIMARY
+        if is_primary:
+            self._acting_primaries.add(upstream)
         if is_primary and upstream != self._old_primary:
-            self._former_primaries.add(upstream)
             return FenceResult.NOT_FENCED
-        self._former_primaries.discard(upstream)
-        has_stepped_down = upstream == self._old_primary and not is_primary
-        if not has_stepped_down and status.paused_term != self.term:
+        if not is_primary and upstream == self._old_primary:
+            self.old_primary_stepped_down = True
+        needs_pause = is_primary or upstream not in self.members_not_paused
+        if not is_primary and needs_pause:
+            self._acting_primaries.discard(upstream)
+        if needs_pause and status.paused_term != self.term:
             highest = max(status.term, status.paused_term)
             return (
                 FenceResult.HIGHER_TERM
                 if highest >= self.term
                 else FenceResult.NOT_FENCED
             )
-        self.old_primary_stepped_down = (
-            self.old_primary_stepped_down or has_stepped_down
-        )
         self.final_positions[upstream] = status.received
         return FenceResult.FENCED
 
@@ -127,9 +146,12 @@
         A primary that was replaced earlier, and that has not learned of it,
         still reports itself as the primary, but of an earlier term.
         """
-        is_primary = status.role is sessions.ReplicaRole.PRIMARY
-        is_other = upstream != self._old_primary
-        return is_primary and is_other and status.term >= self._old_term
+        if status.role is not sessions.ReplicaRole.PRIMARY:
+            return False
+        if upstream != self._old_primary:
+            return status.term >= self._old_term
+        is_certain = self._is_old_primary_certain
+        return not is_certain and status.term > self._recorded_term
 
     def raise_term(self, status: sessions.ReplicaStatus) -> bool:
         """Restarts the fence with a term above those in `status`.
@@ -158,17 +180,29 @@
         allowed_missing = 1 if is_running else 0
         return max(len(self._running) - allowed_missing, self._min_required)
 
+    @property
+    def members_not_paused(self) -> frozenset[str]:
+        """The members that need no pause once they have stepped down."""
+        is_certain = self._is_old_primary_certain
+        return frozenset({self._old_primary} if is_certain else ())
+
+    @property
+    def has_old_primary(self) -> bool:
+        """Whether the old primary is fenced, and certainly was the last one."""
+        is_fenced = self._old_primary in self.final_positions
+        return is_fenced and self._is_old_primary_certain
+
     def keep_old_primary_only(self) -> None:
         """Keeps only the old primary, which by itself has every commit."""
         self.final_positions = {
             self._old_primary: self.final_positions[self._old_primary]
         }
 
-    def choose_candidate(self) -> str:
+    def choose_candidate(self, preferred: Collection[str] = ()) -> str:
         """Returns the member to promote, one with the highest log position.
 
-        Prefers members that are listed and not draining, then replicas over the
-        old primary.
+        Chooses among equal ones first the preferred, then those that are listed
+        and not draining, then replicas over the old primary.
         """
         newest = max(self.final_positions.values())
         candidates = [
@@ -179,6 +213,7 @@
         return min(
             candidates,
             key=lambda upstream: (
+                upstream not in preferred,
                 self._members[upstream].draining
                 or not self._members[upstream].listed,
                 upstream == self._old_primary,
@@ -194,7 +229,12 @@
 
 
 def fence_for(
-    view: replica_sets.ReplicaSetView, old_primary: str, now: float
+    view: replica_sets.ReplicaSetView,
+    old_primary: str,
+    now: float,
+    *,
+    is_old_primary_certain: bool,
+    recorded_term: int,
 ) -> Fence:
     """Returns the fence to replace `old_primary`, with no member fenced yet.
 
@@ -206,4 +246,12 @@
     if now - view.watched_since > replica_sets.FORMER_MEMBER_TTL_S:
         min_required = 1
     entries = {member.upstream: member.entry for member in view.members}
-    return Fence(entries, old_primary, view.term, view.silent, min_required)
+    return Fence(
+        entries,
+        old_primary,
+        view.term,
+        view.silent,
+        min_required,
+        is_old_primary_certain=is_old_primary_certain,
+        recorded_term=recorded_term,
+    )
--- a/packages/fescueshunt/src/fescueshunt/takeover/participants.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/participants.py
@@ -42,17 +42,19 @@
         """Applies the change of one key."""
         self._apply_key(item.key, item.stored, item.at)
 
-    def unacknowledged(self, database: str, revision: int) -> Mapping[str, int]:
+    def unacknowledged(
+        self, database: str, announcement: int
+    ) -> Mapping[str, int]:
         """Returns the leases of live hosts that have not acknowledged.
 
         Args:
           database: The database whose primary is being replaced.
-          revision: The revision of the record that announces the change.
+          announcement: The revision of the record that announces the change.
         """
         return {
             host_name: lease
             for host_name, lease in self._leases.items()
-            if self._acks.get((database, host_name), 0) < revision
+            if self._acks.get((database, host_name), 0) < announcement
         }
 
     def have_removed_leases_expired(self, now: float) -> bool:
@@ -80,8 +82,8 @@
             database_and_host = key.removeprefix(leadership.ACKS_PREFIX)
             database, _, acknowledging_host = database_and_host.rpartition("/")
             value = stored.value if stored is not None else ""
-            revision = digits.parse_number(value) or 0
-            self._acks[(database, acknowledging_host)] = revision
+            announcement = digits.parse_number(value) or 0
+            self._acks[(database, acknowledging_host)] = announcement
 
     def _remove_host(self, host_name: str, now: float) -> None:
         if self._leases.pop(host_name, None) is not None:
--- a/packages/fescueshunt/src/fescueshunt/takeover/promotion_check.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/promotion_check.py
@@ -14,7 +14,7 @@
 from fescueshunt.core import session_items, sessions, store_items
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Collection, Iterable, Iterator
 
     from fescueshunt.core import filters, position
     from fescueshunt.takeover import items
@@ -48,11 +48,13 @@
       confirmed: The final log position of each member whose fence holds.
     """
 
-    def __init__(self, term: int, old_primary: str, now: float) -> None:
+    def __init__(
+        self, term: int, stepped_down: Collection[str], now: float
+    ) -> None:
         self.started_at = now
         self.confirmed: dict[str, position.Position] = {}
         self._term = term
-        self._old_primary = old_primary
+        self._stepped_down = stepped_down
         self._duty_read_sent_at: float | None = None
 
     def begin(self, members: Iterable[str]) -> Iterator[filters.Item]:
@@ -84,11 +86,11 @@
             return FenceStatus.UNKNOWN
         if status.term >= self._term:
             return FenceStatus.OVERTAKEN
-        stepped_down = (
-            item.upstream == self._old_primary
+        has_stepped_down = (
+            item.upstream in self._stepped_down
             and status.role is sessions.ReplicaRole.REPLICA
         )
-        if not stepped_down and status.paused_term != self._term:
+        if not has_stepped_down and status.paused_term != self._term:
             return FenceStatus.LOST
         self.confirmed[item.upstream] = status.received
         return FenceStatus.HOLDS
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
@@ -22,6 +23,8 @@
     cause,
     items,
     participants,
+    promotion_calls,
+    record_writer,
     repair,
     reports,
 )
@@ -48,6 +51,8 @@
         self._failure_votes: dict[str, items.FailureVotesView] = {}
         self._detectors: dict[str, cause.CauseDetector] = {}
         self._attempts: dict[str, attempt.Attempt] = {}
+        self._calls = promotion_calls.PromotionCalls()
+        self._pruned_revisions: dict[str, int] = {}
         self._retry_at: dict[str, float] = {}
         self._called_at: dict[str, float] = {}
         self._repair = repair.ReplicaRepair()
@@ -64,11 +69,11 @@
             case store_items.KeysListed():
                 self._participants.load(item)
                 for key, stored in item.keys.items():
-                    self._store_record(key, stored)
+                    self._store_record(key, stored, item.at)
             case store_items.KeyChanged():
                 self._participants.apply_change(item)
                 if item.stored is not None:
-                    self._store_record(item.key, item.stored)
+                    self._store_record(item.key, item.stored, item.at)
                 yield from self._advance_all(item)
             case replica_sets.ReplicaSetView():
                 self._views[item.database] = item
@@ -79,6 +84,7 @@
             case store_items.PromotionCompleted():
                 called_at = self._called_at.pop(item.database, None)
                 yield reports.promotion_answered(item, called_at)
+                self._calls.handle_answer(item)
                 yield from self._advance(item.database, item)
             case store_items.KeyRead() | store_items.KeyWritten():
                 yield from self._advance_all(item)
@@ -90,17 +96,43 @@
     def _store_view(self, item: filters.Item) -> None:
         match item:
             case items.DutyView():
-                self._duty = item
+                self._update_duty(item)
             case items.FailureVotesView():
                 self._failure_votes[item.database] = item
             case store_items.LeaseView():
                 self._participants.ttl_s = item.ttl_s
 
-    def _store_record(self, key: str, stored: store_items.StoredKey) -> None:
+    def _update_duty(self, item: items.DutyView) -> None:
+        """Takes over the calls of former holders with the duty."""
+        is_new = item.token != self._duty.token
+        self._duty = item
+        if is_new:
+            self._calls.take_duty(item.token)
+            for database, record in self._records.items():
+                self._load_calls(database, record, item.at)
+
+    def _store_record(
+        self, key: str, stored: store_items.StoredKey, now: float
+    ) -> None:
         parsed = leadership.parse_database_record(key, stored)
         if parsed is not None:
             database, record = parsed
-            self._records[database] = record
+            known = self._records.get(database)
+            if known is None or record.revision > known.revision:
+                self._records[database] = record
+                self._load_calls(database, record, now)
+
+    def _load_calls(
+        self, database: str, record: leadership.Record, now: float
+    ) -> None:
+        """Adds calls of former holders, or forgets what this one has pruned.
+
+        Records from before this holder took the duty are those of former ones.
+        """
+        if record.revision < self._duty.token:
+            self._calls.load(database, record.calls, now)
+        elif self._duty.token and not record.is_failing_over:
+            self._calls.keep_recorded(database, record.calls)
 
     def _tick(self, item: filters.Tick) -> Iterator[filters.Item]:
         if not self._duty.is_held(item.at):
@@ -112,6 +144,7 @@
                 yield from self._advance(database, item)
             else:
                 yield from self._start_attempt_if_needed(view, item.at)
+                yield from self._prune_record(database, item.at)
         if item.at - self._duty.held_since > HANDOVER_WAIT_S:
             active_databases = self._attempts.keys()
             yield from self._repair.tick(self._views, active_databases, item.at)
@@ -131,7 +164,13 @@
             return
         record = self._records.get(database)
         new_attempt = attempt.Attempt(
-            self._host_name, view, record, detected_cause, now
+            self._host_name,
+            view,
+            record,
+            detected_cause,
+            self._calls,
+            self._duty.token,
+            now,
         )
         self._attempts[database] = new_attempt
         details = {
@@ -144,6 +183,24 @@
         yield session_items.LogDecision(now, "replacing", "", details)
         yield from self._relay_effects(database, new_attempt.begin(now), now)
 
+    def _prune_record(
+        self, database: str, now: float
+    ) -> Iterator[filters.Item]:
+        """Removes expired calls, so that no later holder waits for them.
+
+        A write that fails is not repeated.
+        """
+        record = self._records.get(database)
+        if record is None or record.is_failing_over or not record.calls:
+            return
+        is_open = self._calls.open_targets(database, now)
+        is_pruned = self._pruned_revisions.get(database) == record.revision
+        if is_open or is_pruned or database in self._attempts:
+            return
+        self._pruned_revisions[database] = record.revision
+        writer = record_writer.RecordWriter(database, record, self._duty.token)
+        yield writer.write(dataclasses.replace(record, calls=()), now)
+
     def _advance_all(self, item: filters.Item) -> Iterator[filters.Item]:
         for database in list(self._attempts):
             yield from self._advance(database, item)
--- a/tests/lib/hosted_store.py
+++ b/tests/lib/hosted_store.py
@@ -23,7 +23,9 @@
             store.end_lease(effect.lease)
         case store_items.WriteKey():
             done, revision = store.write(effect)
-            return store_items.KeyWritten(now, effect.key, done, revision)
+            return store_items.KeyWritten(
+                now, effect.key, done, revision, effect
+            )
         case store_items.ReadKey():
             stored = store.keys.get(effect.key)
             return store_items.KeyRead(now, effect.key, sent_at, True, stored)
@@ -40,7 +42,7 @@
         case store_items.RenewLease():
             return store_items.LeaseCallFailed(0.0, effect.lease)
         case store_items.WriteKey():
-            return store_items.KeyWritten(0.0, effect.key, None, 0)
+            return store_items.KeyWritten(0.0, effect.key, None, 0, effect)
         case store_items.ReadKey():
             return store_items.KeyRead(0.0, effect.key, sent_at, False, None)
     return None
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -55,6 +55,7 @@
         self.answers: dict[tuple[str, int], Callable] = {}
         self.promotion_time_s = PROMOTION_S
         self.store_answer_loss_rate = 0.0
+        self.loses_call: Callable[[filters.Item], bool] = lambda call: False
         self.promotion_answers_to_lose = 0
         self.on_exception: Callable[[Exception], None] | None = None
         members = {
@@ -216,7 +217,7 @@
 
         def arrive() -> None:
             answer = None
-            if self.reaches(host.name, STORE):
+            if self.reaches(host.name, STORE) and not self.loses_call(effect):
                 answer = hosted_store.execute_call(
                     self.store, effect, sent_at, self.now
                 )
--- a/tests/lib/takeover_replayer.py
+++ b/tests/lib/takeover_replayer.py
@@ -16,7 +16,13 @@
     store_items,
 )
 from fescueshunt.replicas import primary_state
-from fescueshunt.takeover import attempt, cause, items, participants
+from fescueshunt.takeover import (
+    attempt,
+    cause,
+    items,
+    participants,
+    promotion_calls,
+)
 from fescueshunt_standins.hosted import replicas
 
 DATABASE = "db"
@@ -44,24 +50,31 @@
         self.pending_calls: dict[str, session_items.CallUpstream] = {}
         self.pending_resumes: dict[str, session_items.CallUpstream] = {}
         self.pending_reads: list[store_items.ReadKey] = []
+        self.pending_write: store_items.WriteKey | None = None
+        self.calls = promotion_calls.PromotionCalls()
+        self.calls.take_duty(self.token)
 
     def begin(self) -> None:
         group = self._group
         view = group.view()
         self.attempt = attempt.Attempt(
-            f"h{self.token}", view, None, cause.Cause.FAILING, group.now
+            f"h{self.token}",
+            view,
+            None,
+            cause.Cause.FAILING,
+            self.calls,
+            self.token,
+            group.now,
         )
         self._collect_effects(self.attempt.begin(group.now))
-        group.revision += 1
+        self.write_record()
         group.announced_revision = group.revision
-        self._feed(
-            store_items.KeyWritten(
-                group.now,
-                leadership.record_key(DATABASE),
-                True,
-                group.revision,
-            )
-        )
+
+    def write_record(self) -> None:
+        """Answers the write of the record in flight."""
+        write, self.pending_write = self.pending_write, None
+        if write is not None:
+            self._feed(self._group.write_record(write))
 
     def deliver(self, upstream: str) -> None:
         """Delivers the call in flight to a member, if there is one."""
@@ -81,6 +94,7 @@
                 if isinstance(call.call, sessions.GetStatus):
                     del self.pending_calls[upstream]
                     self._answer(call)
+            self.write_record()
 
     def _answer(self, call: session_items.CallUpstream) -> None:
         member = self._group.replicas.members[call.upstream]
@@ -106,6 +120,8 @@
                     self.pending_calls[effect.upstream] = effect
                 case store_items.ReadKey():
                     self.pending_reads.append(effect)
+                case store_items.WriteKey():
+                    self.pending_write = effect
                 case store_items.CallPromotion():
                     self._group.promote(effect)
 
@@ -218,6 +234,17 @@
         )
         return store_items.KeyRead(self.now, read.key, read.at, True, stored)
 
+    def write_record(
+        self, write: store_items.WriteKey
+    ) -> store_items.KeyWritten:
+        """Writes the record if the writer still holds the duty."""
+        is_held = write.guard.revision == self.duty_token
+        self.revision += is_held
+        revision = self.revision if is_held else 0
+        return store_items.KeyWritten(
+            self.now, write.key, is_held, revision, write
+        )
+
     def promote(self, call: store_items.CallPromotion) -> None:
         """Promotes a member immediately; all replicas learn of it."""
         self.tokens.append(call.token)
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -115,10 +115,62 @@
         frozenset(),
         now - watched_s,
     )
-    assert fence.fence_for(view, "current", now).required == required
+    attempt_fence = fence.fence_for(
+        view,
+        "current",
+        now,
+        is_old_primary_certain=True,
+        recorded_term=OLD_TERM,
+    )
+    assert attempt_fence.required == required
 
 
 def test_primary_of_a_newer_term_is_the_new_one():
     attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM)
     result = attempt_fence.record_reply("replica", _status(PRIMARY, NEW_TERM))
     assert result is fence.FenceResult.LEADS
+
+
+# A recorded primary that is a replica of a later, unrecorded one counted as
+# fenced, and could acknowledge commits with that one until the promotion.
+def test_old_primary_is_paused_if_a_later_one_may_have_been_promoted():
+    attempt_fence = fence.Fence(
+        MEMBERS,
+        "current",
+        OLD_TERM,
+        is_old_primary_certain=False,
+        recorded_term=OLD_TERM,
+    )
+    assert attempt_fence.call_to_fence("current") == sessions.Pause(NEW_TERM)
+    attempt_fence.record_reply("current", _status(PRIMARY, OLD_TERM))
+    assert attempt_fence.call_to_fence("current") == sessions.StepDown(NEW_TERM)
+    result = attempt_fence.record_reply("current", _status(REPLICA, OLD_TERM))
+    assert result is fence.FenceResult.NOT_FENCED
+    assert attempt_fence.call_to_fence("current") == sessions.Pause(NEW_TERM)
+    paused = _status(REPLICA, OLD_TERM, NEW_TERM)
+    result = attempt_fence.record_reply("current", paused)
+    assert result is fence.FenceResult.FENCED
+    assert not attempt_fence.has_old_primary
+    assert not attempt_fence.members_not_paused
+
+
+def test_old_primary_that_was_promoted_once_more_is_the_new_one():
+    attempt_fence = fence.Fence(
+        MEMBERS,
+        "current",
+        NEW_TERM,
+        is_old_primary_certain=False,
+        recorded_term=OLD_TERM,
+    )
+    result = attempt_fence.record_reply("current", _status(PRIMARY, NEW_TERM))
+    assert result is fence.FenceResult.LEADS
+
+
+def test_candidate_that_was_called_for_is_preferred_only_among_the_newest():
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM)
+    newer = position.Position(position.Term(OLD_TERM), 9)
+    older = position.Position(position.Term(OLD_TERM), 8)
+    attempt_fence.final_positions = {"former": newer, "replica": newer}
+    assert attempt_fence.choose_candidate({"replica"}) == "replica"
+    attempt_fence.final_positions["replica"] = older
+    assert attempt_fence.choose_candidate({"replica"}) == "former"
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -56,7 +56,12 @@
         return None
 
     async def write_key(
-        self, key: str, value: str | None, lease: int, expected: int | None
+        self,
+        key: str,
+        value: str | None,
+        lease: int,
+        expected: int | None,
+        guard: store_items.KeyRevision | None = None,
     ) -> int | None:
         await self._follow_script("write_key")
         return self.revision
