Keep fencing when a leader can't be recorded yet

An attempt that saw a member lead while a call for another one was open went on to wait for hosts, whatever its fence had.

Once the open call had expired and the leader couldn't be reached, a member without the leader's acknowledged commits was promoted: "lost second" in test_incomplete_fence_promotes_nobody_after_an_unrecorded_leader before this change, nothing after it.

Now only a promotion goes back to waiting, since its fence was complete; an attempt that is fencing goes on fencing, one that waits goes on waiting without a new time limit. Ruled out: to ask for the whole fence in the check of the promotion, as an old primary that has stepped down suffices by itself.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -330,10 +330,15 @@
     def _record_new_primary(
         self, upstream: str, term: int, now: float
     ) -> Iterator[filters.Item]:
-        """Records the new primary, once no other one can replace it."""
+        """Records the new primary, once no other one can replace it.
+
+        Until then the attempt goes on. Only a promotion, whose fence was
+        complete, is over.
+        """
         context = self._context
         if not context.calls.may_rely_on(context.database, upstream, now):
-            self._enter_step(Step.WAITING, now)
+            if self._step is Step.PROMOTING:
+                self._enter_step(Step.WAITING, now)
             return
         self.target = upstream
         calls = context.calls.to_record_of(context.database, upstream, now)
