Don't promote a leaving primary again for a commit in flight

Cause: the member with the highest position was chosen. A primary that steps down with a commit that no replica has yet is ahead of all, though nobody was told of that commit.

Change: if all replicas that may run are fenced, the highest position among them covers every acknowledged commit, as each of those is on a replica. Any member at or beyond it may be promoted, and a listed, staying replica comes first. With a replica unfenced the highest position is still asked for.

--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -199,16 +199,16 @@
         }
 
     def choose_candidate(self, preferred: Collection[str] = ()) -> str:
-        """Returns the member to promote, one with the highest log position.
+        """Returns the member to promote, one with every acknowledged commit.
 
-        Chooses among equal ones first the preferred, then those that are listed
-        and not draining, then replicas over the old primary.
+        Chooses first the preferred ones, then those that are listed and not
+        draining, then replicas over the old primary.
         """
-        newest = max(self.final_positions.values())
+        covering = self._covering_position()
         candidates = [
             upstream
             for upstream, final_position in self.final_positions.items()
-            if final_position == newest
+            if final_position >= covering
         ]
         return min(
             candidates,
@@ -221,6 +221,17 @@
             ),
         )
 
+    def _covering_position(self) -> position.Position:
+        """Returns a position that covers all acknowledged commits.
+
+        If all replicas are fenced, the highest of theirs does; what the old
+        primary has beyond it was not acknowledged.
+        """
+        replicas = self._running - {self._old_primary}
+        if not replicas or not replicas <= self.final_positions.keys():
+            return max(self.final_positions.values())
+        return max(self.final_positions[upstream] for upstream in replicas)
+
     def is_candidate_draining(self) -> bool:
         """Returns whether the candidate is a replica that is draining."""
         candidate = self.choose_candidate()
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -174,3 +174,18 @@
     assert attempt_fence.choose_candidate({"replica"}) == "replica"
     attempt_fence.final_positions["replica"] = older
     assert attempt_fence.choose_candidate({"replica"}) == "former"
+
+
+# A leaving primary was promoted again, and was without service once more, as it
+# had a commit in flight when it stepped down.
+def test_old_primary_is_not_chosen_if_all_replicas_are_fenced():
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM)
+    ahead = position.Position(position.Term(OLD_TERM), 9)
+    behind = position.Position(position.Term(OLD_TERM), 8)
+    attempt_fence.final_positions = {"current": ahead, "replica": behind}
+    assert attempt_fence.choose_candidate() == "current"
+    attempt_fence.final_positions["former"] = behind
+    assert attempt_fence.choose_candidate() == "former"
+    assert attempt_fence.choose_candidate({"current"}) == "current"
+    attempt_fence.final_positions["replica"] = ahead
+    assert attempt_fence.choose_candidate() == "replica"
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -58,6 +58,22 @@
     assert hosted_clients.find_violations(world, history) == []
 
 
+# Failure: a leaving primary with a commit in flight is promoted again, and each
+# time no write is served until that is in force.
+@pytest.mark.parametrize("seed", [2, 4, 6])
+def test_leaving_primary_is_replaced_by_one_promotion(seed: int):
+    world = hosted_world.World(seed)
+    world.run(1.0)
+    history = hosted_clients.run_clients(world)
+    world.run(2.0)
+    world.draining.add("u0")
+    world.publish_entries()
+    world.run(6.0)
+    assert len(world.replicas.promotions) == 1
+    assert world.replicas.primary().name != "u0"
+    assert hosted_clients.find_violations(world, history) == []
+
+
 def test_lost_promotion_call_is_sent_again():
     world = hosted_world.World()
     world.run(1.0)
