Split the dispatcher by job

Change: the filter keeps the choice of who handles an item, replies, members and ticks (183 lines). The rest went to modules of one job each: - calls.py: sends the calls of a connection in turn, reports replies (61) - control_requests.py: runs control requests on connections (61) - statement_runner.py: starts, retries and fails queued statements (139) - connection_closer.py: closes connections, passes on their work (94) - transactions.py: holds connections for transactions, ends those (101) The connections that transactions hold stand in PoolManager.held_by_client, because three of these need them. asks.py is unchanged.

Behaviour is unchanged: function bodies moved with their order of steps and of items. Two unit tests that make a function fail name its new place (Dispatcher._run_calls is calls.start_calls, Dispatcher._release_or_hold is TransactionManager.release_or_hold); what they check is the same.

--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -26,11 +26,14 @@
     Attributes:
       by_upstream: the connection pools by the id of their upstream.
       connections: the connections of all pools by their number.
+      held_by_client: the connections that clients' transactions are open on, by
+        the id of the client connection.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.by_upstream: dict[str, pool.ConnectionPool] = {}
         self.connections: dict[int, pool.Connection] = {}
+        self.held_by_client: dict[int, pool.Connection] = {}
         self._rng = rng
         self._connection_ids = itertools.count(1)
         self._host_count = 1
--- a/tests/unit/test_lost_statements.py
+++ b/tests/unit/test_lost_statements.py
@@ -8,12 +8,14 @@
 
 from fescueshunt.core import filters, session_items, sessions
 from fescueshunt.sessions import (
+    calls,
     dispatch,
     jobs,
     queue,
     session,
     session_handler,
     steps,
+    transactions,
 )
 from lib import hosted_clients, stopping_world
 
@@ -44,8 +46,8 @@
     "made": (jobs, "make_job"),
     "queued": (queue.StatementQueue, "add"),
     "planned": (steps, "plan_calls"),
-    "started": (dispatch.Dispatcher, "_run_calls"),
-    "replied": (dispatch.Dispatcher, "_release_or_hold"),
+    "started": (calls, "start_calls"),
+    "replied": (transactions.TransactionManager, "release_or_hold"),
     "released": (queue.StatementQueue, "release"),
     "finished": (session.Session, "record_success"),
 }
--- a/tests/unit/test_statement_timeout.py
+++ b/tests/unit/test_statement_timeout.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fescueshunt.core import sessions
-from fescueshunt.sessions import dispatch
+from fescueshunt.sessions import calls
 from lib import stopping_world
 
 ROUTE = "brief"
@@ -57,7 +57,7 @@
     exceptions = []
     world.on_exception = exceptions.append
     world.send(1, "stuck", sessions.Verb.READ)
-    monkeypatch.setattr(dispatch.Dispatcher, "_run_calls", None)
+    monkeypatch.setattr(calls, "start_calls", None)
     world.send(2, "failed", sessions.Verb.READ)
     world.run(WARM_UP_S)
     monkeypatch.undo()
