Suspect an upstream if an attempt to connect times out

What callers saw: a primary that went dark while no host had an open connection to it was not replaced; all statements for it waited until their timeout.

Cause: an attempt to connect that was refused raised a suspicion, one that timed out did not, so no status was asked for, no host voted, and nothing was promoted. Ruled out: the count of votes and the failover, which work once a host suspects.

Change: an open that is overdue raises the same suspicion. A status call follows; an answer on any connection ends the suspicion, as before.

--- a/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
@@ -16,6 +16,7 @@
 CONNECTION_LIMIT_FAILURES = frozenset(
     {sessions.Failure.CONNECTION_LIMIT, sessions.Failure.BUSY}
 )
+OPEN_TIMED_OUT = "open timed out"
 
 
 class ConnectionCloser:
@@ -68,7 +69,10 @@
             self._pools.record_open_failure(conn, now)
             conn_pool = self._pools.by_upstream[conn.upstream]
             yield from asks.fail_waiting(conn_pool, now)
-            yield from self.close(conn, "open timed out", now)
+            yield session_items.UpstreamSuspected(
+                now, conn.upstream, OPEN_TIMED_OUT
+            )
+            yield from self.close(conn, OPEN_TIMED_OUT, now)
         for conn in watchdog.timed_out_connections(self._pools, now):
             yield from self.close(conn, "timeout", now)
 
