Let only a database's own members confirm its fences

An attempt left out replies of other members before; the promotion, which it passes replies to, did not. Both fences have the same term, so foreign members confirmed.

Change: the attempt leaves out such replies before it passes them on.

Evidence: test_members_of_another_database_confirm_no_fence failed before.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -139,6 +139,8 @@
                 yield from self._handle_write_result(result, item.at)
             case filters.Tick():
                 yield from self._read_record(item.at)
+        if self._is_for_other_database(item):
+            return
         if self._step is Step.PROMOTING:
             yield from self._advance_promotion(item, duty)
             return
@@ -148,6 +150,11 @@
             case filters.Tick():
                 yield from self._tick(item.at, hosts)
 
+    def _is_for_other_database(self, item: filters.Item) -> bool:
+        """Returns whether an upstream has replied that is no member."""
+        is_reply = isinstance(item, session_items.UpstreamCallCompleted)
+        return is_reply and item.upstream not in self._members
+
     # The record.
 
     def _handle_write_result(
@@ -206,9 +213,7 @@
     def _handle_upstream_reply(
         self, item: session_items.UpstreamCallCompleted
     ) -> Iterator[filters.Item]:
-        if item.upstream not in self._members or item.reply is None:
-            return
-        status = item.reply.status
+        status = item.reply.status if item.reply is not None else None
         if status is None:
             return
         if self._is_fence_reply(item):
--- /dev/null
+++ b/tests/unit/test_attempts.py
@@ -0,0 +1,154 @@
+"""Tests that attempts for several databases do not disturb each other."""
+
+from __future__ import annotations
+
+from fescueshunt.core import (
+    filters,
+    position,
+    replica_sets,
+    session_items,
+    sessions,
+    store_items,
+)
+from fescueshunt.takeover import (
+    attempt,
+    cause,
+    items,
+    participants,
+    promotion_calls,
+)
+
+DATABASE = "db"
+MEMBERS = ("u0", "u1", "u2")
+OTHER_MEMBERS = ("v1", "v2")
+TOKEN = 7
+FENCE_TERM = 2
+WAIT_S = 1.0
+
+
+def _view() -> replica_sets.ReplicaSetView:
+    members = tuple(
+        replica_sets.MemberView(
+            replica_sets.UpstreamEntry(
+                name,
+                DATABASE,
+                "127.0.0.1:1",
+                "z",
+                2,
+                False,
+                sessions.ReplicaRole.REPLICA,
+            ),
+            None,
+            replica_sets.NEVER,
+            None,
+        )
+        for name in MEMBERS
+    )
+    return replica_sets.ReplicaSetView(
+        0.0,
+        DATABASE,
+        members,
+        "u0",
+        FENCE_TERM - 1,
+        0.0,
+        False,
+        (),
+        frozenset(),
+        replica_sets.NEVER,
+    )
+
+
+class _Failover:
+    """An attempt whose clock and replies the test controls."""
+
+    def __init__(self) -> None:
+        calls = promotion_calls.PromotionCalls()
+        calls.take_duty(TOKEN)
+        self.now = 10.0
+        self.sent: list[filters.Item] = []
+        self._duty = items.DutyView(0.0, TOKEN, 0.0, 1000.0)
+        self._hosts = participants.Participants()
+        self._hosts.load(store_items.KeysListed(0.0, {}, 1))
+        self.attempt = attempt.Attempt(
+            "h0",
+            _view(),
+            None,
+            cause.Cause.FAILING,
+            calls,
+            TOKEN,
+            self.now,
+        )
+        self.sent += self.attempt.begin(self.now)
+
+    def feed(self, item: filters.Item) -> None:
+        self.sent += self.attempt.handle(item, self._duty, self._hosts)
+
+    def answer_write(self) -> None:
+        write = self._last(store_items.WriteKey)
+        self.feed(store_items.KeyWritten(self.now, write.key, True, 50, write))
+
+    def answer_duty_read(self) -> None:
+        read = self._last(store_items.ReadKey)
+        stored = store_items.StoredKey("h0", TOKEN, 1)
+        item = store_items.KeyRead(self.now, read.key, read.at, True, stored)
+        self.feed(item)
+
+    def reply(self, upstream: str, call: sessions.UpstreamCall) -> None:
+        """Feeds a reply of a fenced member with the highest position so far."""
+        received = position.Position(position.Term(1), 5)
+        status = sessions.ReplicaStatus(
+            sessions.ReplicaRole.REPLICA, 1, received, FENCE_TERM, 0.0, 0, 1
+        )
+        reply = sessions.UpstreamReply(
+            (),
+            "",
+            None,
+            "",
+            sessions.TransactionState.IDLE,
+            received,
+            status,
+        )
+        item = session_items.UpstreamCallCompleted(
+            self.now, upstream, call, self.now, reply
+        )
+        self.feed(item)
+
+    def wait(self) -> None:
+        self.now += WAIT_S
+        self.feed(filters.Tick(self.now, 0.0))
+
+    def has_called(self) -> bool:
+        return any(
+            isinstance(item, store_items.CallPromotion) for item in self.sent
+        )
+
+    def _last(self, kind: type[filters.Item]) -> filters.Item:
+        return [item for item in self.sent if isinstance(item, kind)][-1]
+
+
+def _check_fences() -> _Failover:
+    failover = _Failover()
+    failover.answer_write()
+    for name in MEMBERS[1:]:
+        failover.reply(name, sessions.Pause(FENCE_TERM))
+    failover.wait()
+    failover.answer_duty_read()
+    return failover
+
+
+# Guards against a promotion that relies on the fences of another database,
+# which is being replaced at the same time and has the same term.
+def test_members_of_another_database_confirm_no_fence():
+    failover = _check_fences()
+    for name in OTHER_MEMBERS:
+        failover.reply(name, sessions.GetStatus())
+    failover.answer_write()
+    assert not failover.has_called()
+
+
+def test_own_members_confirm_their_fences():
+    failover = _check_fences()
+    for name in MEMBERS[1:]:
+        failover.reply(name, sessions.GetStatus())
+    failover.answer_write()
+    assert failover.has_called()
