Replace a seed that depends on Python's hash seed

Seed 344 fails on with PYTHONHASHSEED 0 and 3 and passes with 1 and 2: StatusPoller iterates over a frozenset of names and draws random numbers in that order. Sorted there, in a trial, it passes with 0, 1 and 2. Seed 224 shows the same failure (no writes at the end) with hash seeds 0 and 1 and with the sorted order. The other six listed seeds fail with hash seed 1 and with the sorted order as well.

--- a/tests/unit/test_late_promotion_histories.py
+++ b/tests/unit/test_late_promotion_histories.py
@@ -23,8 +23,8 @@
     181: "repeated call acts after a later failover: commits lost, no writes",
     202: "call acts after a later one for another upstream: commits lost",
     217: "repeated call of a frozen holder arrives after the next one's",
+    224: "calls of two holders act in turn, the last is unrecorded: no writes",
     228: "repeated call acts after a later failover: commits lost",
-    344: "promotion that acts late isn't recorded: no writes",
     359: "repeated call of a former holder acts last: commits lost, no writes",
 }
 
