--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -67,7 +67,7 @@
                 self._suspect(item)
                 yield item
             case session_items.ConfirmationRequested():
-                for name in self._members.get(item.database, ()):
+                for name in sorted(self._members.get(item.database, ())):
                     self._poll_for_confirmation(name, item.at)
             case session_items.UpstreamCallCompleted():
                 self._record_outcome(item)
