Move the statements that need no upstream out of the session handler

Change: the functions that begin, roll back or fail a transaction and that change the values and prepared statements of a session went to local_statements.py (117 lines). They need the session and the statement only, not the handler; begin_transaction takes the route and whether the host drains as arguments.

Behaviour is unchanged: function bodies moved with their order of steps and of items. No test changed.

--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/sessions/local_statements.py
@@ -0,0 +1,117 @@
+"""Runs the statements that need no upstream, and answers them.
+
+They begin or end a transaction, or change the values and prepared statements of
+a session.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fescueshunt.core import sessions
+from fescueshunt.sessions import answers, items
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from fescueshunt.core import filters, routes
+    from fescueshunt.sessions import session as client_session
+
+IDLE = sessions.TransactionState.IDLE
+OPEN = sessions.TransactionState.OPEN
+
+
+def begin_transaction(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    route: routes.Route | None,
+    now: float,
+    *,
+    is_draining: bool,
+) -> filters.Item:
+    """Begins a transaction that runs under `route`.
+
+    Refuses it if this host is draining.
+    """
+    if session.state is OPEN:
+        return answers.failure(
+            session, statement, sessions.Failure.INVALID, now
+        )
+    if is_draining:
+        # It may take longer than this host still runs.
+        return answers.failure(session, statement, sessions.Failure.BUSY, now)
+    session.state = OPEN
+    session.begin_statement = statement
+    session.began_at = now
+    session.transaction_route = route
+    session.read_only = statement.read_only
+    session.begun_upstream = False
+    session.has_written = False
+    return answers.success(session, statement, now)
+
+
+def roll_back(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> Iterator[filters.Item]:
+    """Rolls back the transaction, also at its upstream if it began there."""
+    if session.begun_upstream:
+        yield items.RollBackTransaction(now, session.client, statement)
+    session.state = IDLE
+    session.begun_upstream = False
+    yield answers.success(session, statement, now)
+
+
+def set_value(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> filters.Item:
+    """Sets a session value."""
+    session.values[statement.name] = statement.argument
+    return answers.success(session, statement, now)
+
+
+def prepare(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> filters.Item:
+    """Prepares a statement in the session."""
+    prepared = sessions.Prepared(statement.writes, statement.shape)
+    session.prepared[statement.name] = prepared
+    return answers.success(session, statement, now)
+
+
+def deallocate(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> filters.Item:
+    """Removes a prepared statement from the session."""
+    if session.prepared.pop(statement.name, None) is None:
+        failure = sessions.Failure.NO_STATEMENT
+        return answers.failure(session, statement, failure, now)
+    return answers.success(session, statement, now)
+
+
+def answer_in_failed_transaction(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    now: float,
+) -> Iterator[filters.Item]:
+    """Accepts only the end of the transaction; fails other statements."""
+    match statement.verb:
+        case sessions.Verb.ROLLBACK:
+            session.state = IDLE
+            yield answers.success(session, statement, now)
+        case sessions.Verb.COMMIT:
+            session.state = IDLE
+            yield answers.failure(
+                session, statement, sessions.Failure.ABORTED, now
+            )
+        case _:
+            yield answers.failure(
+                session, statement, sessions.Failure.INVALID, now
+            )
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -22,6 +22,7 @@
     closed_sessions,
     items,
     jobs,
+    local_statements,
     readiness,
     reports,
     shutdown,
@@ -173,24 +174,29 @@
             )
             return
         if session.state is FAILED:
-            yield from self._receive_in_failed_transaction(
+            yield from local_statements.answer_in_failed_transaction(
                 session, statement, item.at
             )
             return
         match statement.verb:
             case sessions.Verb.BEGIN:
-                yield self._begin_transaction(session, statement, item.at)
+                yield local_statements.begin_transaction(
+                    session,
+                    statement,
+                    self._route_of(session),
+                    item.at,
+                    is_draining=self._shutdown.is_draining(item.at),
+                )
             case sessions.Verb.ROLLBACK:
-                yield from self._roll_back(session, statement, item.at)
+                yield from local_statements.roll_back(
+                    session, statement, item.at
+                )
             case sessions.Verb.SET_VALUE:
-                session.values[statement.name] = statement.argument
-                yield answers.success(session, statement, item.at)
+                yield local_statements.set_value(session, statement, item.at)
             case sessions.Verb.PREPARE:
-                prepared = sessions.Prepared(statement.writes, statement.shape)
-                session.prepared[statement.name] = prepared
-                yield answers.success(session, statement, item.at)
+                yield local_statements.prepare(session, statement, item.at)
             case sessions.Verb.DEALLOCATE:
-                yield self._deallocate(session, statement, item.at)
+                yield local_statements.deallocate(session, statement, item.at)
             case sessions.Verb.COMMIT if session.state is IDLE:
                 yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
@@ -202,74 +208,6 @@
             case _:
                 yield from self._submit_statement(session, statement, item.at)
 
-    def _receive_in_failed_transaction(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        now: float,
-    ) -> Iterator[filters.Item]:
-        """Accepts only the end of the transaction; fails other statements."""
-        match statement.verb:
-            case sessions.Verb.ROLLBACK:
-                session.state = IDLE
-                yield answers.success(session, statement, now)
-            case sessions.Verb.COMMIT:
-                session.state = IDLE
-                yield answers.failure(
-                    session, statement, sessions.Failure.ABORTED, now
-                )
-            case _:
-                yield answers.failure(
-                    session, statement, sessions.Failure.INVALID, now
-                )
-
-    def _begin_transaction(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        now: float,
-    ) -> filters.Item:
-        if session.state is OPEN:
-            return answers.failure(
-                session, statement, sessions.Failure.INVALID, now
-            )
-        if self._shutdown.is_draining(now):
-            # It may take longer than this host still runs.
-            return answers.failure(
-                session, statement, sessions.Failure.BUSY, now
-            )
-        session.state = OPEN
-        session.begin_statement = statement
-        session.began_at = now
-        session.transaction_route = self._route_of(session)
-        session.read_only = statement.read_only
-        session.begun_upstream = False
-        session.has_written = False
-        return answers.success(session, statement, now)
-
-    def _roll_back(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        now: float,
-    ) -> Iterator[filters.Item]:
-        if session.begun_upstream:
-            yield items.RollBackTransaction(now, session.client, statement)
-        session.state = IDLE
-        session.begun_upstream = False
-        yield answers.success(session, statement, now)
-
-    def _deallocate(
-        self,
-        session: client_session.Session,
-        statement: sessions.Statement,
-        now: float,
-    ) -> filters.Item:
-        if session.prepared.pop(statement.name, None) is None:
-            failure = sessions.Failure.NO_STATEMENT
-            return answers.failure(session, statement, failure, now)
-        return answers.success(session, statement, now)
-
     def _submit_statement(
         self,
         session: client_session.Session,
