--- a/tests/lib/removals.py
+++ b/tests/lib/removals.py
@@ -22,6 +22,8 @@
 TESTS = (
     "tests/functional/test_replays.py",
     "tests/functional/test_request_promises.py",
+    "tests/functional/test_request_limits.py",
+    "tests/functional/test_request_moves.py",
     "tests/functional/test_transaction_promises.py",
     "tests/functional/test_request_model.py",
 )
