Replace a recorded primary that has become a replica

What callers saw, in the simulation: every write to a database is rejected by its primary, for good. "Rejected by the primary" stands in the users' record of lost commits too; whether it was this can't be told.

Cause: hosts with a lease go by the record, whatever the roles say. A primary can step down behind it: a late promotion, or an attempt that is given up though its step-down arrived. A rejected write raised no suspicion, and a replica that answers is not failing, so no host voted.

Change: a write that is rejected as read-only raises a suspicion, so that the status is asked for. A host votes against a primary that says it is a replica, if it was asked after this host learned that it is the primary; statuses from before a promotion don't count.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -138,6 +138,10 @@
                 item.at, job, reply, None, "", conn.upstream
             )
             return
+        if reply.failure is sessions.Failure.READ_ONLY:
+            yield session_items.UpstreamSuspected(
+                item.at, conn.upstream, reply.failure.value
+            )
         is_client_statement = steps.is_client_statement(call)
         decision = retry.decide_after_failure_reply(
             job, reply, is_client_statement, item.at
--- a/packages/fescueshunt/src/fescueshunt/takeover/vote.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/vote.py
@@ -9,7 +9,13 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, replica_sets, session_items, store_items
+from fescueshunt.core import (
+    filters,
+    replica_sets,
+    session_items,
+    sessions,
+    store_items,
+)
 from fescueshunt.takeover import items
 
 if TYPE_CHECKING:
@@ -31,6 +37,7 @@
         self._own_votes: dict[str, str] = {}
         self._own_votes_changed_at: dict[str, float] = {}
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
+        self._primary_since: dict[str, float] = {}
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the votes to cast, and the vote count of each database."""
@@ -55,7 +62,7 @@
             case store_items.LiveHostsView():
                 self._hosts = item.names
             case replica_sets.ReplicaSetView():
-                self._views[item.database] = item
+                self._update_view(item)
                 yield item
             case filters.Tick():
                 yield from self._cast_votes(item.at)
@@ -65,6 +72,12 @@
             case _:
                 yield item
 
+    def _update_view(self, view: replica_sets.ReplicaSetView) -> None:
+        known = self._views.get(view.database)
+        if known is None or known.primary != view.primary:
+            self._primary_since[view.database] = view.at
+        self._views[view.database] = view
+
     def _apply_change(
         self, item: store_items.KeyChanged
     ) -> Iterator[filters.Item]:
@@ -80,7 +93,9 @@
         if not self._lease:
             return
         for database, view in self._views.items():
-            failing_primary = view.primary if _is_failing(view, now) else ""
+            since = self._primary_since[database]
+            is_failing = _is_failing(view, now) or _is_demoted(view, since)
+            failing_primary = view.primary if is_failing else ""
             own_vote = self._own_votes.get(database, "")
             elapsed_s = now - self._own_votes_changed_at.get(database, 0.0)
             key = self._vote_key(database, self._host_name)
@@ -117,6 +132,14 @@
         return f"{store_items.VOTES_PREFIX}{database}/{host}"
 
 
+def _is_demoted(view: replica_sets.ReplicaSetView, since: float) -> bool:
+    """Returns whether the primary, known since then, says it is a replica."""
+    member = view.member(view.primary)
+    if member is None or member.status is None or member.requested_at < since:
+        return False
+    return member.status.role is sessions.ReplicaRole.REPLICA
+
+
 def _is_failing(view: replica_sets.ReplicaSetView, now: float) -> bool:
     member = view.member(view.primary)
     if member is None:
