Keep a complete fence when the duty is confirmed late

What callers saw: with a store that needs more than 0.3 s for an answer, a failover asked three times, fenced nothing more, and ended as "no fence" 2 s later.

Cause: after three rounds of checks without the duty the attempt fenced again the members that had not confirmed. If all had, there was nobody to fence, no answer came, and the time limit ended the attempt.

Change: a fence that is complete goes on to wait.

Evidence: test_complete_fence_is_not_given_up_when_the_duty_is_confirmed_late failed before.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -22,6 +22,7 @@
 )
 from fescueshunt.takeover import (
     acknowledgements,
+    attempt_context,
     fence,
     promotion,
     record_writer,
@@ -95,7 +96,7 @@
             recorded_term=record.term if record else 0,
         )
         self._record = record_writer.RecordWriter(view.database, record, token)
-        self._context = promotion.AttemptContext(
+        self._context = attempt_context.AttemptContext(
             host_name,
             view.database,
             token,
@@ -203,6 +204,9 @@
 
     def _refence(self, now: float) -> Iterator[filters.Item]:
         """Fences the members that are not fenced, or not any more."""
+        if self._fence.is_complete():
+            yield from self._wait_for_hosts(now)
+            return
         self._enter_step(Step.FENCING, now)
         yield from self._send_fence_calls(now)
 
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -24,6 +24,7 @@
 TOKEN = 7
 FENCE_TERM = 2
 WAIT_S = 1.0
+SLOW_CHECKS = 5
 
 
 def _view() -> replica_sets.ReplicaSetView:
@@ -132,23 +133,41 @@
     for name in MEMBERS[1:]:
         failover.reply(name, sessions.Pause(FENCE_TERM))
     failover.wait()
-    failover.answer_duty_read()
     return failover
 
 
+def _confirm_duty_and_fences(
+    failover: _Failover, members: tuple[str, ...]
+) -> None:
+    failover.answer_duty_read()
+    for name in members:
+        failover.reply(name, sessions.GetStatus())
+    failover.answer_write()
+
+
 # Guards against a promotion that relies on the fences of another database,
 # which is being replaced at the same time and has the same term.
 def test_members_of_another_database_confirm_no_fence():
     failover = _check_fences()
-    for name in OTHER_MEMBERS:
-        failover.reply(name, sessions.GetStatus())
-    failover.answer_write()
+    _confirm_duty_and_fences(failover, OTHER_MEMBERS)
     assert not failover.has_called()
 
 
 def test_own_members_confirm_their_fences():
     failover = _check_fences()
-    for name in MEMBERS[1:]:
-        failover.reply(name, sessions.GetStatus())
-    failover.answer_write()
+    _confirm_duty_and_fences(failover, MEMBERS[1:])
+    assert failover.has_called()
+
+
+# Guards against a failover that ends without a fence, though all members are
+# fenced, as the store was too slow to confirm the duty three times.
+def test_complete_fence_is_not_given_up_when_the_duty_is_confirmed_late():
+    failover = _check_fences()
+    for _ in range(SLOW_CHECKS):
+        for name in MEMBERS[1:]:
+            failover.reply(name, sessions.GetStatus())
+        failover.wait()
+    assert failover.attempt.outcome == ""
+    failover.wait()
+    _confirm_duty_and_fences(failover, MEMBERS[1:])
     assert failover.has_called()
