Bring the late promotions about with host processes

So far the order of events was played without processes only.

The stand-in can now carry out calls for a promotion late and unanswered, and separate an upstream from the others.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -52,10 +52,10 @@
     hosts: list[HostProcess]
 
     async def control_upstream(self, action: str, upstream: str) -> None:
-        """Makes the stand-in crash or restart an upstream.
+        """Makes the stand-in disturb an upstream, or end the disturbance.
 
         Args:
-          action: `crash` or `restart`.
+          action: `crash`, `restart`, `isolate` or `reconnect`.
           upstream: the name of the upstream.
         """
         await self._call_stand_in("POST", f"{action}?name={upstream}")
@@ -64,6 +64,11 @@
         """Gives all routes another timeout."""
         await self._call_stand_in("POST", f"routes?timeout_ms={timeout_ms}")
 
+    async def delay_promotions(self, count: int, delay_s: float) -> None:
+        """Carries out the next `count` promotion calls late and unanswered."""
+        call = f"late-promotions?count={count}&delay_s={delay_s}"
+        await self._call_stand_in("POST", call)
+
     async def wait_for_routes(self, version: int) -> None:
         """Waits until every host has routes of at least `version` in force."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -4,6 +4,10 @@
 listens on an address of its own. `POST /stand-in/crash?name=` and
 `POST /stand-in/restart?name=` crash and restart an upstream, and
 `POST /stand-in/routes?timeout_ms=` changes the configuration document.
+`POST /stand-in/isolate?name=` and `POST /stand-in/reconnect?name=` separate an
+upstream from the other ones, and connect it again.
+`POST /stand-in/late-promotions?count=&delay_s=` carries out the next calls for
+a promotion late, and doesn't answer them.
 `GET /stand-in/statements` returns the ids of the statements that clients sent
 and that arrived at an upstream, and the values in the latest log of a member.
 """
@@ -30,6 +34,8 @@
 DATABASE = "renew-1"
 TIMEOUT_MS = 1000
 MAX_WAIT_S = 30.0
+# Longer than a caller waits for an answer.
+NO_ANSWER_S = 10.0
 ROUTES = (
     ("card-renew", "primary", 0),
     ("agent-history", "read_your_writes", 2500),
@@ -49,12 +55,18 @@
         }
         self.members["u-a"].role = sessions.ReplicaRole.PRIMARY
         self.replica_set = replicas.ReplicaSet(
-            self.members, lambda source, target: True, self._schedule
+            self.members, self._can_reach, self._schedule
         )
+        self._isolated: set[str] = set()
         self.addresses: dict[str, str] = {}
         self.listeners: dict[str, lines.MemberListener] = {}
         self._published_entries: dict[str, str] = {}
         self._routes_version = 0
+        self._late_promotions = 0
+        self._late_promotion_delay_s = 0.0
+
+    def _can_reach(self, source: str, target: str) -> bool:
+        return self._isolated.isdisjoint((source, target))
 
     def _schedule(self, delay_s: float, call: Any) -> None:
         asyncio.get_running_loop().call_later(delay_s, call)
@@ -139,15 +151,32 @@
                 self.store.end_lease(int(lease))
                 return _json_response()
             case "POST", ["promotion"]:
-                return self._promote_upstream(body["id"])
-            case "GET", ["stand-in", "statements"]:
+                return await self._handle_promotion_call(body["id"])
+            case method, ["stand-in", action]:
+                return self._control(method, action, params)
+        return http.Response(404, b"")
+
+    def _control(
+        self, method: str, action: str, params: dict[str, str]
+    ) -> http.Response:
+        """Handles a call that controls the stand-in itself."""
+        match method, action:
+            case "GET", "statements":
                 return self._list_statements()
-            case "POST", ["stand-in", "routes"]:
+            case "POST", "routes":
                 self.publish_routes(int(params["timeout_ms"]))
-                return _json_response()
-            case "POST", ["stand-in", action]:
-                return self._crash_or_restart(action, params["name"])
-        return http.Response(404, b"")
+            case "POST", "late-promotions":
+                self._late_promotions = int(params["count"])
+                self._late_promotion_delay_s = float(params["delay_s"])
+            case "POST", "isolate":
+                self._isolated.add(params["name"])
+            case "POST", "reconnect":
+                self._isolated.discard(params["name"])
+            case "POST", "crash" | "restart":
+                self._crash_or_restart(action, params["name"])
+            case _:
+                return http.Response(404, b"")
+        return _json_response()
 
     def _get_key(self, key: str) -> http.Response:
         stored = self.store.keys.get(key)
@@ -206,11 +235,22 @@
             return http.Response(404, b"")
         return _json_response(ttl_ms=self.store.lease_ttls_s[lease] * 1000)
 
-    def _promote_upstream(self, name: str) -> http.Response:
-        accepted = self.replica_set.promote(
+    async def _handle_promotion_call(self, name: str) -> http.Response:
+        if not self._late_promotions:
+            accepted = self._promote_upstream(name)
+            return http.Response(200 if accepted else 409, b"{}")
+        self._late_promotions -= 1
+        # The call acts also if its sender has given it up or has ended.
+        self._schedule(
+            self._late_promotion_delay_s, lambda: self._promote_upstream(name)
+        )
+        await asyncio.sleep(NO_ANSWER_S)
+        return http.Response(503, b"")
+
+    def _promote_upstream(self, name: str) -> bool:
+        return self.replica_set.promote(
             name, PROMOTION_DELAY_S, time.monotonic(), 0
         )
-        return http.Response(200 if accepted else 409, b"{}")
 
     def _list_statements(self) -> http.Response:
         ids = [
@@ -223,14 +263,13 @@
         committed = [entry.tag for entry in latest.log]
         return _json_response(ids=ids, committed=committed)
 
-    def _crash_or_restart(self, action: str, name: str) -> http.Response:
+    def _crash_or_restart(self, action: str, name: str) -> None:
         member = self.members[name]
         member.up = action == "restart"
         if not member.up:
             self.listeners[name].close_connections()
         elif self.replica_set.primary() is not None:
             member.role = sessions.ReplicaRole.REPLICA
-        return _json_response()
 
 
 @contextlib.asynccontextmanager
