Answer a commit once that is in doubt at its deadline

Callers saw: the commit got two answers. A client that had sent more took the second for that of its next statement and was one answer ahead from there; its session was broken and closed, with what stood behind refused.

Cause: a receipt without a confirmed primary is held by ReceiptGuard until the answer is due, and given up at a tick. The guard passed the result on before the tick, so that the session handler had ended the job, but did not have its answer back, when it looked for lost statements at the same tick: a statement without a job counts as lost from its arrival on.

Change: the tick goes first. An answer is still forgotten only when it comes back, so that one that a filter loses is answered (test_statement_is_answered_once_wherever_a_filter_fails forbids to forget it earlier).

Ruled out by reading: two results of one job; answers after the end of a stream; replies of an upstream without a call.

Evidence: the new test fails without the change for a single write and for a commit (two answers, `statement_lost`).

--- a/packages/fescueshunt/src/fescueshunt/sessions/receipts.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/receipts.py
@@ -62,9 +62,11 @@
                 yield from self._release(item.database, item.at)
                 yield item
             case filters.Tick():
+                # A later filter looks at each tick for statements that are
+                # overdue. Those that end now are not.
+                yield item
                 for database in self._held:
                     yield from self._release(database, item.at)
-                yield item
             case _:
                 yield item
 
--- a/tests/unit/test_lost_statements.py
+++ b/tests/unit/test_lost_statements.py
@@ -261,3 +261,27 @@
     world.run(TIMEOUT_S * 3)
     (failure,) = world.failures_before_close(1, "read")
     assert failure is not IN_DOUBT
+
+
+# Failure: a commit without a confirmed primary is in doubt at its deadline, and
+# the same tick takes its statement for lost: it gets a second answer, which the
+# client takes for that of its next statement, and its session is broken.
+@pytest.mark.parametrize("verbs", [(WRITE,), (BEGIN, WRITE, COMMIT)])
+def test_commit_in_doubt_at_its_deadline_is_answered_once(world, verbs):
+    world.stop()
+    *earlier, last = verbs
+    for verb in earlier:
+        world.send(1, verb.value, verb)
+    world.run(WARM_UP_S)
+    world.statement_duration_s = TIMEOUT_S * 0.9
+    world.send(1, last.value, last)
+    world.send(1, "behind", READ)
+    world.run(WARM_UP_S)
+    world.partition(stopping_world.HOST, "u1", "u2")
+    world.run(ANSWER_S * 3)
+    assert world.failures_before_close(1, last.value) == [IN_DOUBT]
+    answers = world.of_type(session_items.SendSessionAnswer)
+    ids = [each.statement_id for each in answers if each.client == 1]
+    assert ids == ["first", *(verb.value for verb in verbs), "behind"]
+    events = [each.event for each in world.hosts[stopping_world.HOST].decisions]
+    assert "statement_lost" not in events
