End a client's stream only once all is sent

Callers would see: a statement without an answer on a connection that ends later. A client that has yet to read a large answer sends its next statement while its host closes the session; no end of the stream has reached it.

Cause: the end of a stream waits behind what the client's system has no room for, but the host ignored what it read from the moment it had asked for the end. A second, much smaller window: the host stopped to handle requests, set a timer and then ended the stream, so that a statement that arrived in between was ignored though nothing had ended yet.

Change: the stream ends once all bytes are sent, and the last look at what has arrived comes right before it. A client that never reads is held on to as before, and one that goes on sending without reading for 100 looks.

Evidence: test_data_that_arrives_before_the_end_is_sent_is_handled fails without the change with 8 MB (in the process's buffer) and 2 MB (in the kernel's): the statement was read and dropped.

Ruled out: to wait until the client has acknowledged all. A client that sends its next statement with each acknowledgement would have it refused in place of a clean close.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/graceful_close.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/graceful_close.py
@@ -2,7 +2,8 @@
 
 A connection that is closed with unread bytes is reset, and its peer loses what
 is still on the way. The stream is therefore ended first, and what the peer
-sends is read until it ends its stream as well.
+sends is read until it ends its stream as well. The stream ends only once all
+is sent: the end would wait behind the rest, and the peer would go on meanwhile.
 """
 
 from __future__ import annotations
@@ -22,6 +23,10 @@
 # How often data that has just arrived is handled before the stream ends. Time
 # could run out while the process stands still and reads nothing.
 MAX_FINAL_READS = 100
+# How often a stream whose end has to wait is looked at.
+SENDING_CHECK_S = 0.01
+# Linux's request for the bytes of a socket that are not sent yet; see tcp(7).
+SIOCOUTQNSD = 0x894B
 # The end of a stream counts as one byte that the other end has to acknowledge.
 END_OF_STREAM_BYTES = 1
 
@@ -88,20 +93,37 @@
         self._call_later(0, self._end_stream)
 
     def _end_stream(self) -> None:
+        """Ends the stream, unless more is to be read or sent before.
+
+        What arrives between the last look and the end is ignored, so nothing
+        stands between the two.
+        """
+        may_wait = self._final_reads < MAX_FINAL_READS
+        if may_wait and self._is_sending():
+            self._wait_while_sending()
+            return
         is_arriving = self._has_received or self._has_unread_bytes()
-        if is_arriving and self._final_reads < MAX_FINAL_READS:
+        if may_wait and is_arriving:
             self._read_before_end()
             return
-        self._ignore()
         if self._has_peer_ended:
+            self._ignore()
             self._transport.close()
             return
-        self._is_lingering = True
-        self._call_later(LINGER_S, self._stop_lingering)
         # A peer that reset its connection also makes `connection_lost` be
         # called.
         with contextlib.suppress(OSError):
             self._transport.write_eof()
+        self._is_lingering = True
+        self._ignore()
+        self._call_later(LINGER_S, self._stop_lingering)
+
+    def _wait_while_sending(self) -> None:
+        """Goes on reading until the rest is sent."""
+        if self._has_received:
+            self._final_reads += 1
+            self._has_received = False
+        self._call_later(SENDING_CHECK_S, self._end_stream)
 
     def _stop_lingering(self) -> None:
         if self._has_unsent_bytes():
@@ -117,6 +139,13 @@
         """Returns whether bytes have arrived since the loop last looked."""
         return self._count_bytes(termios.FIONREAD) > 0
 
+    def _is_sending(self) -> bool:
+        """Returns whether the end of the stream would have to wait."""
+        if self._has_peer_ended:
+            return False
+        is_buffering = self._transport.get_write_buffer_size() > 0
+        return is_buffering or self._count_bytes(SIOCOUTQNSD) > 0
+
     def _has_unsent_bytes(self) -> bool:
         """Returns whether the peer's system has yet to receive bytes."""
         return (
@@ -130,8 +159,9 @@
         Returns 0 if the system does not say.
 
         Args:
-          queue: FIONREAD for bytes that are unread, TIOCOUTQ for those that
-            the peer's system has not received.
+          queue: FIONREAD for bytes that are unread, SIOCOUTQNSD for those that
+            are not sent, TIOCOUTQ for those that the peer's system has not
+            received.
         """
         sock = self._transport.get_extra_info("socket")
         count = array.array("i", [0])
--- a/tests/functional/test_graceful_close.py
+++ b/tests/functional/test_graceful_close.py
@@ -8,6 +8,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
+
 from fescueshunt_wire import graceful_close
 
 if TYPE_CHECKING:
@@ -16,6 +18,10 @@
 STATEMENT = b"QUERY q1 READ a\r\n"
 PAUSE_S = graceful_close.LINGER_S * 2
 TIMEOUT_S = 5.0
+# More than the kernel holds for a client that does not read.
+ANSWER = bytes(8 * 1024 * 1024)
+READ_BYTES = 1 << 20
+RECEIVE_BUFFER_BYTES = 1 << 14
 
 
 class _Recorder(asyncio.Protocol):
@@ -24,14 +30,16 @@
     def __init__(self) -> None:
         self.close: graceful_close.GracefulClose | None = None
         self.handled = b""
+        self.transport: asyncio.Transport | None = None
         self.lost = asyncio.Event()
-        self._ignores = False
+        self.has_ended = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
         self.close = graceful_close.GracefulClose(transport, self._ignore)
 
     def data_received(self, data: bytes) -> None:
-        if not self._ignores:
+        if not self.has_ended:
             self.close.record_received()
             self.handled += data
 
@@ -43,15 +51,22 @@
         self.lost.set()
 
     def _ignore(self) -> None:
-        self._ignores = True
+        self.has_ended = True
 
 
 @contextlib.asynccontextmanager
-async def _connected() -> AsyncIterator[tuple[socket.socket, _Recorder]]:
+async def _connected(
+    receive_buffer_bytes: int | None = None,
+) -> AsyncIterator[tuple[socket.socket, _Recorder]]:
     """Yields a client's socket and the protocol at the other end."""
     loop = asyncio.get_running_loop()
+    client = socket.socket()
+    if receive_buffer_bytes is not None:
+        client.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        client = socket.create_connection(listener.getsockname())
+        client.connect(listener.getsockname())
         accepted, _ = listener.accept()
     accepted.setblocking(False)
     with client:
@@ -120,3 +135,57 @@
                 await protocol.lost.wait()
 
     asyncio.run(run())
+
+
+def _read_to_end(client: socket.socket) -> int:
+    """Returns how many bytes a client received before the end."""
+    count = 0
+    while data := client.recv(READ_BYTES):
+        count += len(data)
+    return count
+
+
+# Failure: the end of the stream waits behind an answer that the client has not
+# read, and what the client sends before it can see the end is dropped.
+@pytest.mark.parametrize(
+    "answer", [ANSWER, ANSWER[: len(ANSWER) // 4]], ids=["process", "kernel"]
+)
+def test_data_that_arrives_before_the_end_is_sent_is_handled(answer: bytes):
+    async def run() -> tuple[bytes, int]:
+        async with _connected(RECEIVE_BUFFER_BYTES) as (client, protocol):
+            protocol.transport.write(answer)
+            protocol.close.begin(reads_first=True)
+            await asyncio.sleep(PAUSE_S)
+            client.sendall(STATEMENT)
+            await asyncio.sleep(PAUSE_S)
+            async with asyncio.timeout(TIMEOUT_S):
+                count = await asyncio.to_thread(_read_to_end, client)
+                await protocol.lost.wait()
+        return protocol.handled, count
+
+    assert asyncio.run(run()) == (STATEMENT, len(answer))
+
+
+# Failure: a client that goes on sending and never reads keeps its connection
+# open, and all that it is to be sent in memory.
+def test_close_ends_although_the_client_never_reads():
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        async with _connected(RECEIVE_BUFFER_BYTES) as (client, protocol):
+
+            def send_again() -> None:
+                with contextlib.suppress(OSError):
+                    client.sendall(STATEMENT)
+                    loop.call_later(graceful_close.SENDING_CHECK_S, send_again)
+
+            protocol.transport.write(ANSWER)
+            protocol.close.begin(reads_first=True)
+            send_again()
+            async with asyncio.timeout(TIMEOUT_S):
+                while not protocol.has_ended:
+                    await asyncio.sleep(PAUSE_S)
+            assert len(protocol.handled) <= len(STATEMENT) * (
+                graceful_close.MAX_FINAL_READS + 1
+            )
+
+    asyncio.run(run())
