--- a/tests/functional/test_cut_zone.py
+++ b/tests/functional/test_cut_zone.py
@@ -6,12 +6,12 @@
 
 from fescueshunt import errors
 from fescueshunt.core import upstream
-from lib import scenarios, simulation
+from lib import scenarios, simulated_settings, simulation
 
 ISOLATION_S = 5.0
 RECOVERY_S = 12.0
 ISOLATED_ZONE, ISOLATED_PROXY, ISOLATED_UPSTREAM = (
-    simulation.ZONES[0],
+    simulated_settings.ZONES[0],
     "proxy-0",
     "db-0",
 )
--- a/tests/functional/test_request_moves.py
+++ b/tests/functional/test_request_moves.py
@@ -6,7 +6,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import items, process
-from lib import scenarios, simulation
+from lib import scenarios, simulated_settings, simulation
 
 # Shutdown, and moves of the home proxy.
 
@@ -39,15 +39,15 @@
 
 
 def test_write_survives_the_move_of_the_home_proxy():
-    (database,) = simulation.SETTINGS.databases
+    (database,) = simulated_settings.SETTINGS.databases
     in_one_zone = tuple(
-        dataclasses.replace(u, zone=simulation.ZONES[0])
+        dataclasses.replace(u, zone=simulated_settings.ZONES[0])
         for u in database.upstreams
     )
     moved_database = dataclasses.replace(database, upstreams=in_one_zone)
     cluster = simulation.SimulatedCluster(
         settings=dataclasses.replace(
-            simulation.SETTINGS, databases=(moved_database,)
+            simulated_settings.SETTINGS, databases=(moved_database,)
         )
     )
     cluster.kill("proxy-0")
@@ -98,13 +98,13 @@
 
 
 def test_draining_primary_hands_over_and_gets_no_new_work(cluster, home, other):
-    (database,) = simulation.SETTINGS.databases
+    (database,) = simulated_settings.SETTINGS.databases
     upstreams = tuple(
         dataclasses.replace(u, draining=u.name == "db-0")
         for u in database.upstreams
     )
     drained = dataclasses.replace(
-        simulation.SETTINGS,
+        simulated_settings.SETTINGS,
         revision=2,
         databases=(dataclasses.replace(database, upstreams=upstreams),),
     )
--- a/tests/functional/test_request_promises.py
+++ b/tests/functional/test_request_promises.py
@@ -7,7 +7,7 @@
 from fescueshunt import errors
 from fescueshunt.core import document, items, peer, request, upstream
 from fescueshunt.request import ledger
-from lib import scenarios, simulation
+from lib import scenarios, simulated_settings, simulation
 
 Kind = request.Kind
 
@@ -187,9 +187,11 @@
 def test_tombstone_needs_a_majority():
     services = tuple(
         dataclasses.replace(s, durability=document.Durability.PRIMARY)
-        for s in simulation.SETTINGS.services
+        for s in simulated_settings.SETTINGS.services
+    )
+    settings = dataclasses.replace(
+        simulated_settings.SETTINGS, services=services
     )
-    settings = dataclasses.replace(simulation.SETTINGS, services=services)
     cluster = simulation.SimulatedCluster(settings=settings)
     for name in ("db-1", "db-2"):
         cluster.upstreams[name].is_replicating = False
--- a/tests/functional/test_rolling_restart.py
+++ b/tests/functional/test_rolling_restart.py
@@ -16,12 +16,12 @@
 from fescueshunt.request import drain, ledger
 from fescueshunt_cli import caller, roaming
 from fescueshunt_standins import fleet as fleets
-from lib import scenarios, simulation
+from lib import scenarios, simulated_network, simulated_settings, simulation
 
 SITE = fleets.FleetOptions(
     schema_sql="CREATE TABLE hit (tag TEXT NOT NULL)", proxies_per_zone=1
 )
-ZONES = simulation.ZONES
+ZONES = simulated_settings.ZONES
 CALLERS = 6
 PAUSE_S = 0.02
 READY_TIMEOUT_S = 30.0
@@ -108,7 +108,9 @@
 async def run(timeout_s: float) -> tuple[list[int], list, list[str]]:
     answers: list = []
     stop = asyncio.Event()
-    async with fleets.running(simulation.SETTINGS, SITE, ZONES) as fleet:
+    async with fleets.running(
+        simulated_settings.SETTINGS, SITE, ZONES
+    ) as fleet:
         for process in fleet.proxies.values():
             await wait_ready(process)
         addresses = [p.address for p in fleet.proxies.values()]
@@ -206,7 +208,7 @@
     def run_callers(seconds: float) -> None:
         until = cluster.now + seconds
         while cluster.now < until:
-            cluster.run(simulation.HOP_DELAY_S)
+            cluster.run(simulated_network.HOP_DELAY_S)
             for each in callers:
                 each.poll()
 
@@ -218,8 +220,8 @@
         run_callers(simulation.WARM_UP_S)
     (target_s,) = {
         rank.target_s
-        for rank in simulation.SETTINGS.ranks
-        if rank.name == simulation.SETTINGS.service("pay").rank
+        for rank in simulated_settings.SETTINGS.ranks
+        if rank.name == simulated_settings.SETTINGS.service("pay").rank
     }
     assert [each.failed for each in callers] == [[]] * CALLERS
     latencies_s = [s for each in callers for s in each.latencies_s]
--- a/tests/functional/test_transaction_promises.py
+++ b/tests/functional/test_transaction_promises.py
@@ -6,7 +6,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import items, peer, request
-from lib import scenarios, simulation
+from lib import scenarios, simulated_settings, simulation
 
 Kind = request.Kind
 
@@ -185,9 +185,9 @@
 
 
 def test_commit_for_another_database_is_refused():
-    first = simulation.SETTINGS.databases[0]
+    first = simulated_settings.SETTINGS.databases[0]
     settings = dataclasses.replace(
-        simulation.SETTINGS,
+        simulated_settings.SETTINGS,
         databases=(first, dataclasses.replace(first, name="db2")),
     )
     cluster = simulation.SimulatedCluster(settings=settings)
--- a/tests/functional/test_waiting_requests.py
+++ b/tests/functional/test_waiting_requests.py
@@ -7,7 +7,7 @@
 from fescueshunt import errors
 from fescueshunt.core import items, request, upstream
 from fescueshunt.health import poller
-from lib import scenarios, simulation
+from lib import scenarios, simulated_network, simulated_settings
 
 Kind = request.Kind
 
@@ -95,18 +95,18 @@
         return None if silenced.alive else []
 
     cluster.delivery_hook = silence
-    slots = simulation.SETTINGS.groups[0].slots
+    slots = simulated_settings.SETTINGS.groups[0].slots
     tags = [f"write-{number}" for number in range(2 * slots)]
     seqs = [
         cluster.send(home, 1, scenarios.write_request(cluster, tag, caller=tag))
         for tag in tags
     ]
     while silenced.alive:
-        cluster.run(simulation.HOP_DELAY_S)
+        cluster.run(simulated_network.HOP_DELAY_S)
     cluster.delivery_hook = lambda _: None
     while cluster.primary() is silenced:
-        cluster.run(simulation.HOP_DELAY_S)
-    cluster.run(simulation.SETTINGS.ranks[0].target_s)
+        cluster.run(simulated_network.HOP_DELAY_S)
+    cluster.run(simulated_settings.SETTINGS.ranks[0].target_s)
     answers = [cluster.answers.get((home, 1, seq)) for seq in seqs]
     outcomes = [answer and answer.outcome for answer in answers]
     assert outcomes == [errors.Outcome.DONE] * len(tags)
--- a/tests/lib/machine.py
+++ b/tests/lib/machine.py
@@ -15,7 +15,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import position, request
-from lib import checker, scenarios, simulation
+from lib import checker, scenarios, simulated_network, simulation
 
 PROXIES = ("proxy-0", "proxy-1", "proxy-2")
 UPSTREAMS = ("db-0", "db-1", "db-2")
@@ -279,7 +279,7 @@
         delay_rate=FAULT_RATES,
     )
     def set_message_faults(self, loss_rate, duplication_rate, delay_rate):
-        self.cluster.faults = simulation.Faults(
+        self.cluster.faults = simulated_network.Faults(
             loss_rate, duplication_rate, delay_rate
         )
 
@@ -290,7 +290,7 @@
     @stateful.rule()
     def clear_faults(self):
         """Ends message faults, restarts stopped nodes, and runs for 3 s."""
-        self.cluster.faults = simulation.Faults()
+        self.cluster.faults = simulated_network.Faults()
         for fake in self.cluster.upstreams.values():
             fake.alive = True
         self.restart_killed_proxies()
@@ -301,7 +301,7 @@
     def teardown(self):
         if not hasattr(self, "cluster"):
             return
-        self.cluster.faults = simulation.Faults()
+        self.cluster.faults = simulated_network.Faults()
         for fake in self.cluster.upstreams.values():
             fake.alive = True
             fake.is_replicating = True
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from fescueshunt.core import items, peer, process, request, upstream
-from lib import simulation
+from lib import simulated_settings, simulation
 
 INSERT_SQL = "INSERT INTO hit VALUES (?)"
 SELECT_TAGS = request.Statement("SELECT tag FROM hit ORDER BY rowid")
@@ -265,7 +265,9 @@
     )
     cluster.settings = drained
     cluster.feed(home, items.SettingsRead(cluster.now, drained, 2))
-    cluster.feed(home, items.SettingsRead(cluster.now, simulation.SETTINGS, 1))
+    cluster.feed(
+        home, items.SettingsRead(cluster.now, simulated_settings.SETTINGS, 1)
+    )
     cluster.run(2.0)
     for number in range(6):
         cluster.execute(home, read_request(cluster, "old"), number)
--- a/tests/lib/spec_replayer.py
+++ b/tests/lib/spec_replayer.py
@@ -25,7 +25,7 @@
 from fescueshunt.request import acknowledge, write
 from fescueshunt.request import items as request_items
 from fescueshunt_wire import codec
-from lib import fake_upstreams, simulation
+from lib import fake_upstreams, simulated_settings
 
 STEP_INTERVAL_S = 0.001
 VOTE_WAIT_S = 0.06
@@ -33,7 +33,7 @@
 INSERT = request.Statement("INSERT INTO hit VALUES ('x')")
 OTHER_INSERT = request.Statement("INSERT INTO hit VALUES ('other')")
 SELECT = request.Statement("SELECT tag FROM hit WHERE tag = 'x'")
-DATABASE = simulation.SETTINGS.databases[0]
+DATABASE = simulated_settings.SETTINGS.databases[0]
 SERVICE_BY_DURABILITY = {
     document.Durability.MAJORITY: document.Service("pay", "group", "urgent"),
     document.Durability.PRIMARY: document.Service(
@@ -60,7 +60,10 @@
     The proposer is placed in that zone, so that it breaks ties as in the trace.
     """
     choices = [label.split() for label in labels if "choose" in label]
-    return {term: simulation.ZONES[int(chosen)] for _, term, chosen in choices}
+    return {
+        term: simulated_settings.ZONES[int(chosen)]
+        for _, term, chosen in choices
+    }
 
 
 class ReplayedAttempt:
@@ -80,7 +83,7 @@
             local_proxy.name, local_proxy.zone, local_proxy.address, 1
         )
         self.feed(views.FleetView(0.0, (member,)))
-        self.feed(views.SettingsView(0.0, simulation.SETTINGS))
+        self.feed(views.SettingsView(0.0, simulated_settings.SETTINGS))
         self.kind = kind
         self.service = service
         self.fake_upstream: fake_upstreams.FakeUpstream | None = None
@@ -126,7 +129,7 @@
             transaction=REQUEST_ID if is_outcome_query else b"",
         )
         origin = request_items.CallerOrigin(1, 1)
-        rank = simulation.SETTINGS.ranks[0]
+        rank = simulated_settings.SETTINGS.ranks[0]
         work = request_items.Work(
             now, 1, origin, req, self.service, rank, deadline=1e9
         )
@@ -149,7 +152,7 @@
         self.now = 100.0
         self.fakes = {
             upstream_name(n): fake_upstreams.FakeUpstream(
-                upstream_name(n), n == 0, simulation.SCHEMA
+                upstream_name(n), n == 0, simulated_settings.SCHEMA
             )
             for n in range(3)
         }
@@ -231,7 +234,9 @@
         zone = self.zones.get(term, "")
         local_proxy = identity.Identity(f"proposer-{term}", zone, "127.0.0.1:8")
         self.proposers[term] = propose.Proposer(local_proxy, random.Random(1))
-        self._feed(term, views.SettingsView(self.now, simulation.SETTINGS))
+        self._feed(
+            term, views.SettingsView(self.now, simulated_settings.SETTINGS)
+        )
         previous_term = position.Term(int(term) - 1)
         states = tuple(
             views.UpstreamState(
--- a/tests/unit/test_failover_histories.py
+++ b/tests/unit/test_failover_histories.py
@@ -7,7 +7,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import request, upstream
-from lib import simulation
+from lib import simulated_network, simulation
 
 SOAK_RUNS = int(os.environ.get("SOAK_RUNS", "0"))
 PROXIES = ("proxy-0", "proxy-1", "proxy-2")
@@ -100,13 +100,13 @@
         self, loss_rate: float, delay_rate: float, duplication_rate: float
     ) -> None:
         Histories.faults += 1
-        self.world.faults = simulation.Faults(
+        self.world.faults = simulated_network.Faults(
             loss_rate, duplication_rate, delay_rate
         )
 
     @stateful.rule()
     def clear_message_faults(self) -> None:
-        self.world.faults = simulation.Faults()
+        self.world.faults = simulated_network.Faults()
 
     @stateful.rule(name=st.sampled_from(UPSTREAMS), number=st.integers(2, 9))
     def fence_by_crashed_proposer(self, name: str, number: int) -> None:
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -4,6 +4,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import (
+    document,
     filters,
     identity,
     items,
@@ -207,7 +208,7 @@
 def test_a_drained_host_is_leaving_in_the_fleet_view():
     local_proxy = identity.Identity("p0", "z0", "127.0.0.1:1")
     core = filters.Core((members_pipe.build(local_proxy, random.Random(1)),))
-    settings = simulation.document.Document(revision=1, draining_hosts=("p0",))
+    settings = document.Document(revision=1, draining_hosts=("p0",))
     inputs = [
         filters.Tick(0.0, 0.0),
         filters.Tick(3.0, 3.0),
--- a/tests/unit/test_operators.py
+++ b/tests/unit/test_operators.py
@@ -17,11 +17,11 @@
 from fescueshunt.operators import pipe
 from fescueshunt_cli._internal.language import parse
 from fescueshunt_wire import codec
-from lib import simulation
+from lib import simulated_settings
 
 LOCAL_PROXY = identity.Identity("p0", "zone-a", "")
 INITIAL_SETTINGS = dataclasses.replace(
-    simulation.SETTINGS,
+    simulated_settings.SETTINGS,
     calendar=(
         document.CalendarDay(
             "eid", "2027-03-10", "Asia/Muscat", document.DayState.DECLARED
