Build the replica set views of tests in one place

Cause: eight files under tests/unit and tests/lib built entries, members and views of a replica set by hand, ten positional arguments each.

The inputs are the same but for fields that the code under test doesn't read: addresses of members, requested_at of a member without a status (0 or never), watched_since where no fence is made, and the database's name in test_host_metrics and the takeover's replay, which is hosted_routes.DATABASE now.

Ran: the nine test files that use them, all passed. They include the searches of test_takeover_spec that take a rule out and must lose a commit, and the loads of test_crowded_upstream and test_session_queue.

--- a/tests/lib/crowded_upstream.py
+++ b/tests/lib/crowded_upstream.py
@@ -15,15 +15,13 @@
 from fescueshunt.core import (
     filters,
     identity,
-    position,
-    replica_sets,
     routes,
     session_items,
     sessions,
     store_items,
 )
 from fescueshunt.sessions import choose, dispatch, items
-from lib import hosted_routes, session_load, timeline
+from lib import hosted_routes, replica_set_views, session_load, timeline
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,7 +31,6 @@
 TICK_S = 0.02
 ONE_WAY_S = 0.0015
 OPEN_S = 0.012
-START = position.Position(position.Term(1), 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,27 +62,14 @@
 ) -> tuple[filters.Item, ...]:
     """Returns what a dispatcher needs to know to use one primary."""
     policy = routes.ReplicaSetPolicy(DATABASE, max_connections, 1)
-    entry = replica_sets.UpstreamEntry(
-        PRIMARY,
-        DATABASE,
-        "127.0.0.1:2",
-        "z",
-        slots,
-        False,
-        sessions.ReplicaRole.PRIMARY,
+    entry = replica_set_views.make_entry(
+        PRIMARY, sessions.ReplicaRole.PRIMARY, slots=slots
     )
-    member = replica_sets.MemberView(entry, None, 0.0, None)
-    view = replica_sets.ReplicaSetView(
-        0.0,
-        DATABASE,
-        (member,),
+    view = replica_set_views.make_view(
+        (entry,),
         PRIMARY,
-        1,
-        float("inf"),
-        False,
-        (replica_sets.PositionSample(float("inf"), START),),
-        frozenset(),
-        replica_sets.NEVER,
+        confirmed_until=float("inf"),
+        samples=(replica_set_views.COVERING_SAMPLE,),
     )
     return (
         routes.RoutesView(0.0, 1, {}, {DATABASE: policy}, 3.0),
@@ -217,7 +201,12 @@
             if (host, sent.connection_id) not in self._open:
                 return
             replied = sessions.UpstreamReply(
-                (), "receipt", None, "", sessions.TransactionState.IDLE, START
+                (),
+                "receipt",
+                None,
+                "",
+                sessions.TransactionState.IDLE,
+                replica_set_views.START,
             )
             self._feed(
                 host,
--- a/tests/lib/session_load.py
+++ b/tests/lib/session_load.py
@@ -14,8 +14,6 @@
 
 from fescueshunt.core import (
     identity,
-    position,
-    replica_sets,
     routes,
     sessions,
 )
@@ -26,7 +24,7 @@
     pools,
     queue,
 )
-from lib import hosted_routes
+from lib import hosted_routes, replica_set_views
 
 SERVICE_S = 0.02
 STEP_S = 0.005
@@ -128,35 +126,13 @@
 
     def set_primary(self, primary: str) -> None:
         """Gives the queue a view with this primary; "" during a failover."""
-        members = tuple(
-            replica_sets.MemberView(
-                replica_sets.UpstreamEntry(
-                    name,
-                    hosted_routes.DATABASE,
-                    "127.0.0.1:2",
-                    "z",
-                    2,
-                    False,
-                    sessions.ReplicaRole.REPLICA,
-                ),
-                None,
-                replica_sets.NEVER,
-                None,
-            )
-            for name in MEMBERS
-        )
-        start = position.Position(position.Term(1), 0)
-        view = replica_sets.ReplicaSetView(
-            self.now,
-            hosted_routes.DATABASE,
-            members,
+        view = replica_set_views.make_view(
+            (replica_set_views.make_entry(name) for name in MEMBERS),
             primary,
-            1,
-            float("inf"),
-            not primary,
-            (replica_sets.PositionSample(float("inf"), start),),
-            frozenset(),
-            replica_sets.NEVER,
+            now=self.now,
+            confirmed_until=float("inf"),
+            is_failing_over=not primary,
+            samples=(replica_set_views.COVERING_SAMPLE,),
         )
         list(self._pools.set_members(view))
         self.queue.update_view(view)
--- a/tests/lib/takeover_holder.py
+++ b/tests/lib/takeover_holder.py
@@ -6,11 +6,12 @@
 
 from fescueshunt.core import filters, session_items, sessions, store_items
 from fescueshunt.takeover import attempt, cause, items, promotion_calls
+from lib import hosted_routes
 
 if TYPE_CHECKING:
     from lib import takeover_replayer
 
-DATABASE = "db"
+DATABASE = hosted_routes.DATABASE
 PROMOTION_WAIT_S = 1.0
 CHECK_ROUNDS = 4
 DUTY_LEASE_S = 60.0
--- a/tests/lib/takeover_replayer.py
+++ b/tests/lib/takeover_replayer.py
@@ -11,6 +11,7 @@
 from fescueshunt.replicas import primary_state
 from fescueshunt.takeover import participants, promotion_calls
 from fescueshunt_standins.hosted import replicas
+from lib import replica_set_views
 from lib.takeover_holder import DATABASE, Holder
 
 READER = "reader"
@@ -83,36 +84,14 @@
 
     def view(self) -> replica_sets.ReplicaSetView:
         """Returns the replica set as a holder sees it when it starts."""
-        members = tuple(
-            replica_sets.MemberView(
-                replica_sets.UpstreamEntry(
-                    member.name,
-                    DATABASE,
-                    "127.0.0.1:1",
-                    "z",
-                    2,
-                    False,
-                    member.role,
-                ),
-                None,
-                replica_sets.NEVER,
-                None,
-            )
+        entries = [
+            replica_set_views.make_entry(member.name, member.role)
             for member in self.replicas.members.values()
             if member.name not in self.silent
-        )
+        ]
         term = max(m.term for m in self.replicas.members.values())
-        return replica_sets.ReplicaSetView(
-            self.now,
-            DATABASE,
-            members,
-            FIRST_PRIMARY,
-            term,
-            0.0,
-            False,
-            (),
-            self.silent,
-            replica_sets.NEVER,
+        return replica_set_views.make_view(
+            entries, FIRST_PRIMARY, now=self.now, term=term, silent=self.silent
         )
 
     def run_call(
@@ -342,9 +321,7 @@
     def _primary_by_status(self) -> primary_state.PrimaryState:
         tracked = [
             primary_state.TrackedMember(
-                replica_sets.UpstreamEntry(
-                    member.name, DATABASE, "", "z", 2, False, member.role
-                ),
+                replica_set_views.make_entry(member.name, member.role),
                 member.status(),
                 self.now,
             )
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -17,8 +17,9 @@
     participants,
     promotion_calls,
 )
+from lib import hosted_routes, replica_set_views
 
-DATABASE = "db"
+DATABASE = hosted_routes.DATABASE
 MEMBERS = ("u0", "u1", "u2")
 OTHER_MEMBERS = ("v1", "v2")
 TOKEN = 7
@@ -28,35 +29,8 @@
 
 
 def _view() -> replica_sets.ReplicaSetView:
-    members = tuple(
-        replica_sets.MemberView(
-            replica_sets.UpstreamEntry(
-                name,
-                DATABASE,
-                "127.0.0.1:1",
-                "z",
-                2,
-                False,
-                sessions.ReplicaRole.REPLICA,
-            ),
-            None,
-            replica_sets.NEVER,
-            None,
-        )
-        for name in MEMBERS
-    )
-    return replica_sets.ReplicaSetView(
-        0.0,
-        DATABASE,
-        members,
-        "u0",
-        FENCE_TERM - 1,
-        0.0,
-        False,
-        (),
-        frozenset(),
-        replica_sets.NEVER,
-    )
+    entries = [replica_set_views.make_entry(name) for name in MEMBERS]
+    return replica_set_views.make_view(entries, "u0", term=FENCE_TERM - 1)
 
 
 class _Failover:
--- a/tests/unit/test_foreign_keys.py
+++ b/tests/unit/test_foreign_keys.py
@@ -5,24 +5,15 @@
 from fescueshunt.core import (
     filters,
     identity,
-    replica_sets,
     sessions,
     store_items,
 )
 from fescueshunt.presence import hosts as presence_hosts
 from fescueshunt.takeover import election, participants
-from lib import hosted_routes
+from lib import hosted_routes, replica_set_views
 
 DATABASE = hosted_routes.DATABASE
-ENTRY = replica_sets.UpstreamEntry(
-    "u0",
-    DATABASE,
-    "10.1.0.9:8080",
-    "z",
-    2,
-    False,
-    sessions.ReplicaRole.PRIMARY,
-)
+ENTRY = replica_set_views.make_entry("u0", sessions.ReplicaRole.PRIMARY)
 
 
 # Failure: a host's key that belongs to no lease, as another program left it,
@@ -51,10 +42,7 @@
 def test_duty_under_a_key_without_a_lease_is_vacant():
     elected = election.Election("h0")
     stored = store_items.StoredKey("ghost", 4, 0)
-    member = replica_sets.MemberView(ENTRY, None, 0.0, None)
-    view = replica_sets.ReplicaSetView(
-        0.0, DATABASE, (member,), "u0", 1, 9.0, False, (), frozenset(), 0.0
-    )
+    view = replica_set_views.make_view((ENTRY,), "u0", confirmed_until=9.0)
     feed = (
         view,
         store_items.LeaseView(0.0, 7, 9.0),
--- a/tests/unit/test_host_metrics.py
+++ b/tests/unit/test_host_metrics.py
@@ -10,7 +10,6 @@
 from fescueshunt import errors
 from fescueshunt.core import (
     filters,
-    replica_sets,
     routes,
     session_items,
     store_items,
@@ -22,6 +21,7 @@
     measures,
     own_settings,
 )
+from lib import hosted_routes, replica_set_views
 
 LABELS = r'\{[a-z_]+="[^"]*"(,[a-z_]+="[^"]*")*\}'
 SAMPLE = re.compile(rf"^[a-z_]+({LABELS})? \S+$")
@@ -75,15 +75,20 @@
     host_metrics = measures.HostMetrics(core_runtime)
     core_runtime._publish(store_items.LeaseView(11.0, 1, 13.0, 2.0))
     core_runtime._publish(
-        replica_sets.ReplicaSetView(
-            11.0, "d", (), primary, 1, 13.0, is_moving, (), frozenset(), 0.0
+        replica_set_views.make_view(
+            (),
+            primary,
+            now=11.0,
+            confirmed_until=13.0,
+            is_failing_over=is_moving,
         )
     )
     rows = dict(host.parse_metrics(host_metrics.render()))
     assert float(rows["fescueshunt_lease_left_seconds"]) == 1.0
     names = ("primary_confirmed", "primary_moving")
     assert gauges == tuple(
-        rows[f'fescueshunt_{name}{{database="d"}}'] for name in names
+        rows[f'fescueshunt_{name}{{database="{hosted_routes.DATABASE}"}}']
+        for name in names
     )
 
 
--- a/tests/unit/test_receipts.py
+++ b/tests/unit/test_receipts.py
@@ -14,7 +14,7 @@
     sessions,
 )
 from fescueshunt.sessions import items, receipts
-from lib import hosted_routes, session_load
+from lib import replica_set_views, session_load
 
 TERM = 2
 TICK_S = 0.02
@@ -32,17 +32,13 @@
     *,
     is_failing_over: bool = False,
 ) -> replica_sets.ReplicaSetView:
-    return replica_sets.ReplicaSetView(
-        now,
-        hosted_routes.DATABASE,
+    return replica_set_views.make_view(
         (),
         primary,
-        term,
-        confirmed_until,
-        is_failing_over,
-        (),
-        frozenset(),
-        0.0,
+        now=now,
+        term=term,
+        confirmed_until=confirmed_until,
+        is_failing_over=is_failing_over,
     )
 
 
--- a/tests/unit/test_stale_reads.py
+++ b/tests/unit/test_stale_reads.py
@@ -20,7 +20,7 @@
     store_items,
 )
 from fescueshunt.replicas import membership, pipe
-from lib import hosted_routes
+from lib import hosted_routes, replica_set_views
 
 TICK_S = 0.05
 FIRST_TERM = position.Term(1)
@@ -36,9 +36,7 @@
         else sessions.ReplicaRole.REPLICA
     )
     address = f"127.0.0.1:{int(upstream[1:]) + 1}"
-    return replica_sets.UpstreamEntry(
-        upstream, hosted_routes.DATABASE, address, "z", 2, False, role
-    )
+    return replica_set_views.make_entry(upstream, role, address=address)
 
 
 class CutOffHost:
