--- a/packages/fescueshunt/src/fescueshunt/core/views.py
+++ b/packages/fescueshunt/src/fescueshunt/core/views.py
@@ -6,7 +6,13 @@
 import enum
 import functools
 
-from fescueshunt.core import document, filters, position, upstream
+from fescueshunt.core import (
+    document,
+    filters,
+    identity,
+    position,
+    upstream,
+)
 
 MAJORITY_SUPPORT_TTL_S = 1.0
 
@@ -46,6 +52,11 @@
     incarnation: int
     state: MemberState = MemberState.LIVE
 
+    @classmethod
+    def from_identity(cls, proxy: identity.Identity) -> Member:
+        """Returns a proxy as a live member of the fleet."""
+        return cls(proxy.name, proxy.zone, proxy.address, proxy.incarnation)
+
 
 @dataclasses.dataclass(frozen=True)
 class FleetView(filters.Item):
--- a/packages/fescueshunt/src/fescueshunt/members/probe.py
+++ b/packages/fescueshunt/src/fescueshunt/members/probe.py
@@ -89,12 +89,7 @@
     def __init__(
         self, local_proxy: identity.Identity, rng: random.Random
     ) -> None:
-        member = views.Member(
-            local_proxy.name,
-            local_proxy.zone,
-            local_proxy.address,
-            local_proxy.incarnation,
-        )
+        member = views.Member.from_identity(local_proxy)
         self._state = FailureDetectorState(member)
         self._rng = rng
 
--- a/packages/fescueshunt/src/fescueshunt/members/publish.py
+++ b/packages/fescueshunt/src/fescueshunt/members/publish.py
@@ -59,12 +59,7 @@
 
     def __init__(self, local_proxy: identity.Identity) -> None:
         self._zone = local_proxy.zone
-        member = views.Member(
-            local_proxy.name,
-            local_proxy.zone,
-            local_proxy.address,
-            local_proxy.incarnation,
-        )
+        member = views.Member.from_identity(local_proxy)
         self._state = FleetViewPublisherState({local_proxy.name: member})
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/members/table.py
+++ b/packages/fescueshunt/src/fescueshunt/members/table.py
@@ -54,12 +54,7 @@
 
     def __init__(self, local_proxy: identity.Identity) -> None:
         self._local_name = local_proxy.name
-        member = views.Member(
-            local_proxy.name,
-            local_proxy.zone,
-            local_proxy.address,
-            local_proxy.incarnation,
-        )
+        member = views.Member.from_identity(local_proxy)
         self._state = MembershipTableState({local_proxy.name: member})
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
--- a/tests/lib/spec_replayer.py
+++ b/tests/lib/spec_replayer.py
@@ -79,9 +79,7 @@
         )
         serving = filters.Pipe(stages, ACCEPTS)
         self.core = filters.Core((health_pipe.build(local_proxy), serving))
-        member = views.Member(
-            local_proxy.name, local_proxy.zone, local_proxy.address, 1
-        )
+        member = views.Member.from_identity(local_proxy)
         self.feed(views.FleetView(0.0, (member,)))
         self.feed(views.SettingsView(0.0, simulated_settings.SETTINGS))
         self.kind = kind
