--- a/tests/functional/test_request_moves.py
+++ b/tests/functional/test_request_moves.py
@@ -19,12 +19,7 @@
     refused = cluster.execute(other, scenarios.read_request(cluster), conn=2)
     assert refused.error == errors.StoppingError()
     cluster.execute(other, scenarios.step_request(cluster, begin_id, "one"))
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     cluster.feed(other, process.StopAsked(cluster.now))
     cluster.run(0.2)
     assert other not in cluster.proxies
--- a/tests/functional/test_transaction_promises.py
+++ b/tests/functional/test_transaction_promises.py
@@ -45,12 +45,7 @@
     )
     assert answer.error == errors.RequestIdReusedError()
     cluster.execute(other, scenarios.step_request(cluster, begin_id, "one"))
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     assert cluster.rows() == ["one"]
 
 
@@ -63,12 +58,7 @@
     answer = cluster.execute(other, foreign_request, conn=2)
     assert answer.error == errors.TransactionLostError()
     cluster.execute(other, scenarios.step_request(cluster, begin_id, "one"))
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     assert cluster.rows() == ["one"]
 
 
@@ -78,12 +68,7 @@
     message = peer.ForwardedRequest(7, "", foreign_request, 1.0)
     cluster.feed(home, items.PeerReceived(cluster.now, "proxy-9", message))
     cluster.run(0.1)
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     assert cluster.rows() == []
 
 
@@ -102,12 +87,7 @@
         is None
     )
     cluster.run(0.2)
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     assert cluster.rows() == ["one"]
 
 
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -334,6 +334,11 @@
     return transaction_request(cluster, request.Kind.COMMIT, begin_id, **fields)
 
 
+def commit_transaction(cluster, proxy, begin_id):
+    req = commit_request(cluster, begin_id)
+    assert cluster.execute(proxy, req).error is None
+
+
 def outcome_request(cluster, request_id, **fields):
     return request.Request(
         cluster.new_request_id(),
