Derive settings with a draining upstream in one place

Cause: test_request_moves twice, and the scenario leaving_upstream, built the next revision of the settings with one upstream draining by hand.

Change: simulated_settings.drain_upstream does it.

--- a/tests/functional/test_request_moves.py
+++ b/tests/functional/test_request_moves.py
@@ -70,15 +70,8 @@
             "proxy-0", scenarios.read_request(cluster, "old"), conn=number
         )
     assert cluster.count_connections(leaving) > 0
-    (database,) = cluster.settings.databases
-    upstreams = tuple(
-        dataclasses.replace(u, draining=u.name == leaving)
-        for u in database.upstreams
-    )
-    cluster.settings = dataclasses.replace(
-        cluster.settings,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
+    cluster.settings = simulated_settings.drain_upstream(
+        cluster.settings, leaving
     )
     cluster.feed(
         "proxy-0", items.SettingsRead(cluster.now, cluster.settings, 2)
@@ -93,16 +86,7 @@
 
 
 def test_draining_primary_hands_over_and_gets_no_new_work(cluster, home, other):
-    (database,) = simulated_settings.SETTINGS.databases
-    upstreams = tuple(
-        dataclasses.replace(u, draining=u.name == "db-0")
-        for u in database.upstreams
-    )
-    drained = dataclasses.replace(
-        simulated_settings.SETTINGS,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
-    )
+    drained = simulated_settings.drain_upstream(cluster.settings, "db-0")
     assert (
         cluster.execute(home, scenarios.write_request(cluster, "before")).error
         is None
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 
 from fescueshunt.core import items, peer, process, request, upstream
@@ -253,16 +252,7 @@
     home, _ = find_home(cluster)
     for number in range(6):
         cluster.execute(home, read_request(cluster, "old"), number)
-    (database,) = cluster.settings.databases
-    upstreams = tuple(
-        dataclasses.replace(member, draining=member.name == "db-2")
-        for member in database.upstreams
-    )
-    drained = dataclasses.replace(
-        cluster.settings,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
-    )
+    drained = simulated_settings.drain_upstream(cluster.settings, "db-2")
     cluster.settings = drained
     cluster.feed(home, items.SettingsRead(cluster.now, drained, 2))
     cluster.feed(
--- a/tests/lib/simulated_settings.py
+++ b/tests/lib/simulated_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from fescueshunt.core import document, ranks
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -29,3 +31,19 @@
         document.Service("old", "group", "bulk", max_age_s=5.0),
     ),
 )
+
+
+def drain_upstream(
+    settings: document.Document, upstream: str
+) -> document.Document:
+    """Returns the next revision, in which only `upstream` is draining."""
+    (database,) = settings.databases
+    upstreams = tuple(
+        dataclasses.replace(member, draining=member.name == upstream)
+        for member in database.upstreams
+    )
+    return dataclasses.replace(
+        settings,
+        revision=settings.revision + 1,
+        databases=(dataclasses.replace(database, upstreams=upstreams),),
+    )
