--- a/tests/functional/test_request_moves.py
+++ b/tests/functional/test_request_moves.py
@@ -6,7 +6,7 @@
 
 from fescueshunt import errors
 from fescueshunt.core import items, process
-from lib import scenarios, simulation
+from lib import scenarios, simulated_settings, simulation
 
 # Shutdown, and moves of the home proxy.
 
@@ -19,12 +19,7 @@
     refused = cluster.execute(other, scenarios.read_request(cluster), conn=2)
     assert refused.error == errors.StoppingError()
     cluster.execute(other, scenarios.step_request(cluster, begin_id, "one"))
-    assert (
-        cluster.execute(
-            other, scenarios.commit_request(cluster, begin_id)
-        ).error
-        is None
-    )
+    scenarios.commit_transaction(cluster, other, begin_id)
     cluster.feed(other, process.StopAsked(cluster.now))
     cluster.run(0.2)
     assert other not in cluster.proxies
@@ -39,15 +34,15 @@
 
 
 def test_write_survives_the_move_of_the_home_proxy():
-    (database,) = simulation.SETTINGS.databases
+    (database,) = simulated_settings.SETTINGS.databases
     in_one_zone = tuple(
-        dataclasses.replace(u, zone=simulation.ZONES[0])
+        dataclasses.replace(u, zone=simulated_settings.ZONES[0])
         for u in database.upstreams
     )
     moved_database = dataclasses.replace(database, upstreams=in_one_zone)
     cluster = simulation.SimulatedCluster(
         settings=dataclasses.replace(
-            simulation.SETTINGS, databases=(moved_database,)
+            simulated_settings.SETTINGS, databases=(moved_database,)
         )
     )
     cluster.kill("proxy-0")
@@ -75,15 +70,8 @@
             "proxy-0", scenarios.read_request(cluster, "old"), conn=number
         )
     assert cluster.count_connections(leaving) > 0
-    (database,) = cluster.settings.databases
-    upstreams = tuple(
-        dataclasses.replace(u, draining=u.name == leaving)
-        for u in database.upstreams
-    )
-    cluster.settings = dataclasses.replace(
-        cluster.settings,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
+    cluster.settings = simulated_settings.drain_upstream(
+        cluster.settings, leaving
     )
     cluster.feed(
         "proxy-0", items.SettingsRead(cluster.now, cluster.settings, 2)
@@ -98,16 +86,7 @@
 
 
 def test_draining_primary_hands_over_and_gets_no_new_work(cluster, home, other):
-    (database,) = simulation.SETTINGS.databases
-    upstreams = tuple(
-        dataclasses.replace(u, draining=u.name == "db-0")
-        for u in database.upstreams
-    )
-    drained = dataclasses.replace(
-        simulation.SETTINGS,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
-    )
+    drained = simulated_settings.drain_upstream(cluster.settings, "db-0")
     assert (
         cluster.execute(home, scenarios.write_request(cluster, "before")).error
         is None
--- a/tests/lib/scenarios.py
+++ b/tests/lib/scenarios.py
@@ -5,11 +5,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 
 from fescueshunt.core import items, peer, process, request, upstream
-from lib import simulation
+from lib import simulated_settings, simulation
 
 INSERT_SQL = "INSERT INTO hit VALUES (?)"
 SELECT_TAGS = request.Statement("SELECT tag FROM hit ORDER BY rowid")
@@ -253,19 +252,12 @@
     home, _ = find_home(cluster)
     for number in range(6):
         cluster.execute(home, read_request(cluster, "old"), number)
-    (database,) = cluster.settings.databases
-    upstreams = tuple(
-        dataclasses.replace(member, draining=member.name == "db-2")
-        for member in database.upstreams
-    )
-    drained = dataclasses.replace(
-        cluster.settings,
-        revision=2,
-        databases=(dataclasses.replace(database, upstreams=upstreams),),
-    )
+    drained = simulated_settings.drain_upstream(cluster.settings, "db-2")
     cluster.settings = drained
     cluster.feed(home, items.SettingsRead(cluster.now, drained, 2))
-    cluster.feed(home, items.SettingsRead(cluster.now, simulation.SETTINGS, 1))
+    cluster.feed(
+        home, items.SettingsRead(cluster.now, simulated_settings.SETTINGS, 1)
+    )
     cluster.run(2.0)
     for number in range(6):
         cluster.execute(home, read_request(cluster, "old"), number)
@@ -332,6 +324,11 @@
     return transaction_request(cluster, request.Kind.COMMIT, begin_id, **fields)
 
 
+def commit_transaction(cluster, proxy, begin_id):
+    req = commit_request(cluster, begin_id)
+    assert cluster.execute(proxy, req).error is None
+
+
 def outcome_request(cluster, request_id, **fields):
     return request.Request(
         cluster.new_request_id(),
