Say why a starting host does not listen or end

It now gives the exit code or the time that the host ran and waited for a processor, and the end of its log; a late exit gives the same. The limits are as before.

Shown with a host that is suspended at its start: "ran for 0.00 s, waited for 0.00 s".

--- a/tests/functional/test_hosted_signals.py
+++ b/tests/functional/test_hosted_signals.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import os
+import pathlib
 import signal
 import socket
+import subprocess
 import time
 
 from fescueshunt_standins.hosted import deployment
@@ -18,6 +20,8 @@
 READY_TIMEOUT_S = 5.0
 SIGNAL_INTERVAL_S = 0.0005
 STOP_TIMEOUT_S = 8.0
+LOG_CHARS = 2000
+NS_PER_S = 1_000_000_000
 
 
 def _signal_once_listening(
@@ -31,17 +35,19 @@
     """
     starting = deployment.starting_host(platform_address, number)
     with starting as host:
-        _wait_for_listener(getattr(host, address_name))
+        _wait_for_listener(host, getattr(host, address_name))
         host.popen.send_signal(number_sent)
         if number_sent == signal.SIGTERM:
-            host.popen.wait(STOP_TIMEOUT_S)
+            _wait_for_end(host)
         else:
             _wait_until_ready_or_ended(host)
         code = host.popen.poll()
         return address_name, code, host.log_path.read_text()[-300:]
 
 
-def _wait_for_listener(address: str) -> None:
+def _wait_for_listener(
+    host_process: deployment.HostProcess, address: str
+) -> None:
     host, _, port = address.rpartition(":")
     deadline = time.monotonic() + LISTEN_TIMEOUT_S
     while time.monotonic() < deadline:
@@ -49,7 +55,29 @@
             if sock.connect_ex((host, int(port))) == 0:
                 return
         time.sleep(POLL_INTERVAL_S)
-    raise AssertionError(f"nothing listens at {address}")
+    state = _describe(host_process)
+    raise AssertionError(f"nothing listens at {address}: {state}")
+
+
+def _wait_for_end(host: deployment.HostProcess) -> None:
+    try:
+        host.popen.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        raise AssertionError(f"not ended: {_describe(host)}") from None
+
+
+def _describe(host: deployment.HostProcess) -> str:
+    """Returns what tells a starved process from one that is stuck or dead."""
+    log_end = host.log_path.read_text()[-LOG_CHARS:]
+    code = host.popen.poll()
+    if code is not None:
+        return f"exit code {code}; log: {log_end}"
+    path = pathlib.Path(f"/proc/{host.popen.pid}/schedstat")
+    ran_ns, waited_ns, _ = map(int, path.read_text().split())
+    return (
+        f"ran for {ran_ns / NS_PER_S:.2f} s, waited for a processor for "
+        f"{waited_ns / NS_PER_S:.2f} s; log: {log_end}"
+    )
 
 
 def _wait_until_ready_or_ended(host: deployment.HostProcess) -> None:
