Trust no old primary by status after a fence that may have ended

Cause: the status of a member that was fenced and is not any more doesn't differ from that of one that never was. The wait of the holder after its fence protects a host only if the host sees the fence, and status was asked for only when a statement waited.

Change: a host polls the members from 0.5 s before its lease could end, and a pair confirms only if the last pair, or the lease, is not older than CONFIRMATION_TTL_S when it comes. So one pair falls into each fence. Once a fence was seen, by status or in the record, no primary of a lower term is confirmed, until a record read under a lease says how it ended. After a gap all members must answer, none of them fenced. A host that stops asks the members for 0.3 s before it gives up a lease that others count.

Ruled out: to wait after a gap until no call can be open; an old primary that can't reach the new one goes on for good, and status never tells. No confirmation at all after a gap: a host whose calls are late would refuse writes until the store is back.

The tests that writes go on (store outage, a stopping host, each beside a replica that is down) pass before, and fail without the early polls.

Open: all fenced members, also the target, are restarted or resumed between the call and the effect, and the host saw nothing of the fence. Sites whose hosts outnumber an upstream's connections are not measured.

--- a/packages/fescueshunt/src/fescueshunt/presence/lease.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/lease.py
@@ -14,6 +14,8 @@
 
 RENEW_INTERVAL_S = 0.35
 RETRY_DELAY_S = 0.25
+# The time in which a stopping host has the members confirm their primaries.
+GIVE_UP_DELAY_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +33,8 @@
       key_read_back: whether this host has read its own key back, and so has
         also seen everything that was written before the key.
       stopping: whether this host is shutting down.
+      give_up_at: when a stopping host gives up its lease; None before it stops
+        and after it has given up.
     """
 
     lease: int = 0
@@ -40,6 +44,7 @@
     key_revision: int = 0
     key_read_back: bool = False
     stopping: bool = False
+    give_up_at: float | None = None
 
 
 class HostLease(filters.Filter):
@@ -84,6 +89,8 @@
 
     def _tick(self, now: float) -> Iterator[filters.Item]:
         state = self._state
+        if state.give_up_at is not None and now >= state.give_up_at:
+            yield from self._give_up_to_stop(now)
         if state.stopping or now < state.due_at:
             return
         state.due_at = now + RENEW_INTERVAL_S
@@ -160,6 +167,19 @@
         yield from self._clear(store_items.LeaseLost(now, lease))
 
     def _stop(self, now: float) -> Iterator[filters.Item]:
+        """Limits a valid lease to the time until it is given up."""
+        state = self._state
+        if state.stopping:
+            return
+        state.stopping = True
+        if not state.key_read_back or now >= state.valid_until:
+            yield from self._give_up_to_stop(now)
+            return
+        state.give_up_at = now + GIVE_UP_DELAY_S
+        state.valid_until = min(state.valid_until, state.give_up_at)
+        yield self._view(now)
+
+    def _give_up_to_stop(self, now: float) -> Iterator[filters.Item]:
         """Gives up the lease.
 
         From here on, this host confirms a primary by the status of members. Its
@@ -167,9 +187,7 @@
         could have expired.
         """
         state = self._state
-        if state.stopping:
-            return
-        state.stopping = True
+        state.give_up_at = None
         self._lease_to_end, state.lease = state.lease, 0
         yield store_items.LeaseView(now, 0, 0.0)
         if state.key_revision:
--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -2,7 +2,8 @@
 
 The replies to statements carry most of the needed status. Status calls are sent
 only to suspected members, and to the members of a replica set whose primary has
-to be confirmed without the store, which takes the replies of two members.
+to be confirmed without the store. That takes the replies of two members, again
+and again from before this host's lease ends, as long as the database is used.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
     replica_sets,
     session_items,
     sessions,
+    store_items,
 )
 from fescueshunt.replicas import items
 
@@ -27,6 +29,13 @@
 # A suspected member is polled until it answers, but no longer than this.
 MAX_SUSPECT_POLL_S = 20.0
 CONFIRMATION_POLL_S = 0.2
+# Two confirmations, with their calls, must fit into CONFIRMATION_TTL_S.
+CONFIRMATION_INTERVAL_S = 0.2
+# Confirmation by status begins this long before this host's lease ends. A lease
+# that is renewed in time is valid for longer.
+LEASE_LEAD_S = 0.5
+# Confirmation goes on for this long after the last use of the database.
+DATABASE_USE_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,11 +62,14 @@
         self._rng = rng
         self._polls: dict[str, PollState] = {}
         self._members: dict[str, frozenset[str]] = {}
+        self._used_until: dict[str, float] = {}
+        self._lease_until = replica_sets.NEVER
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the status calls that are due."""
         match item:
             case filters.Tick():
+                self._poll_without_lease(item.at)
                 yield from self._poll_due(item.at)
                 yield item
             case items.MembersChanged():
@@ -67,8 +79,16 @@
                 self._suspect(item)
                 yield item
             case session_items.ConfirmationRequested():
+                self._record_use(item.database, item.at)
                 for name in sorted(self._members.get(item.database, ())):
                     self._poll_for_confirmation(name, item.at)
+            case session_items.UpstreamResponded():
+                if item.wrote:
+                    self._record_write(item)
+                yield item
+            case store_items.LeaseView():
+                self._update_lease(item)
+                yield item
             case session_items.UpstreamCallCompleted():
                 self._record_outcome(item)
                 yield item
@@ -81,6 +101,32 @@
             self._polls.pop(removed, None)
         self._members[item.database] = names
 
+    def _update_lease(self, item: store_items.LeaseView) -> None:
+        """Counts each database as in use when the lease ends."""
+        self._lease_until = item.valid_until
+        for database in self._members:
+            self._record_use(database, max(item.at, item.valid_until))
+
+    def _record_write(self, item: session_items.UpstreamResponded) -> None:
+        for database, names in self._members.items():
+            if item.upstream in names:
+                self._record_use(database, item.at)
+
+    def _record_use(self, database: str, now: float) -> None:
+        self._used_until[database] = now + DATABASE_USE_S
+
+    def _confirms_by_status(self, now: float) -> bool:
+        """Returns whether this host's lease has ended or may end soon."""
+        return now > self._lease_until - LEASE_LEAD_S
+
+    def _poll_without_lease(self, now: float) -> None:
+        if not self._confirms_by_status(now):
+            return
+        for database, names in self._members.items():
+            if now < self._used_until.get(database, replica_sets.NEVER):
+                for name in sorted(names):
+                    self._poll_for_confirmation(name, now)
+
     def _suspect(self, item: session_items.UpstreamSuspected) -> None:
         poll = self._polls.setdefault(item.upstream, PollState())
         poll.poll_until = item.at + MAX_SUSPECT_POLL_S
@@ -99,7 +145,10 @@
         if poll is None or not isinstance(item.call, sessions.GetStatus):
             return
         poll.in_flight = False
-        poll.due_at = item.at + POLL_INTERVAL_S * self._rng.uniform(0.8, 1.0)
+        interval_s = POLL_INTERVAL_S
+        if self._confirms_by_status(item.at):
+            interval_s = CONFIRMATION_INTERVAL_S
+        poll.due_at = item.at + interval_s * self._rng.uniform(0.8, 1.0)
         if item.reply is not None and poll.stops_on_reply:
             poll.poll_until = replica_sets.NEVER
 
--- a/packages/fescueshunt/src/fescueshunt/replicas/primary_state.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/primary_state.py
@@ -5,7 +5,8 @@
 lease has expired. Without a valid lease, two members that know of no higher
 term confirm the primary for CONFIRMATION_TTL_S: a fence covers all members but
 one and so includes at least one of the two, and a host that promotes an
-upstream waits for the same time after its fence.
+upstream waits for the same time after its fence. A fence that may have ended
+since is the subject of `status_chain`.
 """
 
 from __future__ import annotations
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -19,7 +19,7 @@
     session_items,
     store_items,
 )
-from fescueshunt.replicas import items, primary_state
+from fescueshunt.replicas import items, primary_state, status_chain
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -40,6 +40,7 @@
       published: the primary in the last published view.
       term: the highest known term.
       samples: position samples, oldest first.
+      chain: what this host knows of fences.
     """
 
     members: dict[str, primary_state.TrackedMember] = dataclasses.field(
@@ -53,6 +54,9 @@
     samples: collections.deque[replica_sets.PositionSample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
+    chain: status_chain.StatusChain = dataclasses.field(
+        default_factory=status_chain.StatusChain
+    )
 
 
 class ReplicaSetTracker(filters.Filter):
@@ -69,8 +73,7 @@
             case session_items.UpstreamResponded():
                 yield from self._record_response(item)
             case store_items.LeaseView():
-                self._lease_until = item.valid_until
-                yield from self._publish_all(item.at)
+                yield from self._update_lease(item)
             case session_items.UpstreamCallCompleted():
                 yield from self._record_outcome(item)
             case session_items.UpstreamSuspected():
@@ -120,8 +123,26 @@
         if record.revision <= revision:
             return
         state.record = record
+        state.chain.record_leadership(
+            record,
+            state.members.values(),
+            now,
+            has_lease=now < self._lease_until,
+        )
         yield from self._publish(database, state, now)
 
+    def _update_lease(
+        self, item: store_items.LeaseView
+    ) -> Iterator[filters.Item]:
+        self._lease_until = item.valid_until
+        for state in self._states.values():
+            record = state.record
+            state.chain.update_lease(
+                item,
+                is_failing_over=record is not None and record.is_failing_over,
+            )
+        yield from self._publish_all(item.at)
+
     def _publish_all(self, now: float) -> Iterator[filters.Item]:
         for database, state in self._states.items():
             yield from self._publish(database, state, now)
@@ -193,6 +214,13 @@
             member.status = status
             member.requested_at = item.requested_at
             state.term = max(state.term, status.term)
+            state.chain.record_status(
+                member,
+                state.published,
+                state.members.values(),
+                item.at,
+                has_silent_members=bool(state.silent),
+            )
             _sample_quorum(state, item.at)
         yield from self._publish(database, state, item.at)
 
@@ -223,7 +251,7 @@
             )
         by_status = primary_state.from_status(members)
         if by_status.primary and by_status.term >= state.term:
-            return by_status
+            return state.chain.confirm(by_status)
         return dataclasses.replace(
             state.published, confirmed_until=replica_sets.NEVER
         )
--- a/tests/unit/test_presence.py
+++ b/tests/unit/test_presence.py
@@ -62,6 +62,29 @@
     assert effects[-1] == store_items.EndLease(1.0, LEASE)
 
 
+# Failure: a stopping host gives up its lease before the members confirm their
+# primaries, or says that it has done so while it still relies on the lease.
+def test_stopping_host_gives_up_a_valid_lease_only_after_a_delay():
+    host_lease = _host_with_lease()
+    key = store_items.StoredKey(ZONE, REVISION, LEASE)
+    _feed(host_lease, store_items.KeyChanged(0.2, KEY, key, REVISION))
+    give_up_at = 0.5 + lease.GIVE_UP_DELAY_S
+    assert _feed(host_lease, process.StopAsked(0.5)) == [
+        store_items.LeaseView(0.5, LEASE, give_up_at, 0.0)
+    ]
+    early, late = (
+        filters.Tick(at, 0.0) for at in (give_up_at - 0.01, give_up_at)
+    )
+    assert _feed(host_lease, early) == [early]
+    assert _feed(host_lease, late) == [
+        store_items.LeaseView(give_up_at, 0, 0.0),
+        store_items.WriteKey(
+            give_up_at, KEY, store_items.STOPPING, LEASE, REVISION
+        ),
+        late,
+    ]
+
+
 def _changed(
     at: float, stored: store_items.StoredKey | None
 ) -> store_items.KeyChanged:
--- a/tests/unit/test_unfenced_commits.py
+++ b/tests/unit/test_unfenced_commits.py
@@ -8,11 +8,14 @@
 
 import pytest
 
-from fescueshunt.core import leadership, sessions, store_items
+from fescueshunt.core import leadership, process, sessions, store_items
 from lib import hosted_world
 
 WARM_UP_S = 1.0
 PROMOTION_S = 1.0
+# Longer than it takes a host to reach a replica again.
+LONG_PROMOTION_S = 6.0
+RECONNECT_S = 1.0
 DOWN_S = 0.1
 STEP_S = 0.01
 # Shorter than the time until a host learns of a change in the store.
@@ -25,6 +28,7 @@
 STORE_OUTAGE_S = 2.0
 TIMEOUT_S = hosted_world.ROUTES["strict"].timeout_s
 CLIENT, OTHER_CLIENT = 1, 2
+FENCE_TERM = 2
 OLD_PRIMARY = "u0"
 REPLICAS = ("u1", "u2")
 BEGIN = sessions.Verb.BEGIN
@@ -95,17 +99,33 @@
 
     def restart_other_replica(self) -> None:
         """Restarts the replica that is not promoted, so it isn't fenced."""
-        (_, target, _) = self.world.replicas.promotions[0]
-        replica = next(
-            name
-            for name in sorted(self.world.replicas.members)
-            if name not in (OLD_PRIMARY, target)
-        )
+        replica = self.other_replica()
         self.world.crash(replica)
         self.world.run(DOWN_S)
         self.world.restart(replica)
         self.world.replicas.replicate()
 
+    def resume_other_replica(self) -> None:
+        """Lets the RESUME of an earlier attempt reach that replica late."""
+        self.world.run(DOWN_S)
+        self.world.replicas.members[self.other_replica()].paused_term = 0
+        self.world.replicas.replicate()
+
+    def other_replica(self) -> str:
+        """Returns the replica that is not promoted."""
+        target = self.target()
+        return next(name for name in REPLICAS if name != target)
+
+    def target(self) -> str:
+        """Returns the replica that is promoted."""
+        (_, target, _) = self.world.replicas.promotions[0]
+        return target
+
+    def acknowledged_writes(self) -> set[str]:
+        """Runs a few writes and returns the tags of the successful ones."""
+        tags = ("first", "second", "third", "fourth", "fifth")
+        return {tag for tag in tags if self.run(WRITE, tag).failure is None}
+
     def reconnect_replicas(self) -> None:
         """Ends the partition of the old primary and its replicas."""
         for name in REPLICAS:
@@ -203,17 +223,87 @@
     failover.lose_primary()
     failover.world.partition(failover.host, hosted_world.STORE)
     failover.wait_for_promotion()
-    (_, target, _) = failover.world.replicas.promotions[0]
-    failover.world.partition(failover.host, target)
+    failover.world.partition(failover.host, failover.target())
     failover.restart_other_replica()
-    acknowledged = {
-        tag
-        for tag in ("first", "second", "third")
-        if failover.run(WRITE, tag).failure is None
-    }
+    acknowledged = failover.acknowledged_writes()
+    assert acknowledged <= failover.kept_tags()
+
+
+# Failure: the same, with a replica that a late RESUME has reached.
+def test_host_without_lease_does_not_trust_a_resumed_replica(
+    failover: UnfencedReplica,
+):
+    failover.lose_primary()
+    failover.world.partition(failover.host, hosted_world.STORE)
+    failover.wait_for_promotion()
+    failover.world.partition(failover.host, failover.target())
+    failover.resume_other_replica()
+    acknowledged = failover.acknowledged_writes()
     assert acknowledged <= failover.kept_tags()
 
 
+# Failure: the same, at a host that did not reach that replica during the fence.
+def test_host_without_lease_does_not_trust_a_replica_it_missed(
+    failover: UnfencedReplica,
+):
+    failover.world.promotion_time_s = LONG_PROMOTION_S
+    failover.lose_primary()
+    failover.world.partition(failover.host, hosted_world.STORE, *REPLICAS)
+    failover.wait_for_promotion()
+    failover.restart_other_replica()
+    pair = frozenset((failover.host, failover.other_replica()))
+    failover.world.partitions.discard(pair)
+    failover.world.run(RECONNECT_S)
+    acknowledged = failover.acknowledged_writes()
+    assert acknowledged <= failover.kept_tags()
+
+
+# Failure: a host that saw a fence which was then given up doesn't write again.
+def test_host_writes_after_a_given_up_fence_once_its_lease_is_back(
+    failover: UnfencedReplica,
+):
+    replicas = failover.world.replicas
+    failover.world.partition(hosted_world.STORE, *failover.world.hosts)
+    failover.world.run(STORE_OUTAGE_S)
+    for name in REPLICAS:
+        replicas.pause(replicas.members[name], FENCE_TERM)
+    failover.world.run(ANSWER_S)
+    for name in REPLICAS:
+        replicas.members[name].paused_term = 0
+    assert failover.run(WRITE, "early").failure is BUSY
+    failover.world.heal()
+    failover.world.run(STORE_OUTAGE_S)
+    assert failover.run(WRITE, "late").failure is None
+    assert {"late"} <= failover.kept_tags()
+
+
+# Failure: writes stop while the store is away, as hosts lose sight of a fence.
+@pytest.mark.parametrize("is_replica_down", [False, True])
+def test_writes_go_on_during_a_long_store_outage(
+    failover: UnfencedReplica, is_replica_down: bool
+):
+    if is_replica_down:
+        failover.world.crash(REPLICAS[0])
+    failover.world.partition(hosted_world.STORE, *failover.world.hosts)
+    tags = [f"write {number}" for number in range(30)]
+    assert [failover.run(WRITE, tag).failure for tag in tags] == [None] * 30
+    assert set(tags) <= failover.kept_tags()
+
+
+# Failure: a host that stops, and so gives up its lease, refuses writes while a
+# replica is down.
+def test_stopping_host_writes_on_beside_a_replica_that_is_down(
+    failover: UnfencedReplica,
+):
+    failover.world.crash(REPLICAS[0])
+    failover.world.run(STORE_OUTAGE_S)
+    host = failover.world.hosts[failover.host]
+    failover.world.feed(host, process.StopAsked(failover.world.now))
+    tags = [f"write {number}" for number in range(6)]
+    assert [failover.run(WRITE, tag).failure for tag in tags] == [None] * 6
+    assert set(tags) <= failover.kept_tags()
+
+
 # Failure: while the store is away, commits are in doubt although the members
 # confirm their primary.
 def test_receipts_are_passed_on_while_the_store_is_away(
