Keep seed 57 of the histories as a test, as it holds now

Cause, from a trace on: the primary u0 is down during an attempt, which ends as "no fence" and records u0 again at 7.90 s. A STEPDOWN of that attempt, still under way, reaches u0 after its restart: from 8.2 s on the recorded primary is a replica, all writes are rejected, and no host votes.

The late STEPDOWN itself is open (docs/incidents/late-promotion.md, "Looked at for the same cause").

--- a/tests/unit/test_takeover_histories.py
+++ b/tests/unit/test_takeover_histories.py
@@ -18,7 +18,9 @@
 # Time for the last fault to end and for the hosts to find a primary.
 RECOVERY_S = 12.0
 # Seeds that have failed, each with its cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS: dict[int, str] = {
+    57: "a late STEPDOWN demotes the primary that is recorded again: no writes",
+}
 
 
 def run_history(seed: int) -> list[str]:
