Ask scarce upstreams for status only if a statement waits

What callers would have seen: where hosts outnumber the connections of an upstream, each host without a lease asked the members for their status every 0.2 s and so held a connection all the time, since an idle one is kept for 0.2 s. The other hosts' writes were refused.

Change: a first filter of the replicas pipe compares the operator's limit with the live hosts. For such databases the members are asked only if a statement waits, as before. A gap then needs all members.

Evidence: the new test fails with the check taken out.

Three hosts with enough connections: as before this commit.

--- a/packages/fescueshunt/src/fescueshunt/replicas/items.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/items.py
@@ -25,3 +25,10 @@
     entries: tuple[replica_sets.UpstreamEntry, ...]
     silent: frozenset[str]
     watched_since: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScarceConnections(filters.Item):
+    """The databases whose upstreams accept fewer connections than hosts."""
+
+    databases: frozenset[str]
--- a/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import filters, routes, session_items, store_items
-from fescueshunt.replicas import membership, poll, track
+from fescueshunt.replicas import membership, poll, scarcity, track
 
 if TYPE_CHECKING:
     import random
@@ -21,6 +21,7 @@
     session_items.UpstreamSuspected,
     session_items.ConfirmationRequested,
     store_items.LeaseView,
+    store_items.LiveHostsView,
     store_items.KeysListed,
     store_items.KeyChanged,
 )
@@ -33,6 +34,7 @@
       rng: the random number generator for the jitter of status calls.
     """
     stages = (
+        scarcity.ScarcityTracker(),
         membership.Membership(),
         poll.StatusPoller(rng),
         track.ReplicaSetTracker(),
--- a/packages/fescueshunt/src/fescueshunt/replicas/poll.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/poll.py
@@ -4,6 +4,8 @@
 only to suspected members, and to the members of a replica set whose primary has
 to be confirmed without the store. That takes the replies of two members, again
 and again from before this host's lease ends, as long as the database is used.
+Where hosts outnumber the connections that an upstream accepts, the members are
+asked only if a statement waits, as each host would hold a connection otherwise.
 """
 
 from __future__ import annotations
@@ -63,6 +65,7 @@
         self._polls: dict[str, PollState] = {}
         self._members: dict[str, frozenset[str]] = {}
         self._used_until: dict[str, float] = {}
+        self._scarce: frozenset[str] = frozenset()
         self._lease_until = replica_sets.NEVER
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -72,6 +75,8 @@
                 self._poll_without_lease(item.at)
                 yield from self._poll_due(item.at)
                 yield item
+            case items.ScarceConnections():
+                self._scarce = item.databases
             case items.MembersChanged():
                 self._update_members(item)
                 yield item
@@ -123,7 +128,8 @@
         if not self._confirms_by_status(now):
             return
         for database, names in self._members.items():
-            if now < self._used_until.get(database, replica_sets.NEVER):
+            used_until = self._used_until.get(database, replica_sets.NEVER)
+            if now < used_until and database not in self._scarce:
                 for name in sorted(names):
                     self._poll_for_confirmation(name, now)
 
--- a/tests/lib/hosted_routes.py
+++ b/tests/lib/hosted_routes.py
@@ -5,6 +5,7 @@
 from fescueshunt.core import routes
 
 DATABASE = "db"
+MAX_CONNECTIONS = 30
 
 
 def make_route(
@@ -22,5 +23,5 @@
 
 def routes_view(now: float) -> routes.RoutesView:
     """Returns a view of the routes in force."""
-    policy = routes.ReplicaSetPolicy(DATABASE, 30, 1)
+    policy = routes.ReplicaSetPolicy(DATABASE, MAX_CONNECTIONS, 1)
     return routes.RoutesView(now, 1, ROUTES, {DATABASE: policy}, 3.0)
--- a/tests/unit/test_status_chain.py
+++ b/tests/unit/test_status_chain.py
@@ -99,17 +99,24 @@
         self.feed(store_items.KeyChanged(self.now, key, stored, revision))
 
     def run(self, seconds: float) -> None:
-        """Passes time; statements of the database are answered meanwhile."""
-        end = self.now + seconds
-        while self.now < end - TICK_S / 2:
-            self.now += TICK_S
-            due = [call for at, call in self._due if at <= self.now]
-            self._due = [(at, c) for at, c in self._due if at > self.now]
-            for call in due:
-                self._answer(call)
+        """Passes time, in which statements wait for a confirmed primary."""
+        for _ in range(round(seconds / TICK_S)):
             database = hosted_routes.DATABASE
             self.feed(session_items.ConfirmationRequested(self.now, database))
-            self.feed(filters.Tick(self.now, 0.0))
+            self._tick()
+
+    def pass_idle(self, seconds: float) -> None:
+        """Passes time, in which nobody uses the database."""
+        for _ in range(round(seconds / TICK_S)):
+            self._tick()
+
+    def _tick(self) -> None:
+        self.now += TICK_S
+        due = [call for at, call in self._due if at <= self.now]
+        self._due = [(at, c) for at, c in self._due if at > self.now]
+        for call in due:
+            self._answer(call)
+        self.feed(filters.Tick(self.now, 0.0))
 
     def lose_lease(self) -> None:
         """Passes the time until the lease has ended."""
@@ -389,16 +396,32 @@
     assert host.calls == []
 
 
+# Failure: where hosts outnumber connections, each holds one for status calls
+# all the time, and the others' statements are refused.
+def test_scarce_connections_are_used_only_if_a_statement_waits(host: Host):
+    names = frozenset(f"h{n}" for n in range(hosted_routes.MAX_CONNECTIONS + 1))
+    host.feed(store_items.LiveHostsView(host.now, names))
+    host.pass_idle(LEASE_S + GAP_S)
+    assert host.calls == []
+    host.run(GAP_S)
+    assert host.relies_on(PRIMARY)
+
+
+# Failure: a host asks for the status only if a statement waits, though there
+# are enough connections.
+def test_connections_for_all_hosts_are_used_for_status(host: Host):
+    names = frozenset(f"h{n}" for n in range(hosted_routes.MAX_CONNECTIONS))
+    host.feed(store_items.LiveHostsView(host.now, names))
+    host.pass_idle(LEASE_S + GAP_S)
+    assert host.relies_on(PRIMARY)
+
+
 # Failure: hosts without a lease ask for the status of databases that nobody
 # uses.
 def test_unused_database_is_not_polled_for_long(host: Host):
     host.lose_lease()
     assert _count_calls(host, 1.0) >= 3 * 4
-    for _ in range(round(20.0 / TICK_S)):
-        host.now += TICK_S
-        host.feed(filters.Tick(host.now, 0.0))
+    host.pass_idle(20.0)
     before = len(host.calls)
-    for _ in range(round(5.0 / TICK_S)):
-        host.now += TICK_S
-        host.feed(filters.Tick(host.now, 0.0))
+    host.pass_idle(5.0)
     assert len(host.calls) == before
