Repeat the release of the failover duty until it is done

The holder of the duty, which reached too few upstreams, had given the duty up; that call to the store was lost. It took the release for done, and the key stayed under its lease, which it renewed.

--- a/packages/fescueshunt/src/fescueshunt/takeover/election.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/election.py
@@ -45,8 +45,11 @@
         program left it; 0 if there is no such key.
       vacant_since: When this host learned that no host holds the duty.
       token: The revision of the duty key if this host holds it, otherwise 0.
+      released: The revision of the duty key that this host gives up, or has
+        given up last; 0 if there is none.
       held_since: When this host acquired the duty.
       next_attempt_at: The earliest time of the next attempt to acquire it.
+      next_release_at: When a release that had no effect is repeated.
       last_well_connected_at: When this host last reached enough upstreams.
       lease: The id of this host's lease, 0 for none.
       valid_until: When the lease is treated as expired.
@@ -58,8 +61,10 @@
     vacant_revision: int = 0
     vacant_since: float = 0.0
     token: int = 0
+    released: int = 0
     held_since: float = 0.0
     next_attempt_at: float = 0.0
+    next_release_at: float = 0.0
     last_well_connected_at: float = 0.0
     lease: int = 0
     valid_until: float = 0.0
@@ -132,6 +137,7 @@
             and stored.value == self._host_name
             and state.lease != 0
             and stored.lease == state.lease
+            and stored.revision != state.released
         )
         token = stored.revision if is_own else 0
         if token != state.token:
@@ -159,6 +165,8 @@
             and now - state.last_well_connected_at > POOR_CONNECTIVITY_TIMEOUT_S
         ):
             yield from self._release(now)
+        elif self._is_release_lost(now):
+            yield self._remove_key(now)
         elif self._may_acquire(now):
             state.next_attempt_at = now + RETRY_AFTER_S
             yield store_items.WriteKey(
@@ -192,12 +200,26 @@
         state.next_attempt_at = now + RELEASE_COOLDOWN_S
         details = {"unfit_s": now - state.last_well_connected_at}
         yield session_items.LogDecision(now, "duty_given_up", "", details)
-        yield store_items.WriteKey(
-            now, store_items.DUTY_KEY, None, 0, state.token
-        )
+        state.released = state.token
+        yield self._remove_key(now)
         state.token = 0
         yield self._duty_view(now)
 
+    def _remove_key(self, now: float) -> filters.Item:
+        """Returns a write that removes the duty key which is given up."""
+        state = self._state
+        state.next_release_at = now + RETRY_AFTER_S
+        return store_items.WriteKey(
+            now, store_items.DUTY_KEY, None, 0, state.released
+        )
+
+    def _is_release_lost(self, now: float) -> bool:
+        """Returns whether the key that was given up stands for too long."""
+        state = self._state
+        holder = state.holder
+        is_standing = holder is not None and holder.revision == state.released
+        return is_standing and now >= state.next_release_at
+
     def _is_well_connected(self) -> bool:
         """Returns whether this host reaches at least half of the upstreams."""
         members = [m for view in self._views.values() for m in view.members]
