Remove a vote that stands after it was withdrawn

Votes against it, cast during an outage, stood for good: their removal was lost, or the store wrote them seconds late, after the removal.

A missing vote was cast again, but a vote that stands was not removed again.

Change: a host compares its vote in the store with what it means in both directions.

Evidence: test_vote_whose_removal_is_lost_does_not_stand and test_vote_that_is_written_after_its_removal_does_not_stand failed before and pass now.

--- a/packages/fescueshunt/src/fescueshunt/takeover/vote.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/vote.py
@@ -99,11 +99,10 @@
             own_vote = self._own_votes.get(database, "")
             elapsed_s = now - self._own_votes_changed_at.get(database, 0.0)
             key = self._vote_key(database, self._host_name)
-            is_vote_missing = (
-                failing_primary and self._votes.get(key) != failing_primary
-            )
+            # A write may be lost, or carried out after a later one.
+            is_outdated = self._votes.get(key, "") != failing_primary
             if failing_primary == own_vote and not (
-                is_vote_missing and elapsed_s > RETRY_AFTER_S
+                is_outdated and elapsed_s > RETRY_AFTER_S
             ):
                 continue
             self._own_votes[database] = failing_primary
