Doubt the old primary once a promotion call has no answer

An attempt's own call took effect out of the holder's reach, at the far side of a split; the attempt fenced again, and after 2 s took the old primary, which had stepped down, for a fence by itself: it has every commit of its term, but not those since.

Cause: whether a later primary may have been promoted was asked only when the attempt began.

Change: an answer that is missing makes the old primary uncertain, as a call of a former holder does: it is paused like the others and is no fence by itself.

Evidence: test_old_primary_alone_is_no_fence_after_an_unanswered_call failed before.

--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -94,6 +94,16 @@
         )
         self._term_raises = 0
 
+    def doubt_old_primary(self) -> None:
+        """Takes into account that a later primary may have been promoted.
+
+        The old primary may receive from it, and is to be paused as well.
+        """
+        if self._is_old_primary_certain:
+            self._is_old_primary_certain = False
+            self._acting_primaries.discard(self._old_primary)
+            self.final_positions.pop(self._old_primary, None)
+
     def pending_calls(self, now: float) -> Iterator[filters.Item]:
         """Yields a fence call to each member that is not fenced yet."""
         for upstream in self._members:
--- a/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
@@ -241,6 +241,7 @@
         if item.done is None:
             # Repeating a call that did arrive has no effect.
             self._next_retry_at = item.at
+            self._context.fence.doubt_old_primary()
         elif item.done:
             self._follow(item.at)
         else:
