--- a/tests/unit/test_review_calls.py
+++ b/tests/unit/test_review_calls.py
@@ -6,12 +6,15 @@
 
 from fescueshunt.core import leadership, store_items
 from fescueshunt.takeover import promotion_calls
+from lib import hosted_clients, hosted_world, promotion_network
 
 DATABASE = "db"
 TOKEN = 28
 FORMER_TOKEN = 14
 NOW = 100.0
 LIFETIME_S = promotion_calls.CALL_LIFETIME_S
+KEY = leadership.record_key(hosted_world.DATABASE)
+MAX_WAIT_S = 12.0
 
 
 @pytest.fixture
@@ -62,3 +65,37 @@
     _send(calls, NOW)
     assert not calls.has_calls_for_others(DATABASE, "u1")
     assert calls.has_calls_for_others(DATABASE, "u0")
+
+
+# Failure: the next holder announces its attempt without the call of the one
+# before, so that a third holder doesn't know of it.
+def test_next_holder_announces_the_open_call_of_the_one_before():
+    world = hosted_world.World(1)
+    late = promotion_network.Delivery(6.0, is_answer_lost=True)
+    world.promotion_network.deliveries.append(late)
+    world.run(1.0)
+    hosted_clients.run_clients(world)
+    world.run(1.0)
+    world.crash("u0")
+    sent = world.promotion_network.sent
+    end = world.now + MAX_WAIT_S
+    while not sent and world.now < end:
+        world.run(hosted_world.TICK_S)
+    world.kill_host(world.store.keys[store_items.DUTY_KEY].value)
+    while not _has_begun_attempt(world) and world.now < end:
+        world.run(hosted_world.TICK_S)
+    world.run(0.1)
+    assert _has_begun_attempt(world)
+    assert world.promotion_network.has_late_calls
+    record = leadership.parse_record(world.store.keys[KEY])
+    open_calls = [(call.upstream, call.token) for call in record.calls]
+    assert (sent[0].upstream, sent[0].token) in open_calls
+
+
+def _has_begun_attempt(world: hosted_world.World) -> bool:
+    """Returns whether a host that still runs has begun an attempt."""
+    return any(
+        decision.event == "replacing"
+        for host in world.hosts.values()
+        for decision in host.decisions
+    )
