--- a/tests/unit/test_review_calls.py
+++ b/tests/unit/test_review_calls.py
@@ -54,8 +54,8 @@
 def test_call_that_took_effect_is_not_recorded_again(calls):
     _send(calls, NOW)
     _send(calls, NOW + 1.0)
-    one_left = calls.to_record_of(DATABASE, "u1", NOW + 2.0)
-    calls.keep_recorded(DATABASE, one_left)
+    one_left = calls.record_for_primary(DATABASE, "u1", NOW + 2.0)
+    calls.forget_unrecorded(DATABASE, one_left)
     assert calls.to_record(DATABASE, NOW + 2.0) == one_left
 
 
