Test the time limits of a promotion call

With the check of the record's age out, test_call_is_not_sent_if_the_answer_to_its_record_is_late fails; with a limit far in the future, test_call_may_be_sent_only_soon_after_its_record.

--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -15,7 +15,9 @@
     cause,
     items,
     participants,
+    promotion,
     promotion_calls,
+    promotion_check,
 )
 from lib import hosted_routes, replica_set_views
 
@@ -145,3 +147,23 @@
     failover.wait()
     _confirm_duty_and_fences(failover, MEMBERS[1:])
     assert failover.has_called()
+
+
+# Failure: a call is sent long after the duty was confirmed by its record, as
+# the store was slow to answer; another holder may have sent one since.
+def test_call_is_not_sent_if_the_answer_to_its_record_is_late():
+    failover = _check_fences()
+    failover.answer_duty_read()
+    for name in MEMBERS[1:]:
+        failover.reply(name, sessions.GetStatus())
+    failover.now += promotion_check.DUTY_VALID_S + 0.1
+    failover.answer_write()
+    assert not failover.has_called()
+
+
+# Failure: a call that waits for a connection is sent long after it was due.
+def test_call_may_be_sent_only_soon_after_its_record():
+    failover = _check_fences()
+    _confirm_duty_and_fences(failover, MEMBERS[1:])
+    call = failover.sent[-1]
+    assert call.send_before <= failover.now + promotion.CALL_VALID_S
