--- a/packages/fescueshunt/src/fescueshunt/takeover/promotion_calls.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/promotion_calls.py
@@ -23,9 +23,8 @@
 
     from fescueshunt.core import store_items
 
-# A call is sent 0.5 s after it is due at the latest, delivered within 1 s even if
-# its sender is suspended, and carried out up to 6 s late; the upstream then
-# takes up to 1 s to lead.
+# A call is sent within 0.5 s, delivered within 1 s even if its sender is
+# suspended, and carried out up to 6 s late. The upstream leads 1 s after that.
 CALL_LIFETIME_S = 9.0
 
 Recorded = tuple[leadership.RecordedCall, ...]
