Count out members that left as planned once the old primary is fenced

The third replacement promoted the leaving primary again, once or twice, 3.5 s each; then each attempt ended with "no fence".

Cause: a member that had left as planned counted as a silent one that may run for 60 s. Two of those can't be fenced, so the fence waited 2 s and then kept the old primary alone, with which it dropped the replicas that had its whole log.

Change: a member has left if it drained for 7 s, its entry is gone and a connection to its address is refused after that (a new error, nobody_listens). A missing entry, a reset or a time-out proves nothing, and a listed successor counts as before. Once the old primary has stepped down and is certain to be the last one, members that left need no fence: it has every commit. Without it they count as before, and a replica behind it is not chosen while one has left. After the time-out of a fence, replicas with the old primary's whole log stay candidates. A leaving primary comes before other leaving members.

Ruled out: an entry that is gone as the only proof (entries expire while the store is down).

Still open: a primary that crashes within 60 s of planned replacements; an attempt for a leaving primary still makes it step down before it knows that a staying replica has its log.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -43,6 +43,8 @@
                 host,
                 int(port),
             )
+        except ConnectionRefusedError as exc:
+            raise errors.NobodyListensError(str(exc)) from exc
         except (OSError, ValueError, OverflowError) as exc:
             raise errors.ConnectionLostError(str(exc)) from exc
         abrupt_close.set_reset_on_close(transport, True)
--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -105,6 +105,8 @@
       watched_since: since when this host has read all changes of entries, in
         seconds on the local clock. It may not know of a former member from
         before that time.
+      left: the ids of former members that have left as planned. They don't run,
+        but may have held the only copy of a commit beside the primary's.
     """
 
     database: str
@@ -116,6 +118,7 @@
     samples: tuple[PositionSample, ...]
     silent: frozenset[str]
     watched_since: float
+    left: frozenset[str] = frozenset()
 
     def member(self, upstream: str) -> MemberView | None:
         """Returns the member with the id `upstream`, or None."""
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -90,6 +90,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class NobodyListensError(ConnectionLostError):
+    """The machine at an address refused a connection: no process listens."""
+
+    code = "nobody_listens"
+
+
 class CallNotSentError(FescueshuntError):
     """A call was not sent, since it could no longer be sent in time."""
 
--- a/packages/fescueshunt/src/fescueshunt/replicas/items.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/items.py
@@ -17,6 +17,7 @@
       silent: the ids of former members that were dropped because they did not
         answer. They may still run, and acknowledge commits with each other or
         with a member.
+      left: the ids of former members that have left as planned.
       watched_since: since when this host has read all changes of entries, in
         seconds on the local clock.
     """
@@ -24,4 +25,5 @@
     database: str
     entries: tuple[replica_sets.UpstreamEntry, ...]
     silent: frozenset[str]
+    left: frozenset[str]
     watched_since: float
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -6,6 +6,12 @@
 for UNLISTED_TIMEOUT_S. Even then it, or its successor, may acknowledge commits,
 so it is reported as silent for FORMER_MEMBER_TTL_S, or until another upstream
 is listed at its address.
+
+An upstream that leaves as planned reports that it drains, serves at least
+MIN_DRAIN_S, and ends; then its entry is removed. If a connection to its address
+is refused after that, it has left: it does not run any more. That its entry is
+missing proves nothing, as entries also expire while the store is down.
+
 An entry whose replica set is not in the operator's document belongs to another
 program and is ignored.
 """
@@ -15,6 +21,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from fescueshunt import errors
 from fescueshunt.core import (
     filters,
     replica_sets,
@@ -29,6 +36,8 @@
 
 UNLISTED_TIMEOUT_S = 4.0
 POLL_INTERVAL_S = 1.0
+# An upstream that leaves as planned drains for at least this long.
+MIN_DRAIN_S = 7.0
 NOT_LISTED = "not listed"
 
 
@@ -43,6 +52,7 @@
       answered_at: when the upstream last answered.
       draining_since: when this host first read that the upstream drains, or
         None.
+      has_left: whether it is known to have left as planned.
     """
 
     entry: replica_sets.UpstreamEntry
@@ -50,6 +60,7 @@
     poll_at: float = 0.0
     answered_at: float = replica_sets.NEVER
     draining_since: float | None = None
+    has_left: bool = False
 
 
 class Membership(filters.Filter):
@@ -79,6 +90,12 @@
                 if item.upstream in self._upstreams:
                     self._upstreams[item.upstream].answered_at = item.at
                 yield item
+            case session_items.UpstreamSuspected():
+                if self._has_left(item):
+                    self._upstreams[item.upstream].has_left = True
+                    yield from self._drop(item.upstream, item.at)
+                else:
+                    yield item
             case filters.Tick():
                 yield from self._poll_unlisted(item.at)
                 yield from self._drop_silent(item.at)
@@ -137,7 +154,9 @@
         if state is None or state.unlisted_at is not None:
             return
         state.unlisted_at = now
-        state.poll_at = now + POLL_INTERVAL_S
+        state.poll_at = now
+        if state.draining_since is None:
+            state.poll_at = now + POLL_INTERVAL_S
         yield from self._members_of(state.entry.database, now)
 
     def _record_outcome(
@@ -151,6 +170,16 @@
         if item.refused and state.unlisted_at is not None:
             yield from self._drop(item.upstream, item.at)
 
+    def _has_left(self, item: session_items.UpstreamSuspected) -> bool:
+        """Returns whether an upstream is now known to have left as planned."""
+        state = self._upstreams.get(item.upstream)
+        if state is None or state.unlisted_at is None:
+            return False
+        if state.draining_since is None:
+            return False
+        is_drained = item.at - state.draining_since >= MIN_DRAIN_S
+        return is_drained and item.reason == errors.NobodyListensError.code
+
     def _poll_unlisted(self, now: float) -> Iterator[filters.Item]:
         for upstream, state in self._upstreams.items():
             if state.unlisted_at is not None and now >= state.poll_at:
@@ -222,11 +251,13 @@
             for state in self._upstreams.values()
             if state.entry.database == database
         )
-        silent = frozenset(
-            upstream
+        former = [
+            (upstream, state.has_left)
             for upstream, state in self._silent_upstreams.items()
             if state.entry.database == database
-        )
+        ]
+        silent = frozenset(name for name, has_left in former if not has_left)
+        left = frozenset(name for name, has_left in former if has_left)
         yield items.MembersChanged(
-            now, database, members, silent, self._watched_since
+            now, database, members, silent, left, self._watched_since
         )
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -35,6 +35,7 @@
     Attributes:
       members: the members by upstream id.
       silent: the ids of former members that may still run.
+      left: the ids of former members that have left as planned.
       watched_since: since when this host has read all changes of entries.
       record: the leadership record in the store, or None.
       published: the primary in the last published view.
@@ -46,6 +47,7 @@
         default_factory=dict
     )
     silent: frozenset[str] = frozenset()
+    left: frozenset[str] = frozenset()
     watched_since: float = replica_sets.NEVER
     record: leadership.Record | None = None
     published: primary_state.PrimaryState = primary_state.NO_PRIMARY
@@ -93,6 +95,7 @@
         before = state.members
         state.members = {}
         state.silent = item.silent
+        state.left = item.left
         state.watched_since = item.watched_since
         for entry in item.entries:
             self._database_of[entry.upstream] = item.database
@@ -268,14 +271,15 @@
 ) -> int:
     """Returns how many members have to report: all but one.
 
-    Former members that may still run count as members that do not report. A
+    Former members count as members that do not report: they may still run, or
+    have left with the only copy of a commit beside the primary's. A
     single status never suffices: this host may not know of every member.
 
     A host that has not watched the entries for long may not know of a former
     member, which may have left with the only copy of a commit beside the
     primary's. Without the primary, it needs the status of one member more.
     """
-    running = len(state.members) + len(state.silent)
+    running = len(state.members) + len(state.silent) + len(state.left)
     commit_members = replica_sets.COMMIT_MEMBERS
     needed = max(running - commit_members + 1, commit_members)
     by_status = primary_state.from_status(reporting[:needed])
@@ -320,4 +324,5 @@
         tuple(state.samples),
         state.silent,
         state.watched_since,
+        state.left,
     )
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -94,6 +94,7 @@
             now,
             is_old_primary_certain=not calls.has_calls(view.database),
             recorded_term=record.term if record else 0,
+            is_leaving=cause is causes.Cause.LEAVING,
         )
         self._record = record_writer.RecordWriter(view.database, record, token)
         self._context = attempt_context.AttemptContext(
@@ -256,8 +257,7 @@
             if now >= self._next_retry_at:
                 yield from self._send_fence_calls(now)
         elif self._fence.has_old_primary:
-            # The old primary by itself has every commit and accepts no more.
-            self._fence.keep_old_primary_only()
+            self._fence.rely_on_old_primary()
             yield from self._wait_for_hosts(now)
         else:
             yield from self._abort("no fence", now)
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -5,6 +5,10 @@
 acknowledged in the old term, and the highest log position among the fenced
 members covers every acknowledged commit. Former members that may still run
 count as members that can't be fenced.
+
+The old primary has every commit of its term. Once it has stepped down, a former
+member that is known to have left needs no fence, and a member with the old
+primary's whole log may be promoted.
 """
 
 from __future__ import annotations
@@ -60,11 +64,15 @@
       old_primary: The id of the primary to replace; "" if it is unknown.
       old_term: The highest known term.
       silent: The ids of former members that may still run.
+      left: The ids of former members that have left as planned. They don't run,
+        but may have held a commit that only the old primary has otherwise.
       min_required: The fewest members that must be fenced.
       is_old_primary_certain: Whether no later primary can have been promoted.
         Otherwise the old primary may receive from one, and must be paused, or
         may itself have been promoted once more.
       recorded_term: The term of the leadership record, 0 if there is none.
+      is_leaving: Whether the old primary is replaced as it leaves. It still
+        serves for a while, so it comes before another leaving member.
     """
 
     def __init__(
@@ -75,8 +83,10 @@
         silent: Collection[str] = (),
         min_required: int = 1,
         *,
+        left: Collection[str] = (),
         is_old_primary_certain: bool = True,
         recorded_term: int = 0,
+        is_leaving: bool = False,
     ) -> None:
         self.term = old_term + 1
         self.final_positions: dict[str, position.Position] = {}
@@ -84,6 +94,8 @@
         self._members = members
         self._silent = frozenset(silent)
         self._running = {*members, *silent}
+        self._left = frozenset(left)
+        self._is_leaving = is_leaving
         self._min_required = min_required
         self._old_primary = old_primary
         self._old_term = old_term
@@ -174,11 +186,17 @@
         This is all but one of those that may run. If the old primary is not
         known to be one of them, every other one must be fenced. An unknown old
         primary is one of the silent members, if there are any.
+
+        Members that have left count as running until the old primary is fenced,
+        as they may have acknowledged commits with it.
         """
+        running = self._running
+        if not self.has_old_primary:
+            running = running | self._left
         is_silent = not self._old_primary and bool(self._silent)
-        is_running = is_silent or self._old_primary in self._running
+        is_running = is_silent or self._old_primary in running
         allowed_missing = 1 if is_running else 0
-        return max(len(self._running) - allowed_missing, self._min_required)
+        return max(len(running) - allowed_missing, self._min_required)
 
     @property
     def members_not_paused(self) -> frozenset[str]:
@@ -192,17 +210,24 @@
         is_fenced = self._old_primary in self.final_positions
         return is_fenced and self._is_old_primary_certain
 
-    def keep_old_primary_only(self) -> None:
-        """Keeps only the old primary, which by itself has every commit."""
+    def rely_on_old_primary(self) -> None:
+        """Keeps the old primary, and the members that have its whole log.
+
+        The old primary by itself has every commit of its term.
+        """
+        covering = self.final_positions[self._old_primary]
         self.final_positions = {
-            self._old_primary: self.final_positions[self._old_primary]
+            upstream: final_position
+            for upstream, final_position in self.final_positions.items()
+            if final_position >= covering
         }
 
     def choose_candidate(self, preferred: Collection[str] = ()) -> str:
         """Returns the member to promote, one with every acknowledged commit.
 
         Chooses first the preferred ones, then those that are listed and not
-        draining, then replicas over the old primary.
+        draining, then replicas over the old primary. A leaving old primary
+        comes before leaving replicas.
         """
         covering = self._covering_position()
         candidates = [
@@ -216,7 +241,7 @@
                 upstream not in preferred,
                 self._members[upstream].draining
                 or not self._members[upstream].listed,
-                upstream == self._old_primary,
+                (upstream == self._old_primary) != self._is_leaving,
                 upstream,
             ),
         )
@@ -225,9 +250,10 @@
         """Returns a position that covers all acknowledged commits.
 
         If all replicas are fenced, the highest of theirs does; what the old
-        primary has beyond it was not acknowledged.
+        primary has beyond it was not acknowledged, unless by a member that has
+        left.
         """
-        replicas = self._running - {self._old_primary}
+        replicas = (self._running | self._left) - {self._old_primary}
         if not replicas or not replicas <= self.final_positions.keys():
             return max(self.final_positions.values())
         return max(self.final_positions[upstream] for upstream in replicas)
@@ -246,6 +272,7 @@
     *,
     is_old_primary_certain: bool,
     recorded_term: int,
+    is_leaving: bool = False,
 ) -> Fence:
     """Returns the fence to replace `old_primary`, with no member fenced yet.
 
@@ -263,6 +290,8 @@
         view.term,
         view.silent,
         min_required,
+        left=view.left,
         is_old_primary_certain=is_old_primary_certain,
         recorded_term=recorded_term,
+        is_leaving=is_leaving,
     )
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -10,11 +10,10 @@
 import random
 from collections.abc import Callable
 
-from fescueshunt import errors, hosted
+from fescueshunt import hosted
 from fescueshunt.core import (
     filters,
     identity,
-    replica_sets,
     session_items,
     sessions,
     store_items,
@@ -23,6 +22,7 @@
 from fescueshunt.sessions import items as pipe_items
 from fescueshunt_standins.hosted import kv, replicas, statements
 from lib import (
+    hosted_members,
     hosted_nodes,
     hosted_routes,
     hosted_store,
@@ -41,7 +41,7 @@
 STORE = "store"
 DUTY_KEY = store_items.DUTY_KEY
 HOSTS_PREFIX = store_items.HOSTS_PREFIX
-OUTAGE = errors.ConnectionLostError("cut")
+OUTAGE = hosted_members.OUTAGE
 
 
 class World(timeline.VirtualClock):
@@ -72,6 +72,9 @@
         )
         self.promotion_network = promotion_network.PromotionNetwork(self)
         self.draining: set[str] = set()
+        self.addresses: dict[str, str] = {}
+        self.unlisted: set[str] = set()
+        self.ended: set[str] = set()
         self.hosts: dict[str, hosted_nodes.Host] = {}
         for number in range(hosts):
             self.start_host(f"h{number}")
@@ -147,31 +150,18 @@
     def _feed_snapshot(self, host: hosted_nodes.Host) -> None:
         view = hosted_routes.routes_view(self.now)
         self.feed(host, routing_items.RoutesRead(self.now, view))
-        self.feed(host, store_items.EntriesListed(self.now, self.entries()))
+        entries = hosted_members.entries(self)
+        self.feed(host, store_items.EntriesListed(self.now, entries))
         keys = dict(self.store.keys)
         self.feed(
             host,
             store_items.KeysListed(self.now, keys, self.store.revision),
         )
 
-    def entries(self) -> tuple[replica_sets.UpstreamEntry, ...]:
-        return tuple(
-            replica_sets.UpstreamEntry(
-                member.name,
-                DATABASE,
-                f"127.0.0.1:{number + 1}",
-                "z",
-                2,
-                member.name in self.draining,
-                member.role,
-            )
-            for number, member in enumerate(self.replicas.members.values())
-        )
-
     def publish_entries(self) -> None:
         for host in self.hosts.values():
             if self.reaches(host.name, STORE):
-                for entry in self.entries():
+                for entry in hosted_members.entries(self):
                     item = store_items.EntryChanged(self.now, entry)
                     self.feed(host, item)
 
@@ -249,12 +239,7 @@
             if not self.reaches(host.name, member.name):
                 return
             if not member.up:
-                self.feed(
-                    host,
-                    session_items.ConnectionFailed(
-                        self.now, effect.connection_id, OUTAGE
-                    ),
-                )
+                self.feed(host, hosted_members.refuse(self, effect))
                 return
             session = statements.UpstreamSession(member)
             host.connections[effect.connection_id] = hosted_nodes.Connection(
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -189,3 +189,56 @@
     assert attempt_fence.choose_candidate({"current"}) == "current"
     attempt_fence.final_positions["replica"] = ahead
     assert attempt_fence.choose_candidate() == "replica"
+
+
+# Failure: members that had left as planned made a fence wait in vain, and the
+# leaving primary was promoted again.
+def test_member_that_has_left_counts_until_the_old_primary_is_fenced():
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={"gone"})
+    _fence_all(attempt_fence, "former", "replica")
+    assert not attempt_fence.is_complete()
+    attempt_fence.record_reply("current", _status(REPLICA, OLD_TERM))
+    assert attempt_fence.is_complete()
+
+
+def test_member_that_has_left_counts_if_the_old_primary_is_not_certain():
+    attempt_fence = fence.Fence(
+        MEMBERS,
+        "current",
+        OLD_TERM,
+        left={"gone", "lost"},
+        is_old_primary_certain=False,
+    )
+    _fence_all(attempt_fence, "former", "replica", "current")
+    assert not attempt_fence.is_complete()
+
+
+# Guards against lost commits: a member that has left may have acknowledged what
+# only the old primary has.
+def test_replica_behind_the_old_primary_is_not_chosen_if_a_member_has_left():
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={"gone"})
+    ahead = position.Position(position.Term(OLD_TERM), 9)
+    behind = position.Position(position.Term(OLD_TERM), 8)
+    attempt_fence.final_positions = {
+        "current": ahead,
+        "replica": behind,
+        "former": behind,
+    }
+    assert attempt_fence.choose_candidate() == "current"
+    attempt_fence.final_positions["former"] = ahead
+    assert attempt_fence.choose_candidate() == "former"
+
+
+# Failure: a leaving primary was promoted again though a replica had its log.
+def test_replica_with_the_whole_log_of_the_old_primary_stays_a_candidate():
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, {"silent"})
+    ahead = position.Position(position.Term(OLD_TERM), 9)
+    behind = position.Position(position.Term(OLD_TERM), 8)
+    attempt_fence.final_positions = {
+        "current": ahead,
+        "former": behind,
+        "replica": ahead,
+    }
+    attempt_fence.rely_on_old_primary()
+    assert attempt_fence.final_positions.keys() == {"current", "replica"}
+    assert attempt_fence.choose_candidate() == "replica"
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+import pytest
+
+from fescueshunt import errors
 from fescueshunt.core import (
     filters,
     replica_sets,
@@ -179,6 +184,62 @@
     assert _changes(emitted)[-1].watched_since == 90.0
 
 
+def _leave(
+    harness: MembershipHarness, *, drains: bool, drained_s: float, reason: str
+) -> items.MembersChanged:
+    """Removes the entry of u1, whose connections then fail with `reason`."""
+    moved = _entry("u1", address="127.0.0.1:2")
+    leaving = dataclasses.replace(moved, draining=drains)
+    harness.feed(store_items.EntryChanged(1.0, leaving))
+    now = 1.0 + drained_s
+    emitted = harness.feed(store_items.EntryRemoved(now, "u1"))
+    now += TICK_S
+    emitted += harness.feed(session_items.UpstreamSuspected(now, "u1", reason))
+    emitted += harness.pass_time(now, now + 6.0, answers=False)[0]
+    return _changes(emitted)[-1]
+
+
+# Failure: after planned replacements no primary was promoted for a minute, as
+# members that had left as planned counted as running.
+def test_member_that_left_as_planned_does_not_count_as_silent():
+    code = errors.NobodyListensError.code
+    drained_s = membership.MIN_DRAIN_S
+    changed = _leave(
+        MembershipHarness(), drains=True, drained_s=drained_s, reason=code
+    )
+    assert changed.left == {"u1"}
+    assert changed.silent == frozenset()
+
+
+# Guards against lost commits: entries also expire while the store is down, and
+# a member that crashed or was cut off may still run, or run again.
+@pytest.mark.parametrize(
+    ("drains", "drained_s", "reason"),
+    [
+        (False, 9.0, errors.NobodyListensError.code),
+        (True, 3.0, errors.NobodyListensError.code),
+        (True, 9.0, errors.ConnectionLostError.code),
+    ],
+)
+def test_member_that_may_not_have_left_as_planned_counts_as_silent(
+    drains: bool, drained_s: float, reason: str
+):
+    changed = _leave(
+        MembershipHarness(), drains=drains, drained_s=drained_s, reason=reason
+    )
+    assert changed.left == frozenset()
+    assert changed.silent == {"u1"}
+
+
+def test_refused_connection_of_a_listed_member_proves_nothing():
+    harness = MembershipHarness()
+    leaving = dataclasses.replace(_entry("u1"), draining=True)
+    harness.feed(store_items.EntryChanged(1.0, leaving))
+    code = errors.NobodyListensError.code
+    suspected = session_items.UpstreamSuspected(9.0, "u1", code)
+    assert harness.feed(suspected) == [suspected]
+
+
 def test_fence_needs_every_replica_once_the_old_primary_is_dropped():
     members = {name: _entry(name) for name in ("u1", "u2")}
     assert fence.Fence(members, "u0", 2).required == 2
