--- a/tests/unit/test_review_findings.py
+++ b/tests/unit/test_review_findings.py
@@ -92,6 +92,27 @@
         world.run(hosted_world.TICK_S / 2)
 
 
+def _lose_removals(
+    world: hosted_world.World, prefix: str, count: int
+) -> list[filters.Item]:
+    """Loses the next calls that remove a key; returns those that were lost."""
+    lost: list[filters.Item] = []
+
+    def loses(call: filters.Item) -> bool:
+        is_removal = (
+            isinstance(call, store_items.WriteKey)
+            and call.key.startswith(prefix)
+            and call.value is None
+        )
+        if not is_removal or len(lost) == count:
+            return False
+        lost.append(call)
+        return True
+
+    world.loses_call = loses
+    return lost
+
+
 def _split(
     world: hosted_world.World, side: set[str], other_side: set[str]
 ) -> None:
@@ -185,20 +206,7 @@
     world.run(1.0)
     history = hosted_clients.run_clients(world)
     world.run(WARM_UP_S)
-    lost: list[filters.Item] = []
-
-    def loses(call: filters.Item) -> bool:
-        is_removal = (
-            isinstance(call, store_items.WriteKey)
-            and call.key.startswith(store_items.VOTES_PREFIX)
-            and call.value is None
-        )
-        if is_removal and len(lost) < len(world.hosts):
-            lost.append(call)
-            return True
-        return False
-
-    world.loses_call = loses
+    lost = _lose_removals(world, store_items.VOTES_PREFIX, len(world.hosts))
     world.crash("u0")
     world.run(FAILOVER_S)
     world.restart("u0")
@@ -218,20 +226,7 @@
     world.run(1.0)
     history = hosted_clients.run_clients(world)
     world.run(WARM_UP_S)
-    lost: list[filters.Item] = []
-
-    def loses(call: filters.Item) -> bool:
-        is_release = (
-            isinstance(call, store_items.WriteKey)
-            and call.key == store_items.DUTY_KEY
-            and call.value is None
-        )
-        if lost or not is_release:
-            return False
-        lost.append(call)
-        return True
-
-    world.loses_call = loses
+    lost = _lose_removals(world, store_items.DUTY_KEY, 1)
     holder = world.store.keys[store_items.DUTY_KEY].value
     world.partition(holder, "u0", "u1", "u2")
     world.run(RELEASE_S)
