Fence again before a call that got no answer is repeated

Callers could have seen: acknowledged commits lost. Since a missing answer takes the old primary out of the fence, but the attempt went on with what was left: with u1 out of reach, u2 alone confirmed the repeated call, and after the open call had expired u2 could be promoted although only u0 and u1 had a commit. With the old primary as the whole fence, choosing a member of none would have failed.

Change: if the fence is not complete any more, the members are fenced again.

Evidence: test_call_is_not_repeated_with_an_incomplete_fence fails without the change.

--- a/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
@@ -242,6 +242,8 @@
             # Repeating a call that did arrive has no effect.
             self._next_retry_at = item.at
             self._context.fence.doubt_old_primary()
+            if not self._context.fence.is_complete():
+                self._end(ResultKind.NOT_FENCED)
         elif item.done:
             self._follow(item.at)
         else:
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -167,3 +167,28 @@
     _confirm_duty_and_fences(failover, MEMBERS[1:])
     call = failover.sent[-1]
     assert call.send_before <= failover.now + promotion.CALL_VALID_S
+
+
+# Failure: the answer to a call is lost, the old primary no longer counts as
+# fenced, and the next call goes out with one fence of two.
+def test_call_is_not_repeated_with_an_incomplete_fence():
+    failover = _Failover()
+    failover.answer_write()
+    failover.reply("u0", sessions.StepDown(FENCE_TERM))
+    failover.reply("u2", sessions.Pause(FENCE_TERM))
+    failover.wait()
+    _confirm_duty_and_fences(failover, ("u0", "u2"))
+    call = failover.sent[-1]
+    assert isinstance(call, store_items.CallPromotion)
+    sent_before = len(failover.sent)
+    failover.feed(
+        store_items.PromotionCompleted(
+            failover.now, call.database, call.upstream, None, "lost"
+        )
+    )
+    failover.wait()
+    _confirm_duty_and_fences(failover, ("u2",))
+    later = failover.sent[sent_before:]
+    assert not any(isinstance(i, store_items.CallPromotion) for i in later)
+    pauses = [i for i in later if isinstance(i, session_items.CallUpstream)]
+    assert "u0" in {i.upstream for i in pauses}
