Keep cancelled connections of the HTTP server out of the log on Python 3.11.7

Cause: asyncio.start_server makes the task of a coroutine itself, and its done callback asks a cancelled task for its exception, which raises. asyncio mends this in 3.11.8; we support every 3.11.

Ruled out: a fault of the test (it passed with a newer Python; it says that an operator reads only log lines), and swallowing the cancellation in the handler (a task cancelled before it has begun never runs it).

Change: the server makes the task itself and keeps a reference to it.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/http.py
@@ -17,7 +17,6 @@
         AsyncIterator,
         Awaitable,
         Callable,
-        Coroutine,
         Iterator,
         Mapping,
     )
@@ -230,13 +229,17 @@
         the status is 500.
     """
     writers: set[asyncio.StreamWriter] = set()
+    tasks: set[asyncio.Task[None]] = set()
 
     def accept(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> Coroutine[None, None, None]:
-        # The task may be cancelled before it has begun.
+    ) -> None:
+        # The task may be cancelled before it has begun. It is not left to
+        # asyncio, which reports each cancelled one as an error before 3.11.8.
         writers.add(writer)
-        return handle_connection(reader, writer)
+        task = asyncio.create_task(handle_connection(reader, writer))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
 
     async def handle_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
