--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
@@ -34,6 +34,8 @@
         "store_lost",
         "store_regained",
         "link_failed",
+        "setup_failed",
+        "statement_prepared",
         "pools",
     }
 )
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
@@ -61,6 +62,7 @@
             self._pools, self._runner, self._closer
         )
         self._next_pool_log_at = 0.0
+        self._completed_calls: collections.Counter[str] = collections.Counter()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields calls on connections, and the result of each statement."""
@@ -109,7 +111,10 @@
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
         yield from calls.report_reply(conn_pool, conn, call, item)
+        if steps.is_setup_call(call):
+            yield from reports.setup_call_replied(conn, call, item)
         if item.reply.failure is None:
+            self._completed_calls[type(call).__name__] += 1
             steps.record_success(conn, call)
         if conn.control_request is not None:
             yield from control_requests.finish(conn, item)
@@ -184,4 +189,6 @@
         yield from self._runner.start_ready(now)
         if now >= self._next_pool_log_at:
             self._next_pool_log_at = now + POOL_LOG_INTERVAL_S
-            yield reports.pool_sizes(self._pools, len(self._queue), now)
+            yield reports.pool_sizes(
+                self._pools, len(self._queue), self._completed_calls, now
+            )
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -8,11 +8,13 @@
 from fescueshunt.sessions import items
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterator, Mapping
 
     from fescueshunt.sessions import pool, pools
     from fescueshunt.sessions import session as client_session
 
+# Longer texts of clients are cut in logs.
+MAX_LOGGED_CHARS = 80
 # The names of the events by the step of a graceful stop.
 STOP_EVENTS = {
     items.StopStarted: "stop_started",
@@ -22,17 +24,58 @@
 
 
 def pool_sizes(
-    pool_manager: pools.PoolManager, waiting: int, now: float
+    pool_manager: pools.PoolManager,
+    waiting: int,
+    completed_calls: Mapping[str, int],
+    now: float,
 ) -> session_items.LogDecision:
-    """Returns an event with the size of each pool and of the queue."""
+    """Returns an event with the size of each pool and of the queue.
+
+    Args:
+      pool_manager: the pools.
+      waiting: the number of statements in the queue.
+      completed_calls: how many calls have succeeded, by their type.
+      now: the current time; local clock, seconds.
+    """
     connections = {
         upstream: len(conn_pool.connections)
         for upstream, conn_pool in pool_manager.by_upstream.items()
     }
-    details = {"links": connections, "waiting": waiting}
+    details = {
+        "links": connections,
+        "waiting": waiting,
+        "calls": dict(completed_calls),
+    }
     return session_items.LogDecision(now, "pools", "", details)
 
 
+def setup_call_replied(
+    conn: pool.Connection,
+    call: sessions.UpstreamCall,
+    item: session_items.CallReplied,
+) -> Iterator[session_items.LogDecision]:
+    """Yields the events of a reply to a call that sets up a connection.
+
+    Each statement that is prepared has an event, so that its name at the
+    upstream can be told, and each call that failed.
+    """
+    failure = item.reply.failure
+    if failure is None and not isinstance(call, sessions.Prepare):
+        return
+    details = {"upstream": conn.upstream, "connection": conn.number}
+    if isinstance(call, sessions.Prepare):
+        details["name"] = call.name
+        details["writes"] = call.prepared.writes
+        details["shape"] = call.prepared.shape[:MAX_LOGGED_CHARS]
+    event = "statement_prepared"
+    if failure is not None:
+        event = "setup_failed"
+        details["call"] = type(call).__name__
+        details["outcome"] = failure.value
+        details["why"] = item.reply.detail[:MAX_LOGGED_CHARS]
+    yield session_items.LogDecision(item.at, event, "", details)
+
+
 def connection_failed(
     conn_pool: pool.ConnectionPool,
     conn: pool.Connection,
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -58,6 +58,13 @@
             conn.prepared.add(call.name)
 
 
+def is_setup_call(call: sessions.UpstreamCall) -> bool:
+    """Returns whether `call` only prepares a connection for a statement."""
+    return isinstance(
+        call, sessions.Reset | sessions.SetValue | sessions.Prepare
+    )
+
+
 def is_client_statement(call: sessions.UpstreamCall) -> bool:
     """Returns whether `call` runs the client's statement itself."""
     return isinstance(call, sessions.RunStatement | sessions.RunPrepared)
