Give prepared statements names that hold no text of clients

Callers saw: statements that ran in a shape that nobody had prepared, and with arguments that nobody had sent; also callers whose own shapes are plain, on a host on which one client prepares a shape with a blank.

Cause: the name at upstreams was made of the kind and the shape. A shape may hold blanks, since it is the last field of its message; a name may not, since fields follow it. The upstream read the rest of the name as kind and shape, or as arguments.

Change: the name is the kind and a digest of 16 bytes of kind and shape, 23 characters, derived once when the client prepares. Two statements can't be found that share one, and equal ones still share, on every connection. A counter of the connection was weighed: shorter by some 18 bytes, but it needs the shapes themselves kept for each connection (up to 1 MiB each, and longer than the session lives), and the logs of two connections could not be compared. The new type Word says what may stand in front of other fields.

--- a/packages/fescueshunt/src/fescueshunt/core/sessions.py
+++ b/packages/fescueshunt/src/fescueshunt/core/sessions.py
@@ -7,15 +7,22 @@
 
 from __future__ import annotations
 
+import base64
 import dataclasses
 import enum
+import hashlib
 from typing import TYPE_CHECKING
 
+from fescueshunt.core import texts
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from fescueshunt.core import position
 
+# Long enough that nobody can find two statements with one name.
+NAME_DIGEST_BYTES = 16
+
 
 class Verb(enum.Enum):
     """The operation that a client's statement requests."""
@@ -90,16 +97,19 @@
       writes: whether a prepared statement writes.
       shape: the shape of a prepared statement, as the client wrote it.
       read_only: whether the client declared the transaction read-only.
+      fits_min_position: whether the call that runs the statement is short
+        enough to contain a minimum position as well.
     """
 
-    statement_id: str
+    statement_id: texts.Word
     verb: Verb
-    text: str
+    text: texts.Line
     name: str = ""
-    argument: str = ""
+    argument: texts.Line = texts.EMPTY
     writes: bool = False
-    shape: str = ""
+    shape: texts.Line = texts.EMPTY
     read_only: bool = False
+    fits_min_position: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,10 +119,18 @@
     Attributes:
       writes: whether the statement writes.
       shape: the shape of the statement.
+      name: the name that every host gives the statement at upstreams. It
+        depends on nothing else, so that sessions share the statements that are
+        prepared on a connection, and it contains no text of a client.
     """
 
     writes: bool
-    shape: str
+    shape: texts.Line
+    name: texts.Word = dataclasses.field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Derives the name."""
+        object.__setattr__(self, "name", _upstream_name(self))
 
 
 class UpstreamCall:
@@ -143,7 +161,7 @@
     """
 
     statement: Statement
-    name: str
+    name: texts.Word
     min_position: position.Position | None = None
 
 
@@ -175,15 +193,15 @@
 class SetValue(UpstreamCall):
     """Sets a named value on the connection."""
 
-    name: str
-    value: str
+    name: texts.Word
+    value: texts.Line
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepare(UpstreamCall):
     """Prepares a statement on the connection under `name`."""
 
-    name: str
+    name: texts.Word
     prepared: Prepared
 
 
@@ -295,6 +313,13 @@
     prepared: Mapping[str, Prepared]
 
 
-def prepared_name(prepared: Prepared) -> str:
-    """Returns the name that `prepared` has at upstreams."""
-    return f"{'w' if prepared.writes else 'r'}.{prepared.shape}"
+def _upstream_name(prepared: Prepared) -> texts.Word:
+    kind = "w" if prepared.writes else "r"
+    data = f"{kind} {prepared.shape}".encode(errors="surrogateescape")
+    digest = hashlib.blake2b(data, digest_size=NAME_DIGEST_BYTES).digest()
+    encoded = base64.urlsafe_b64encode(digest).decode().rstrip("=")
+    return texts.Word(f"{kind}{encoded}")
+
+
+# The number of characters in the name of a prepared statement at upstreams.
+PREPARED_NAME_CHARS = len(Prepared(False, texts.EMPTY).name)
--- /dev/null
+++ b/packages/fescueshunt/src/fescueshunt/core/texts.py
@@ -0,0 +1,65 @@
+"""Types of the texts that are put into messages of other programs.
+
+A text that came from one program must not change how another one reads the
+message that carries it. Each type accepts only what can stand at its place, so
+that an encoder that asks for it can't build a message with other fields.
+"""
+
+from __future__ import annotations
+
+import re
+
+from fescueshunt import errors
+
+# Neither white space of any kind nor control characters, which some readers
+# take for the end of a field.
+_WORD = re.compile(r"[^\s\x00-\x20\x7f]+")
+_LINE_BREAK = re.compile(r"[\r\n\x00]")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+
+
+class Word(str):
+    """A field of a message that is followed by others; it has no blanks.
+
+    Raises:
+      FrameError: if the text is empty, or has blanks or control characters.
+    """
+
+    __slots__ = ()
+
+    def __new__(cls, text: str) -> Word:
+        """Returns `text` as a word."""
+        if type(text) is cls:
+            return text
+        if not _WORD.fullmatch(text):
+            raise errors.FrameError("expected a word")
+        return super().__new__(cls, text)
+
+
+class Line(str):
+    """The last field of a message, up to the end of its line.
+
+    Raises:
+      FrameError: if the text has a character that may end a line.
+    """
+
+    __slots__ = ()
+
+    def __new__(cls, text: str) -> Line:
+        """Returns `text` as the rest of a line."""
+        if type(text) is cls:
+            return text
+        if _LINE_BREAK.search(text):
+            raise errors.FrameError("unexpected line break")
+        return super().__new__(cls, text)
+
+
+EMPTY = Line("")
+
+
+def shorten(text: str, max_chars: int) -> Line:
+    """Returns the first `max_chars` characters of `text`, for descriptions.
+
+    Each control character is replaced by a question mark.
+    """
+    return Line(_CONTROL_CHARACTER.sub("?", text[:max_chars]))
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -31,7 +31,7 @@
         if current_values.get(name) != value:
             calls.append(sessions.SetValue(name, value))
     if job.prepared is not None:
-        name = sessions.prepared_name(job.prepared)
+        name = job.prepared.name
         if name not in current_prepared:
             calls.append(sessions.Prepare(name, job.prepared))
     if job.begin_statement is not None:
@@ -84,5 +84,4 @@
 ) -> sessions.UpstreamCall:
     if job.prepared is None:
         return sessions.RunStatement(job.statement, min_position)
-    name = sessions.prepared_name(job.prepared)
-    return sessions.RunPrepared(job.statement, name, min_position)
+    return sessions.RunPrepared(job.statement, job.prepared.name, min_position)
