Check at the border what may stand where in other programs' messages

- a bare CR, LF or NUL in a client's line was sent on.
An upstream for which it ends a line would run what the client wrote behind it.
Such a line is now malformed and ends the session; in a row of an upstream it fails the read.
- a client could use the id of the proxy's own statements; it is invalid now.
- a shape that fitted for the client did not fit with the name that was made of it, so that each execution failed as busy; an execution may outgrow a line by its new name, and a read by the position in front of it, and the connection was lost then.
The decoder knows the size of the line that an upstream gets: what never fits is refused as malformed at once, and a read without room for a position runs at the primary.
- text was Latin-1: services named otherwise were sent as question marks, routes never matched.
It is UTF-8 now; other bytes still pass unchanged.
- a refusal carried the route that the client had sent, of up to 1 MiB.
- forms that a stricter reader refuses (SET without a value, EXECUTE without an item, BEGIN with a blank behind it) were accepted; they are malformed now.

Change: the types Word and Line are made where clients' lines are decoded, which is a module of its own now, and encoders take nothing else: a line of other fields, or of more than 1 MiB with its end, can't be put together. Names in the store's documents must fit into UTF-8.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/documents.py
@@ -25,8 +25,8 @@
 ENTRIES_PREFIX = "servers/"
 MS_PER_S = 1000
 
-# Names are fields of lines that are separated by spaces.
-_NAME_PATTERN = r"^[^\s\x00-\x1f\x7f]+\Z"
+# Names are fields of lines that are separated by spaces, and encoded in UTF-8.
+_NAME_PATTERN = r"^[^\s\x00-\x1f\x7f\ud800-\udfff]+\Z"
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _PORT = (
     r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/front_end.py
@@ -8,7 +8,7 @@
 
 from fescueshunt import errors
 from fescueshunt_proxy._internal.hosted import ports
-from fescueshunt_proxy.platform import lines
+from fescueshunt_proxy.platform import client_lines, lines
 from fescueshunt_wire import graceful_close, listening
 
 if TYPE_CHECKING:
@@ -156,10 +156,10 @@
         if self._ignores_requests:
             return
         if not self._has_started:
-            self._listener.on_session_started(*lines.decode_start(line))
+            self._listener.on_session_started(*client_lines.decode_start(line))
             self._has_started = True
             return
-        statement = lines.decode_statement(line)
+        statement = client_lines.decode_statement(line)
         if statement is None:
             self._end_session()
         else:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -1,8 +1,8 @@
 """Codec of the line protocol that clients and upstreams use.
 
 A line consists of a keyword and fields separated by spaces, and ends with
-CR LF. The last field extends to the end of the line. The protocol specifies
-ASCII text; other bytes pass through unchanged.
+CR LF. The last field extends to the end of the line. Text is UTF-8; other bytes
+pass through unchanged.
 """
 
 from __future__ import annotations
@@ -10,29 +10,22 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt import errors
-from fescueshunt.core import digits, position, sessions
+from fescueshunt.core import digits, position, sessions, texts
+from fescueshunt_proxy.platform import sizes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_LINE_BYTES = 1 << 20
-ENCODING = "latin-1"
-LINE_END = b"\r\n"
+ENCODING = "utf-8"
+OTHER_BYTES = "surrogateescape"
 EMPTY_FIELD = "-"
+# Marks the statements of a proxy itself.
+PROXY_STATEMENT_ID = "-"
 MIN_POSITION_KEYWORD = "SINCE"
+# Of the description of a failure.
+MAX_DETAIL_CHARS = 500
 MS_PER_S = 1000
 
-_VERB_BY_KEYWORD = {
-    "BEGIN": sessions.Verb.BEGIN,
-    "COMMIT": sessions.Verb.COMMIT,
-    "ROLLBACK": sessions.Verb.ROLLBACK,
-    "READ": sessions.Verb.READ,
-    "WRITE": sessions.Verb.WRITE,
-    "SET": sessions.Verb.SET_VALUE,
-    "PREPARE": sessions.Verb.PREPARE,
-    "EXECUTE": sessions.Verb.EXECUTE,
-    "DEALLOC": sessions.Verb.DEALLOCATE,
-}
 _STATE_BY_CODE = {
     "I": sessions.TransactionState.IDLE,
     "T": sessions.TransactionState.OPEN,
@@ -70,7 +63,7 @@
         """Appends `data` and returns the lines that it completes.
 
         Raises:
-          FrameTooLargeError: if a line is longer than `MAX_LINE_BYTES`.
+          FrameTooLargeError: if a line is too long.
         """
         return list(self.split(data))
 
@@ -78,86 +71,38 @@
         """Appends `data` and yields the lines that it completes.
 
         Raises:
-          FrameTooLargeError: after the lines before one that is longer than
-            `MAX_LINE_BYTES`.
+          FrameTooLargeError: after the lines before one that is too long.
         """
         self._buffer += data
-        if LINE_END not in data and b"\n" not in data:
+        if b"\n" not in data:
             self._check_length(len(self._buffer))
             return
-        *complete_lines, incomplete_line = bytes(self._buffer).split(LINE_END)
+        *complete_lines, incomplete_line = bytes(self._buffer).split(
+            sizes.LINE_END
+        )
         self._buffer = bytearray(incomplete_line)
         for line in complete_lines:
             self._check_length(len(line))
-            yield line.decode(ENCODING)
+            yield line.decode(ENCODING, OTHER_BYTES)
         self._check_length(len(incomplete_line))
 
     def _check_length(self, size: int) -> None:
-        if size > MAX_LINE_BYTES:
+        if size + len(sizes.LINE_END) > sizes.MAX_LINE_BYTES:
             raise errors.FrameTooLargeError(f"{size} bytes without a line end")
 
 
 def encode_fields(*fields: str) -> bytes:
-    """Encodes `fields` as one line."""
-    return " ".join(fields).encode(ENCODING, "replace") + LINE_END
-
-
-def decode_start(line: str) -> tuple[str, str]:
-    """Decodes a client's request to start a session.
-
-    Returns:
-      The name of the route and the client account; the account is "" if the
-      line has none.
-
-    Raises:
-      FrameError: if the line does not start a session.
-    """
-    keyword, _, fields_text = line.partition(" ")
-    name, _, account = fields_text.partition(" ")
-    if keyword != "START" or not name:
-        raise errors.FrameError("expected the start of a session")
-    return name, account
-
-
-def decode_statement(line: str) -> sessions.Statement | None:
-    """Decodes a client's statement; returns None if the client disconnects.
+    """Encodes words and a last field, which may contain blanks, as one line.
 
     Raises:
-      FrameError: if the line is neither a statement nor the session's end.
+      FrameError: if a field can't stand at its place, or the line is too long.
     """
-    keyword, _, fields_text = line.partition(" ")
-    if keyword == "TERMINATE":
-        return None
-    statement_id, _, text = fields_text.partition(" ")
-    if keyword != "QUERY" or not statement_id:
-        raise errors.FrameError("expected a statement")
-    return _parse_statement(statement_id, text)
-
-
-def _parse_statement(statement_id: str, text: str) -> sessions.Statement:
-    keyword, _, fields_text = text.partition(" ")
-    verb = _VERB_BY_KEYWORD.get(keyword, sessions.Verb.INVALID)
-    name, _, argument = fields_text.partition(" ")
-    writes, shape = False, ""
-    read_only = False
-    match verb:
-        case sessions.Verb.BEGIN:
-            read_only = fields_text == "READ"
-            if fields_text not in ("", "READ"):
-                verb = sessions.Verb.INVALID
-        case sessions.Verb.PREPARE:
-            kind, _, shape = argument.partition(" ")
-            writes = kind == "WRITE"
-            if kind not in ("READ", "WRITE") or not shape:
-                verb = sessions.Verb.INVALID
-        case sessions.Verb.COMMIT | sessions.Verb.ROLLBACK:
-            if fields_text:
-                verb = sessions.Verb.INVALID
-        case _ if not name:
-            verb = sessions.Verb.INVALID
-    return sessions.Statement(
-        statement_id, verb, text, name, argument, writes, shape, read_only
-    )
+    *words, last = fields
+    parts = [*map(texts.Word, words), texts.Line(last)]
+    data = " ".join(parts).encode(ENCODING, OTHER_BYTES) + sizes.LINE_END
+    if len(data) > sizes.MAX_LINE_BYTES:
+        raise errors.FrameTooLargeError(f"{len(data)} bytes in a line")
+    return data
 
 
 def encode_answer(answer: sessions.SessionAnswer) -> bytes:
@@ -174,10 +119,9 @@
 
 
 def encode_failure(failure: sessions.Failure, detail: str) -> bytes:
-    """Encodes a failure as an error line."""
-    return encode_fields(
-        "ERROR", _CODE_BY_FAILURE[failure], detail or EMPTY_FIELD
-    )
+    """Encodes a failure as an error line; a long `detail` is cut."""
+    detail = texts.shorten(detail or EMPTY_FIELD, MAX_DETAIL_CHARS)
+    return encode_fields("ERROR", _CODE_BY_FAILURE[failure], detail)
 
 
 def encode_welcome() -> bytes:
@@ -194,7 +138,8 @@
     """Encodes a call to an upstream.
 
     Raises:
-      FrameError: if the protocol has no such call.
+      FrameError: if the protocol has no such call, or a field of it can't stand
+        at its place.
     """
     match call:
         case sessions.RunStatement():
@@ -202,10 +147,8 @@
             text = _add_min_position(call.min_position, statement.text)
             return encode_fields("QUERY", statement.statement_id, text)
         case sessions.RunPrepared():
-            words = ["EXECUTE", call.name]
-            if call.statement.argument:
-                words.append(call.statement.argument)
-            text = _add_min_position(call.min_position, " ".join(words))
+            text = _join_fields("EXECUTE", call.name, call.statement.argument)
+            text = _add_min_position(call.min_position, text)
             return encode_fields("QUERY", call.statement.statement_id, text)
         case sessions.Begin():
             text = _add_min_position(call.min_position, call.statement.text)
@@ -220,7 +163,7 @@
             )
         case _:
             return encode_fields(
-                "QUERY", EMPTY_FIELD, _format_internal_call(call)
+                "QUERY", PROXY_STATEMENT_ID, _format_internal_call(call)
             )
 
 
@@ -229,10 +172,10 @@
         case sessions.Rollback():
             return "ROLLBACK"
         case sessions.SetValue():
-            return f"SET {call.name} {call.value}"
+            return _join_fields("SET", call.name, call.value)
         case sessions.Prepare():
             kind = "WRITE" if call.prepared.writes else "READ"
-            return f"PREPARE {call.name} {kind} {call.prepared.shape}"
+            return _join_fields("PREPARE", call.name, kind, call.prepared.shape)
         case sessions.Reset():
             return "RESET"
         case sessions.GetStatus():
@@ -246,6 +189,12 @@
     raise errors.FrameError(f"unsupported call: {call}")
 
 
+def _join_fields(*fields: str) -> texts.Line:
+    """Returns the text with the given words and last field."""
+    *words, last = fields
+    return texts.Line(" ".join((*map(texts.Word, words), last)))
+
+
 def _add_min_position(min_position: position.Position | None, text: str) -> str:
     if min_position is None:
         return text
@@ -289,7 +238,7 @@
         keyword, _, fields_text = line.partition(" ")
         match keyword:
             case "ROW":
-                self._rows.append(fields_text)
+                self._add_row(fields_text)
             case "COMPLETE":
                 self._receipt = fields_text
             case "ERROR":
@@ -303,6 +252,14 @@
                 raise errors.FrameError("unknown keyword from upstream")
         return None
 
+    def _add_row(self, row: str) -> None:
+        """Adds a row; the reply fails if clients can't be sent the row."""
+        try:
+            self._rows.append(texts.Line(row))
+        except errors.FrameError as exc:
+            self._failure = sessions.Failure.FAILED
+            self._detail = exc.detail
+
     @property
     def failure(self) -> sessions.Failure | None:
         """The failure in the incomplete reply, or None."""
--- a/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
@@ -29,7 +29,9 @@
     writes = statement.verb is sessions.Verb.WRITE or (
         prepared is not None and prepared.writes
     )
-    may_read_replica = not writes and (session.read_only or not in_transaction)
+    may_read_replica = not writes and (
+        session.read_only if in_transaction else statement.fits_min_position
+    )
     begins = in_transaction and not session.begun_upstream
     primary_reads = route.consistency is routes.Consistency.PRIMARY
     own_writes = route.consistency is routes.Consistency.OWN_WRITES
--- a/tests/unit/test_lines.py
+++ b/tests/unit/test_lines.py
@@ -10,13 +10,13 @@
 
 from fescueshunt import errors
 from fescueshunt.core import position, sessions
-from fescueshunt_proxy.platform import lines
+from fescueshunt_proxy.platform import client_lines, lines
 
 IDLE = sessions.TransactionState.IDLE
 
 
 def _decode_statement(text: str) -> sessions.Statement:
-    return lines.decode_statement(f"QUERY id1 {text}")
+    return client_lines.decode_statement(f"QUERY id1 {text}")
 
 
 def test_decoded_statements_keep_their_text():
@@ -36,7 +36,7 @@
         "q2c",
     )
     assert _decode_statement("BEGIN READ").read_only
-    assert lines.decode_statement("TERMINATE") is None
+    assert client_lines.decode_statement("TERMINATE") is None
 
 
 @pytest.mark.parametrize(
@@ -91,7 +91,10 @@
     splitter = lines.LineSplitter()
     for part in parts:
         for line in splitter.feed(part):
-            for decode in (lines.decode_start, lines.decode_statement):
+            for decode in (
+                client_lines.decode_start,
+                client_lines.decode_statement,
+            ):
                 with contextlib.suppress(errors.FrameError):
                     decode(line)
 
--- a/tests/unit/test_prepared_names.py
+++ b/tests/unit/test_prepared_names.py
@@ -7,7 +7,7 @@
 from fescueshunt.core import sessions
 from fescueshunt.sessions import items, jobs, pool, steps
 from fescueshunt.sessions import session as client_session
-from fescueshunt_proxy.platform import lines
+from fescueshunt_proxy.platform import client_lines, lines
 from lib import hosted_routes, session_load
 
 SHAPES = ("q5", "q5 READ cq", "q5 WRITE cq", " q5", "q5  cq", "r.q5", "-")
@@ -16,8 +16,10 @@
 def _job(shape: str, *, writes: bool = False) -> items.StatementJob:
     """Returns the job of a client that prepared `shape` and executes it."""
     kind = "WRITE" if writes else "READ"
-    prepare = lines.decode_statement(f"QUERY a1 PREPARE s {kind} {shape}")
-    execute = lines.decode_statement("QUERY a2 EXECUTE s item1 data 1")
+    prepare = client_lines.decode_statement(
+        f"QUERY a1 PREPARE s {kind} {shape}"
+    )
+    execute = client_lines.decode_statement("QUERY a2 EXECUTE s item1 data 1")
     prepared = sessions.Prepared(prepare.writes, prepare.shape)
     session = client_session.Session(1, hosted_routes.DATABASE)
     route = session_load.make_route(0)
