Limit what sessions keep of what their clients set and prepare

Cause: a session kept every value and statement for as long as it lasted, up to 1 MiB each and without a limit of their number, and its values are set again on each connection that it uses. A few clients could take the memory of a host.

What a session can't keep is refused as malformed at once, what the host has no room for at present as busy, and those that it has can still be replaced.

--- a/packages/fescueshunt/src/fescueshunt/sessions/answers.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/answers.py
@@ -28,9 +28,12 @@
     statement: sessions.Statement,
     reason: sessions.Failure,
     now: float,
+    detail: str = "",
 ) -> filters.Item:
     """Returns the answer to a statement that failed for `reason`."""
-    answer = sessions.SessionAnswer(failure=reason, state=session.state)
+    answer = sessions.SessionAnswer(
+        failure=reason, detail=detail, state=session.state
+    )
     return session_items.SendSessionAnswer(
         now, session.client, statement.statement_id, answer
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/local_statements.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/local_statements.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import sessions
-from fescueshunt.sessions import answers, items
+from fescueshunt.sessions import answers, items, settings_limits
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -66,20 +66,29 @@
 def set_value(
     session: client_session.Session,
     statement: sessions.Statement,
+    limits: settings_limits.SettingsLimits,
     now: float,
 ) -> filters.Item:
-    """Sets a session value."""
-    session.values[statement.name] = statement.argument
+    """Sets a session value, unless the session has too many."""
+    name, value = statement.name, statement.argument
+    problem = limits.refuse_value(session, name, value)
+    if problem:
+        return _over_limit(session, statement, problem, now)
+    session.values[name] = value
     return answers.success(session, statement, now)
 
 
 def prepare(
     session: client_session.Session,
     statement: sessions.Statement,
+    limits: settings_limits.SettingsLimits,
     now: float,
 ) -> filters.Item:
-    """Prepares a statement in the session."""
+    """Prepares a statement in the session, unless it has too many."""
     prepared = sessions.Prepared(statement.writes, statement.shape)
+    problem = limits.refuse_prepared(session, statement.name, prepared)
+    if problem:
+        return _over_limit(session, statement, problem, now)
     session.prepared[statement.name] = prepared
     return answers.success(session, statement, now)
 
@@ -87,15 +96,34 @@
 def deallocate(
     session: client_session.Session,
     statement: sessions.Statement,
+    limits: settings_limits.SettingsLimits,
     now: float,
 ) -> filters.Item:
     """Removes a prepared statement from the session."""
-    if session.prepared.pop(statement.name, None) is None:
+    prepared = session.prepared.pop(statement.name, None)
+    if prepared is None:
         failure = sessions.Failure.NO_STATEMENT
         return answers.failure(session, statement, failure, now)
+    limits.deallocate(session.client, statement.name, prepared)
     return answers.success(session, statement, now)
 
 
+def _over_limit(
+    session: client_session.Session,
+    statement: sessions.Statement,
+    problem: str,
+    now: float,
+) -> filters.Item:
+    """Returns the answer to a statement that the session has no room for.
+
+    Only room on the host may become free; other limits stay the same.
+    """
+    failure = sessions.Failure.INVALID
+    if problem == settings_limits.HOST_FULL:
+        failure = sessions.Failure.BUSY
+    return answers.failure(session, statement, failure, now, problem)
+
+
 def answer_in_failed_transaction(
     session: client_session.Session,
     statement: sessions.Statement,
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -25,6 +25,7 @@
     local_statements,
     readiness,
     reports,
+    settings_limits,
     shutdown,
     unanswered,
 )
@@ -53,6 +54,7 @@
         self._routes: routes.RoutesView | None = None
         self._shutdown = shutdown.Shutdown(grace_s)
         self._unanswered = unanswered.UnansweredStatements()
+        self._limits = settings_limits.SettingsLimits()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields answers to clients, and jobs for upstreams."""
@@ -135,6 +137,7 @@
     ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
         self._unanswered.discard(client)
+        self._limits.remove(client)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
@@ -192,11 +195,17 @@
                     session, statement, item.at
                 )
             case sessions.Verb.SET_VALUE:
-                yield local_statements.set_value(session, statement, item.at)
+                yield local_statements.set_value(
+                    session, statement, self._limits, item.at
+                )
             case sessions.Verb.PREPARE:
-                yield local_statements.prepare(session, statement, item.at)
+                yield local_statements.prepare(
+                    session, statement, self._limits, item.at
+                )
             case sessions.Verb.DEALLOCATE:
-                yield local_statements.deallocate(session, statement, item.at)
+                yield local_statements.deallocate(
+                    session, statement, self._limits, item.at
+                )
             case sessions.Verb.COMMIT if session.state is IDLE:
                 yield answers.failure(
                     session, statement, sessions.Failure.INVALID, item.at
