Reset a connection after a call that may have changed it

Clients could have seen: a statement runs with another session's values, or without those of its own session. A RESET, SET or PREPARE that is answered with FAILED or TIMEOUT was run, but the pool took every failed call for one without effect: it gave the connection to sessions without that value and sent no RESET, and after a RESET it believed values that were gone.

Ruled out: BUSY and the other refusals (no run), lost and late replies and cut connections (the connection is closed); these cases pass before the change.

Change: such a failure leaves the connection's session state unknown, and the next statement on it starts with RESET. A calm path has no additional call.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -109,8 +109,7 @@
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
         yield from calls.report_reply(conn_pool, conn, call, item)
-        if item.reply.failure is None:
-            steps.record_success(conn, call)
+        steps.record_outcome(conn, call, item.reply.failure)
         if conn.control_request is not None:
             yield from control_requests.finish(conn, item)
             yield from self._runner.release(conn, item.at)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -63,6 +63,8 @@
       state: its state.
       values: the session values that are set on the connection.
       prepared: the names of the statements that are prepared on it.
+      is_unknown: whether a call has failed in a way that leaves unknown which
+        values and prepared statements it has; it must be reset before use.
       client: the client whose transaction is open on it, or None.
       job: the client's statement in flight, or None.
       control_request: the control request in flight, or None.
@@ -77,6 +79,7 @@
     state: ConnectionState = ConnectionState.OPENING
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
+    is_unknown: bool = False
     client: int | None = None
     job: items.StatementJob | None = None
     control_request: session_items.CallUpstream | None = None
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -24,7 +24,7 @@
     """
     calls: collections.deque[sessions.UpstreamCall] = collections.deque()
     current_values, current_prepared = conn.values, conn.prepared
-    if current_values.keys() - job.settings.values.keys():
+    if conn.is_unknown or current_values.keys() - job.settings.values.keys():
         calls.append(sessions.Reset())
         current_values, current_prepared = {}, set()
     for name, value in job.settings.values.items():
@@ -46,12 +46,34 @@
     return len(plan_calls(job, conn, None)) - 1
 
 
-def record_success(conn: pool.Connection, call: sessions.UpstreamCall) -> None:
-    """Updates `conn` with the changes that a successful call made."""
+def record_outcome(
+    conn: pool.Connection,
+    call: sessions.UpstreamCall,
+    failure: sessions.Failure | None,
+) -> None:
+    """Updates what is known of `conn` after the reply to a call.
+
+    A failure that does not exclude that the call ran leaves unknown what it
+    changed.
+    """
+    if failure is None:
+        _record_success(conn, call)
+    elif _is_setup(call):
+        conn.is_unknown |= failure not in sessions.NOT_RUN
+
+
+def _is_setup(call: sessions.UpstreamCall) -> bool:
+    return isinstance(
+        call, sessions.Reset | sessions.SetValue | sessions.Prepare
+    )
+
+
+def _record_success(conn: pool.Connection, call: sessions.UpstreamCall) -> None:
     match call:
         case sessions.Reset():
             conn.values.clear()
             conn.prepared.clear()
+            conn.is_unknown = False
         case sessions.SetValue():
             conn.values[call.name] = call.value
         case sessions.Prepare():
--- a/tests/unit/test_connection_state.py
+++ b/tests/unit/test_connection_state.py
@@ -55,6 +55,65 @@
     assert world.judge.judged_count >= min_runs
 
 
+# Failure: a reply reports a failure of a call that changed the connection, or
+# that may have, and the next client's statement runs with what it left there.
+@pytest.mark.parametrize("other", OTHERS)
+@pytest.mark.parametrize("outcome", OUTCOMES)
+@pytest.mark.parametrize("call_type", SETUP_CALLS)
+def test_failed_setup_call_leaves_nothing_to_later_clients(
+    call_type, outcome, other
+):
+    world = _make_world(_fault(call_type, outcome))
+    world.do(3, "SET z 3", "PREPARE s READ c", "EXECUTE s i")
+    for client, texts in ((1, FIRST), (2, OTHERS[other]), (3, ("READ i",))):
+        world.do(client, *texts)
+    world.run(connection_world.TIMEOUT_S)
+    assert world.do(2, *OTHERS[other])[-1] == "ok"
+    assert world.do(3, "READ i", "EXECUTE s i") == ["ok", "ok"]
+    assert world.do(1, *FIRST) == ["ok", "ok", "ok"]
+    _assert_kept(world, 6)
+
+
+# Failure: as above, when the value that was to be replaced is still believed.
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_failed_replacement_of_a_value_is_not_believed_undone(outcome):
+    world = _make_world(_fault(sessions.SetValue, outcome, skips=1))
+    world.do(1, "SET x 1", "READ i")
+    world.do(2, "SET x 2", "READ i")
+    world.run(connection_world.TIMEOUT_S)
+    assert world.do(1, "READ i") == ["ok"]
+    assert world.do(2, "READ i") == ["ok"]
+    _assert_kept(world, 3)
+
+
+# Failure: a reset fails after it took effect, and the connection is believed to
+# hold what it held before.
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_failed_reset_is_not_believed_without_effect(outcome):
+    world = _make_world(_fault(sessions.Reset, outcome))
+    world.do(3, "SET z 3", "PREPARE s READ c", "EXECUTE s i")
+    world.do(1, "READ i")
+    world.run(connection_world.TIMEOUT_S)
+    assert world.do(3, "EXECUTE s i", "READ i") == ["ok", "ok"]
+    assert world.do(1, "READ i") == ["ok"]
+    _assert_kept(world, 4)
+
+
+# Failure: a client sends a value in its transaction, the call fails, and the
+# connection returns to the pool with that value.
+@pytest.mark.parametrize("outcome", OUTCOMES)
+@pytest.mark.parametrize("call_type", [sessions.SetValue, sessions.Prepare])
+def test_failed_setup_call_in_a_transaction(call_type, outcome):
+    world = _make_world(_fault(call_type, outcome))
+    world.do(1, "BEGIN", "READ i")
+    world.do(1, "SET x 1", "PREPARE s READ a", "EXECUTE s i", "ROLLBACK")
+    world.run(connection_world.TIMEOUT_S)
+    assert world.do(2, "READ i") == ["ok"]
+    assert world.do(1, "EXECUTE s i") == ["ok"]
+    assert world.do(2, "READ i") == ["ok"]
+    _assert_kept(world, 4)
+
+
 # Failure: a statement that waits runs with values or a shape that its client
 # has sent after it.
 @pytest.mark.parametrize("delays", [0.0, 0.2])
