Prepare a name again that a connection turns out to lack

Clients could have seen: each EXECUTE of a statement on one connection fails. The pool believes a name prepared, the upstream answers NOSTMT, and the belief stays, so the next EXECUTE is sent without PREPARE as well.

Change: NOSTMT for a name that was prepared leaves the connection's session state unknown, as it may have lost its values too; its next statement starts with RESET.

--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -63,8 +63,8 @@
       state: its state.
       values: the session values that are set on the connection.
       prepared: the names of the statements that are prepared on it.
-      is_unknown: whether a call has failed in a way that leaves unknown which
-        values and prepared statements it has; it must be reset before use.
+      is_unknown: whether a failure has left unknown which values and prepared
+        statements it has. It must then be reset before a statement runs on it.
       client: the client whose transaction is open on it, or None.
       job: the client's statement in flight, or None.
       control_request: the control request in flight, or None.
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -54,12 +54,15 @@
     """Updates what is known of `conn` after the reply to a call.
 
     A failure that does not exclude that the call ran leaves unknown what it
-    changed.
+    changed. A name that the upstream does not know, although it was prepared,
+    shows that the connection has lost what it had.
     """
     if failure is None:
         _record_success(conn, call)
     elif _is_setup(call):
         conn.is_unknown |= failure not in sessions.NOT_RUN
+    elif isinstance(call, sessions.RunPrepared):
+        conn.is_unknown |= failure is sessions.Failure.NO_STATEMENT
 
 
 def _is_setup(call: sessions.UpstreamCall) -> bool:
--- a/tests/unit/test_connection_state.py
+++ b/tests/unit/test_connection_state.py
@@ -114,6 +114,26 @@
     _assert_kept(world, 4)
 
 
+# Failure: a connection lacks a name that the pool believes prepared there, and
+# each later execution of it fails.
+@pytest.mark.parametrize("in_transaction", [False, True])
+def test_unknown_name_is_prepared_again(in_transaction):
+    world = _make_world()
+    assert world.do(1, *FIRST) == ["ok", "ok", "ok"]
+    (link,) = [each for each in world.open_links() if each.names]
+    link.names.clear()
+    link.values.clear()
+    link.values["left"] = "over"
+    if in_transaction:
+        world.do(1, "BEGIN", "EXECUTE s i", "ROLLBACK")
+    else:
+        world.do(1, "EXECUTE s i")
+    world.judge.broken.clear()
+    assert world.do(1, "EXECUTE s i") == ["ok"]
+    assert world.do(2, "READ i") == ["ok"]
+    _assert_kept(world, 3)
+
+
 # Failure: a statement that waits runs with values or a shape that its client
 # has sent after it.
 @pytest.mark.parametrize("delays", [0.0, 0.2])
