Close a connection whose reply can't follow from its call

Clients could have seen: a statement runs outside its transaction, or in one that nobody began. The pool took the transaction's state from some replies and from its own calls for others: after a BEGIN answered in state I the statement was sent and ran alone; a first statement answered in state I released the connection, so the rest of the transaction ran on others; a single statement, a commit, SET or a control request answered in state T left the connection to the next statement. A reply to nothing raised IndexError, and the connection stayed in use, so that a second one could be taken for another call's.

A rollback that fails in state I was released before; nothing ran in its transaction, but its state rests on a reply that contradicts itself.

Change: the state that follows from each call is known, and a successful reply with another one, a failed rollback, or a reply with no call in flight closes the connection. Its statement is retried or failed as after a loss; a write whose transaction was over is in doubt. The log has `reply_contradicted`.

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
@@ -34,6 +34,7 @@
         "store_lost",
         "store_regained",
         "link_failed",
+        "reply_contradicted",
         "pools",
     }
 )
--- a/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
@@ -33,11 +33,19 @@
         self._runner = runner
 
     def close(
-        self, conn: pool.Connection, detail: str, now: float
+        self,
+        conn: pool.Connection,
+        detail: str,
+        now: float,
+        *,
+        may_be_kept: bool = False,
     ) -> Iterator[filters.Item]:
-        """Closes a connection and handles the loss of its work."""
+        """Closes a connection and handles the loss of its work.
+
+        `may_be_kept` says that writes of its transaction may have been kept.
+        """
         yield self._pools.close(conn, now)
-        yield from self._handle_loss(conn, detail, now)
+        yield from self._handle_loss(conn, detail, now, may_be_kept=may_be_kept)
 
     def handle_failure(
         self, item: session_items.ConnectionFailed
@@ -77,7 +85,12 @@
             yield from self.close(conn, "timeout", now)
 
     def _handle_loss(
-        self, conn: pool.Connection, detail: str, now: float
+        self,
+        conn: pool.Connection,
+        detail: str,
+        now: float,
+        *,
+        may_be_kept: bool = False,
     ) -> Iterator[filters.Item]:
         self._pools.remove(conn)
         if conn.client is not None:
@@ -91,7 +104,9 @@
         if conn.job is not None:
             job, conn.job = conn.job, None
             self._queue.release(job, now, ran=False)
-            decision = retry.decide_after_connection_loss(job, detail, now)
+            decision = retry.decide_after_connection_loss(
+                job, detail, now, may_be_kept=may_be_kept
+            )
             yield from self._runner.retry_or_fail(
                 job, decision, None, conn, now
             )
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -20,6 +20,7 @@
     asks,
     calls,
     connection_closer,
+    contradictions,
     control_requests,
     items,
     pool,
@@ -106,17 +107,37 @@
         conn = self._pools.connections.get(item.connection_id)
         if conn is None:
             return
+        if not conn.pending_calls:
+            # The next reply might be taken for that of another call. One that
+            # is still being opened fails by itself.
+            if conn.state is not pool.ConnectionState.OPENING:
+                yield from self._close_contradicted(conn, item)
+            return
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
         yield from calls.report_reply(conn_pool, conn, call, item)
         steps.record_outcome(conn, call, item.reply.failure)
-        if conn.control_request is not None:
+        if contradictions.is_contradictory(conn, call, item.reply):
+            yield from self._close_contradicted(conn, item)
+        elif conn.control_request is not None:
             yield from control_requests.finish(conn, item)
             yield from self._runner.release(conn, item.at)
         elif conn.job is not None:
             yield from self._continue_job(conn, call, item)
         else:
-            yield from self._transactions.finish_rollback(conn, item)
+            yield from self._runner.release(conn, item.at)
+
+    def _close_contradicted(
+        self, conn: pool.Connection, item: session_items.CallReplied
+    ) -> Iterator[filters.Item]:
+        """Closes a connection with a reply that can't follow from its call."""
+        yield reports.reply_contradicted(conn, item)
+        yield from self._closer.close(
+            conn,
+            contradictions.DETAIL,
+            item.at,
+            may_be_kept=contradictions.may_be_kept(conn.job, item.reply),
+        )
 
     def _continue_job(
         self,
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -50,6 +50,20 @@
     return session_items.LogDecision(item.at, "link_failed", "", details)
 
 
+def reply_contradicted(
+    conn: pool.Connection, item: session_items.CallReplied
+) -> session_items.LogDecision:
+    """Returns the event of a reply that can't follow from its call."""
+    reply = item.reply
+    details = {
+        "upstream": conn.upstream,
+        "was": conn.state.value,
+        "state": reply.state.value,
+        "failure": reply.failure.value if reply.failure else "",
+    }
+    return session_items.LogDecision(item.at, "reply_contradicted", "", details)
+
+
 def statement_failed(item: items.JobFinished) -> session_items.LogDecision:
     """Returns the event of a statement that failed."""
     job = item.job
--- a/packages/fescueshunt/src/fescueshunt/sessions/retry.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/retry.py
@@ -60,10 +60,18 @@
 
 
 def decide_after_connection_loss(
-    job: items.StatementJob, detail: str, now: float
+    job: items.StatementJob,
+    detail: str,
+    now: float,
+    *,
+    may_be_kept: bool = False,
 ) -> Decision:
-    """Decides what follows the loss of the connection that `job` ran on."""
-    if job.statement_sent and steps.commits_changes(job):
+    """Decides what follows the loss of the connection that `job` ran on.
+
+    `may_be_kept` says that its transaction ended in an unknown way before.
+    """
+    is_committing = job.statement_sent and steps.commits_changes(job)
+    if is_committing or may_be_kept:
         return Decision(sessions.Failure.IN_DOUBT, detail)
     if _may_run_elsewhere(job) and _has_time(job, now):
         return Decision(None)
--- a/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fescueshunt.core import filters, session_items
+    from fescueshunt.core import filters
     from fescueshunt.sessions import connection_closer, pools, statement_runner
 
 
@@ -82,15 +82,6 @@
         )
         yield from self.end(items.RollBackTransaction(now, job.client))
 
-    def finish_rollback(
-        self, conn: pool.Connection, item: session_items.CallReplied
-    ) -> Iterator[filters.Item]:
-        """Releases a connection after a rollback, or closes it."""
-        if item.reply.state is sessions.TransactionState.IDLE:
-            yield from self._runner.release(conn, item.at)
-        else:
-            yield from self._closer.close(conn, "rollback failed", item.at)
-
     def expire_idle(self, now: float) -> Iterator[filters.Item]:
         """Rolls back the transactions that exceed the idle timeout."""
         for conn in watchdog.idle_transaction_connections(
