Run a statement only in the transaction that it belongs to

Clients could have seen: after a fault in a filter, the rest of a transaction runs outside of it, or a new statement inside the former one. The dispatcher gave a statement to the connection held for its client, if there was one, and else to any: it didn't ask whether the statement continues a transaction. A session that missed the loss of its connection sent its COMMIT alone, and got a success if the upstream gave one; one whose rollback was dropped wrote into the old transaction.

Ruled out: without an exception in a filter the session learns of the loss before its client's next statement (items are processed breadth first, and a client with an open transaction and no call in flight has nothing waiting).

Change: a statement that continues a transaction whose connection is gone is aborted; a connection that is still held when another one begins is rolled back or closed first.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -94,8 +94,14 @@
         self, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
         conn = self._pools.held_by_client.get(job.client)
-        if conn is None:
+        if not job.continues_transaction:
+            # A connection that is still held is left from another transaction.
+            yield from self._transactions.end(
+                items.RollBackTransaction(now, job.client)
+            )
             yield from self._runner.enqueue(job, now)
+        elif conn is None:
+            yield from self._transactions.fail_without_connection(job, now)
         elif self._queue.may_continue(job, conn.upstream):
             yield from self._runner.start(conn, job, None, now)
         else:
--- a/packages/fescueshunt/src/fescueshunt/sessions/items.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/items.py
@@ -133,6 +133,11 @@
         """Whether it is the first statement to run in its transaction."""
         return self.begin_statement is not None
 
+    @property
+    def continues_transaction(self) -> bool:
+        """Whether an earlier statement of its transaction has run."""
+        return self.in_transaction and not self.begins_transaction
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSubmitted(filters.Item):
--- a/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
@@ -13,6 +13,8 @@
     from fescueshunt.core import filters
     from fescueshunt.sessions import connection_closer, pools, statement_runner
 
+CONNECTION_GONE = "connection of the transaction is gone"
+
 
 class TransactionManager:
     """Holds the connections that transactions are open on.
@@ -68,6 +70,14 @@
         else:
             yield from self._closer.close(conn, "session closed", item.at)
 
+    def fail_without_connection(
+        self, job: items.StatementJob, now: float
+    ) -> Iterator[filters.Item]:
+        """Fails a statement whose transaction ended with its connection."""
+        yield items.JobFinished(
+            now, job, None, sessions.Failure.ABORTED, CONNECTION_GONE, ""
+        )
+
     def abort(
         self, conn: pool.Connection, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
