Bound how many prepared statements an upstream connection collects

Operators could have seen: an upstream's memory grows with each shape that any client has prepared, for as long as a connection stays open. A permanent one is reset only when a session with fewer values uses it.

Change: at 256 names a connection is reset before the next new one is prepared on it. Inside a transaction nothing is reset; the next statement outside of one does it. The names that it has are used as before.

--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from fescueshunt.sessions import items, pool
 
+# A connection that has so many prepared statements is reset before the next one
+# is prepared on it, but not inside a transaction.
+MAX_PREPARED_PER_CONNECTION = 256
+
 
 def plan_calls(
     job: items.StatementJob,
@@ -24,7 +28,11 @@
     """
     calls: collections.deque[sessions.UpstreamCall] = collections.deque()
     current_values, current_prepared = conn.values, conn.prepared
-    if conn.is_unknown or current_values.keys() - job.settings.values.keys():
+    if (
+        conn.is_unknown
+        or current_values.keys() - job.settings.values.keys()
+        or _has_no_room(job, conn)
+    ):
         calls.append(sessions.Reset())
         current_values, current_prepared = {}, set()
     for name, value in job.settings.values.items():
@@ -65,6 +73,17 @@
         conn.is_unknown |= failure is sessions.Failure.NO_STATEMENT
 
 
+def _has_no_room(job: items.StatementJob, conn: pool.Connection) -> bool:
+    """Returns whether `conn` is too full for the prepared statement."""
+    if (
+        job.prepared is None
+        or conn.client is not None
+        or len(conn.prepared) < MAX_PREPARED_PER_CONNECTION
+    ):
+        return False
+    return sessions.prepared_name(job.prepared) not in conn.prepared
+
+
 def _is_setup(call: sessions.UpstreamCall) -> bool:
     return isinstance(
         call, sessions.Reset | sessions.SetValue | sessions.Prepare
