--- a/tests/lib/connection_world.py
+++ b/tests/lib/connection_world.py
@@ -192,6 +192,7 @@
                 self._end(self.links[effect.connection_id])
             case session_items.SendSessionAnswer():
                 self.answers[effect.statement_id] = effect.answer
+                self.judge.acknowledge(effect.statement_id, effect.answer)
             case session_items.UpstreamCallCompleted():
                 self.control_replies.append(effect)
 
