--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
@@ -36,6 +36,7 @@
         "link_failed",
         "setup_failed",
         "statement_prepared",
+        "reply_contradicted",
         "pools",
     }
 )
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -21,6 +21,7 @@
     asks,
     calls,
     connection_closer,
+    contradictions,
     control_requests,
     items,
     pool,
@@ -95,8 +96,14 @@
         self, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
         conn = self._pools.held_by_client.get(job.client)
-        if conn is None:
+        if not job.continues_transaction:
+            # A connection that is still held is left from another transaction.
+            yield from self._transactions.end(
+                items.RollBackTransaction(now, job.client)
+            )
             yield from self._runner.enqueue(job, now)
+        elif conn is None:
+            yield from self._transactions.fail_without_connection(job, now)
         elif self._queue.may_continue(job, conn.upstream):
             yield from self._runner.start(conn, job, None, now)
         else:
@@ -108,6 +115,12 @@
         conn = self._pools.connections.get(item.connection_id)
         if conn is None:
             return
+        if not conn.pending_calls:
+            # The next reply might be taken for that of another call. One that
+            # is still being opened fails by itself.
+            if conn.state is not pool.ConnectionState.OPENING:
+                yield from self._close_contradicted(conn, item)
+            return
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
         yield from calls.report_reply(conn_pool, conn, call, item)
@@ -115,14 +128,28 @@
             yield from reports.setup_call_replied(conn, call, item)
         if item.reply.failure is None:
             self._completed_calls[type(call).__name__] += 1
-            steps.record_success(conn, call)
-        if conn.control_request is not None:
+        steps.record_outcome(conn, call, item.reply.failure)
+        if contradictions.is_contradictory(conn, call, item.reply):
+            yield from self._close_contradicted(conn, item)
+        elif conn.control_request is not None:
             yield from control_requests.finish(conn, item)
             yield from self._runner.release(conn, item.at)
         elif conn.job is not None:
             yield from self._continue_job(conn, call, item)
         else:
-            yield from self._transactions.finish_rollback(conn, item)
+            yield from self._runner.release(conn, item.at)
+
+    def _close_contradicted(
+        self, conn: pool.Connection, item: session_items.CallReplied
+    ) -> Iterator[filters.Item]:
+        """Closes a connection with a reply that can't follow from its call."""
+        yield reports.reply_contradicted(conn, item)
+        yield from self._closer.close(
+            conn,
+            contradictions.DETAIL,
+            item.at,
+            may_be_kept=contradictions.may_be_kept(conn.job, item.reply),
+        )
 
     def _continue_job(
         self,
