Close a connection whose upstream sends more than the reply in flight

- Two replies that came in one chunk were both handed on, the second as the reply to a call that was sent in between; its client would get the rows of another statement.
At most one call is in flight, so nothing may follow a reply: the connection is closed.
- A reply without a receipt and without an error passed for a success.
It is none; the connection is closed.
- The longest line was refused if CR and LF came apart.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -75,20 +75,30 @@
         """
         self._buffer += data
         if b"\n" not in data:
-            self._check_length(len(self._buffer))
+            self._check_incomplete()
             return
         *complete_lines, incomplete_line = bytes(self._buffer).split(
             sizes.LINE_END
         )
         self._buffer = bytearray(incomplete_line)
         for line in complete_lines:
-            self._check_length(len(line))
+            _check_size(len(line) + len(sizes.LINE_END))
             yield line.decode(ENCODING, OTHER_BYTES)
-        self._check_length(len(incomplete_line))
+        self._check_incomplete()
 
-    def _check_length(self, size: int) -> None:
-        if size + len(sizes.LINE_END) > sizes.MAX_LINE_BYTES:
-            raise errors.FrameTooLargeError(f"{size} bytes without a line end")
+    def _check_incomplete(self) -> None:
+        """Checks that at least one more byte fits into the incomplete line."""
+        _check_size(len(self._buffer) + 1)
+
+    @property
+    def has_incomplete_line(self) -> bool:
+        """Whether a line has begun and has not ended."""
+        return bool(self._buffer)
+
+
+def _check_size(size: int) -> None:
+    if size > sizes.MAX_LINE_BYTES:
+        raise errors.FrameTooLargeError(f"{size} bytes in a line")
 
 
 def encode_fields(*fields: str) -> bytes:
@@ -100,8 +110,7 @@
     *words, last = fields
     parts = [*map(texts.Word, words), texts.Line(last)]
     data = " ".join(parts).encode(ENCODING, OTHER_BYTES) + sizes.LINE_END
-    if len(data) > sizes.MAX_LINE_BYTES:
-        raise errors.FrameTooLargeError(f"{len(data)} bytes in a line")
+    _check_size(len(data))
     return data
 
 
@@ -221,9 +230,16 @@
 
 
 class ReplyDecoder:
-    """Assembles the replies of an upstream from their lines."""
+    """Assembles the replies of an upstream from their lines.
+
+    The first one, to the start of the session, has no receipt.
+    """
 
     def __init__(self) -> None:
+        self._has_started = False
+        self._clear()
+
+    def _clear(self) -> None:
         self._rows: list[str] = []
         self._receipt = ""
         self._failure: sessions.Failure | None = None
@@ -239,7 +255,7 @@
         match keyword:
             case "ROW":
                 self._add_row(fields_text)
-            case "COMPLETE":
+            case "COMPLETE" if fields_text:
                 self._receipt = fields_text
             case "ERROR":
                 code, _, self._detail = fields_text.partition(" ")
@@ -249,7 +265,7 @@
             case "READY":
                 return self._build_reply(fields_text)
             case _:
-                raise errors.FrameError("unknown keyword from upstream")
+                raise errors.FrameError("unexpected line from upstream")
         return None
 
     def _add_row(self, row: str) -> None:
@@ -274,6 +290,10 @@
         state_code, _, position_text = fields_text.partition(" ")
         if state_code not in _STATE_BY_CODE:
             raise errors.FrameError("unknown transaction state from upstream")
+        has_outcome = self._receipt or self._failure is not None
+        if self._has_started and not has_outcome:
+            raise errors.FrameError("reply without an outcome from upstream")
+        self._has_started = True
         reply = sessions.UpstreamReply(
             tuple(self._rows),
             self._receipt,
@@ -283,7 +303,7 @@
             decode_position(position_text),
             _decode_status(self._rows),
         )
-        self.__init__()
+        self._clear()
         return reply
 
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -14,6 +14,7 @@
     from fescueshunt.core import replica_sets, sessions
 
 PROXY_ACCOUNT = "fescueshunt"
+UNEXPECTED_DATA = "unexpected data after a reply from upstream"
 
 
 class LineProtocolConnector(ports.UpstreamConnector):
@@ -101,23 +102,44 @@
 
     def data_received(self, data: bytes) -> None:
         try:
-            for line in self._splitter.feed(data):
-                self._handle_line(line)
+            reply = self._decode_reply(data)
         except errors.FrameError as exc:
             self._fail(exc)
             self._transport.abort()
+            return
+        if reply is not None:
+            self._handle_reply(reply)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._fail(errors.ConnectionLostError(repr(exc)))
 
-    def _handle_line(self, line: str) -> None:
-        reply = self._decoder.feed(line)
-        if self._start_future.done():
-            if reply is not None and not self.is_closing:
-                self._listener.on_reply(reply)
-        elif reply is not None:
+    def _decode_reply(self, data: bytes) -> sessions.UpstreamReply | None:
+        """Returns the reply that `data` completes, or None.
+
+        Raises:
+          FrameError: if the data can't be part of a reply, or continues after
+            it. At most one call is in flight, so that nothing follows a reply.
+        """
+        reply = None
+        for line in self._splitter.split(data):
+            if reply is not None:
+                raise errors.FrameError(UNEXPECTED_DATA)
+            reply = self._decoder.feed(line)
+            if reply is None and not self._start_future.done():
+                self._refuse_start()
+        if reply is not None and self._splitter.has_incomplete_line:
+            raise errors.FrameError(UNEXPECTED_DATA)
+        return reply
+
+    def _handle_reply(self, reply: sessions.UpstreamReply) -> None:
+        if not self._start_future.done():
             self._start_future.set_result(None)
-        elif self._decoder.failure is not None:
+        elif not self.is_closing:
+            self._listener.on_reply(reply)
+
+    def _refuse_start(self) -> None:
+        """Fails the start if the upstream has given a reason to refuse it."""
+        if self._decoder.failure is not None:
             refused = errors.RefusedError(
                 self._decoder.failure, self._decoder.detail
             )
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -67,7 +67,7 @@
     """
     if failure is None:
         _record_success(conn, call)
-    elif _is_setup(call):
+    elif is_setup_call(call):
         conn.is_unknown |= failure not in sessions.NOT_RUN
     elif isinstance(call, sessions.RunPrepared):
         conn.is_unknown |= failure is sessions.Failure.NO_STATEMENT
@@ -84,12 +84,6 @@
     return job.prepared.name not in conn.prepared
 
 
-def _is_setup(call: sessions.UpstreamCall) -> bool:
-    return isinstance(
-        call, sessions.Reset | sessions.SetValue | sessions.Prepare
-    )
-
-
 def _record_success(conn: pool.Connection, call: sessions.UpstreamCall) -> None:
     match call:
         case sessions.Reset():
