Judge what upstreams ran against what clients sent

Cause: the stand-in parses lines with a sibling of the proxy's codec, and nothing compares the statements that upstreams ran with those that clients sent. An error of the codec is repeated there and stays unseen.

Memory is bounded: statements without an answer and a limited number of answered ones are kept, rows as digests.

Conclusion: the judge can be fed by the stand-in and by simulated worlds.

--- /dev/null
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
@@ -0,0 +1,390 @@
+"""Compares what upstreams ran with what clients sent and were answered.
+
+The judge reads the raw messages of both sides with a reader of its own and
+reports each violation of what clients may rely on. Without the clients' side
+it checks the strictness of messages, the proxy's own statements, and that a
+transaction belongs to one client.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from fescueshunt_standins.hosted import judge_pins, judge_records, wire_reader
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_KEPT_VIOLATIONS = 1000
+MAX_DETAIL_CHARS = 300
+PROMISES = frozenset(
+    ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT")
+)
+NOT_RUN = frozenset(
+    (
+        "BUSY",
+        "NOSTMT",
+        "LAGGING",
+        "READONLY",
+        "MALFORMED",
+        "MISROUTED",
+        "CONNLIMIT",
+    )
+)
+
+
+class Rule(enum.Enum):
+    """What clients may rely on.
+
+    MIXED: an answer belongs to the client's statement, with its receipt and
+    rows. PINNED: a statement runs in its client's transaction and session.
+    UNASKED: upstreams run only what clients sent. TWICE: a write takes effect
+    once. REFUSED: nothing is kept after a promise to keep nothing.
+    """
+
+    MIXED = "mixed"
+    PINNED = "pinned"
+    UNASKED = "unasked"
+    TWICE = "twice"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A violation of a rule, with what was seen."""
+
+    rule: Rule
+    detail: str
+
+
+class Judge:
+    """Judges the messages of clients and upstreams as they are fed to it.
+
+    A message of a client is fed before the proxy can act on it, and one of an
+    upstream before the proxy can read it.
+
+    Attributes:
+      violations: the latest violations.
+      violation_count: the number of all violations.
+    """
+
+    def __init__(
+        self,
+        sees_clients: bool = True,
+        client_of_id: Callable[[str], str] | None = None,
+        max_finished: int = judge_records.MAX_FINISHED_STATEMENTS,
+    ) -> None:
+        """Creates a judge.
+
+        Args:
+          sees_clients: whether the clients' side is fed to it.
+          client_of_id: names the client of a statement's id; without the
+            clients' side only.
+          max_finished: how many answered statements are remembered.
+        """
+        self.violations: collections.deque[Violation] = collections.deque(
+            maxlen=MAX_KEPT_VIOLATIONS
+        )
+        self.violation_count = 0
+        self._sees_clients = sees_clients
+        self._client_of_id = client_of_id
+        self._clients: dict[str, judge_records.ClientSession] = {}
+        self._connections: dict[str, judge_records.UpstreamConnection] = {}
+        self._sent = judge_records.StatementIndex(max_finished)
+
+    def client_sent(self, client: str, line: bytes) -> None:
+        """Takes a message that a client sends."""
+        session = self._client(client)
+        try:
+            request = wire_reader.read_client_request(line)
+        except wire_reader.WireError:
+            # Nothing of it may run, so the index doesn't learn of it.
+            session.send(wire_reader.UNREADABLE_QUERY)
+            return
+        if isinstance(request, wire_reader.Query):
+            self._sent.add(session.send(request))
+
+    def client_received(self, client: str, line: bytes) -> None:
+        """Takes a message that a client received."""
+        session = self._client(client)
+        try:
+            answer = wire_reader.read_answer(line)
+        except wire_reader.WireError as exc:
+            self._report(Rule.MIXED, f"client {client}: {exc}: {line[:80]!r}")
+            return
+        match answer:
+            case wire_reader.Row():
+                session.rows.add(answer)
+            case wire_reader.Ready():
+                self._end_client_answer(session, answer)
+            case _:
+                session.reply = answer
+
+    def client_closed(self, client: str) -> None:
+        """Takes the end of a client's session."""
+        session = self._clients.pop(client, None)
+        if session is None:
+            return
+        if session.pending and isinstance(session.reply, wire_reader.Error):
+            self._check_failure(session.pending[0], session.reply.code)
+        self._sent.finish(session.pending)
+
+    def upstream_received(self, conn: str, line: bytes) -> None:
+        """Takes a message that an upstream connection received."""
+        connection = self._connection(conn)
+        try:
+            request = wire_reader.read_upstream_request(line)
+        except wire_reader.WireError as exc:
+            self._report(Rule.UNASKED, f"{conn}: {exc}: {line[:80]!r}")
+            return
+        if not isinstance(request, wire_reader.Query):
+            return
+        statement = self._find_statement(conn, request)
+        connection.pending.append(
+            judge_records.UpstreamRequest(request, statement)
+        )
+
+    def upstream_sent(self, conn: str, line: bytes) -> None:
+        """Takes a message that an upstream connection sends."""
+        connection = self._connection(conn)
+        answer = wire_reader.read_answer(line)
+        match answer:
+            case wire_reader.Row():
+                connection.rows.add(answer)
+            case wire_reader.Ready():
+                self._end_upstream_answer(connection, answer)
+            case _:
+                connection.reply = answer
+
+    def upstream_closed(self, conn: str) -> None:
+        """Takes the end of an upstream connection."""
+        self._connections.pop(conn, None)
+
+    def _client(self, name: str) -> judge_records.ClientSession:
+        return self._clients.setdefault(name, judge_records.ClientSession(name))
+
+    def _connection(self, name: str) -> judge_records.UpstreamConnection:
+        return self._connections.setdefault(
+            name, judge_records.UpstreamConnection(name)
+        )
+
+    def _report(self, rule: Rule, detail: str) -> None:
+        self.violation_count += 1
+        self.violations.append(Violation(rule, detail[:MAX_DETAIL_CHARS]))
+
+    def _find_statement(
+        self, conn: str, query: wire_reader.Query
+    ) -> judge_records.SentStatement | None:
+        if query.id == wire_reader.PROXY_ID:
+            if isinstance(query.call, wire_reader.NEEDS_RECEIPT):
+                self._report(
+                    Rule.UNASKED, f"{conn}: the proxy's own {query.text!r}"
+                )
+            return None
+        if not self._sees_clients:
+            return None
+        statement = self._sent.find(query)
+        if statement is None:
+            known = self._sent.knows_id(query.id)
+            reason = "changed text" if known else "unknown id"
+            self._report(
+                Rule.UNASKED, f"{conn}: {query.id} {query.text!r}: {reason}"
+            )
+        return statement
+
+    def _end_client_answer(
+        self, session: judge_records.ClientSession, ready: wire_reader.Ready
+    ) -> None:
+        reply, session.reply = session.reply, None
+        rows = session.rows.digest()
+        session.rows = judge_records.RowsDigest()
+        if not session.started:
+            session.started = True
+            return
+        if not session.pending:
+            if isinstance(reply, wire_reader.Complete):
+                self._report(
+                    Rule.MIXED, f"client {session.name}: answer to nothing"
+                )
+            return
+        statement = session.pending.popleft()
+        if isinstance(reply, wire_reader.Complete):
+            session.acknowledge(statement.query.call)
+            self._check_success(statement, reply.receipt, rows)
+        elif isinstance(reply, wire_reader.Error):
+            self._check_failure(statement, reply.code)
+        if ready.state == "I" and not session.pending:
+            session.transaction = None
+        self._sent.finish([statement])
+
+    def _check_success(
+        self,
+        statement: judge_records.SentStatement,
+        receipt: str,
+        rows: bytes,
+    ) -> None:
+        if not isinstance(statement.query.call, wire_reader.NEEDS_RECEIPT):
+            return
+        run = judge_records.Run(receipt, rows)
+        if run in statement.runs:
+            return
+        receipts = [earlier.receipt for earlier in statement.runs]
+        reason = "other rows" if receipt in receipts else "no such receipt"
+        self._report(Rule.MIXED, f"{_name(statement)}: {reason}, {receipt!r}")
+
+    def _check_failure(
+        self, statement: judge_records.SentStatement, code: str
+    ) -> None:
+        transaction = statement.transaction
+        if isinstance(statement.query.call, wire_reader.Begin):
+            assert transaction is not None
+            transaction.refused = True
+        if code == "NOSTMT" and None not in statement.shapes:
+            self._report(
+                Rule.PINNED,
+                f"{_name(statement)}: unknown though its shape is prepared",
+            )
+        if code not in PROMISES:
+            return
+        statement.promised = code
+        kept = statement.effects > 0
+        if transaction is not None:
+            transaction.promised = code
+            kept = transaction.committed_writes
+        if kept:
+            self._report(
+                Rule.REFUSED, f"{_name(statement)}: {code} after its commit"
+            )
+
+    def _end_upstream_answer(
+        self,
+        connection: judge_records.UpstreamConnection,
+        ready: wire_reader.Ready,
+    ) -> None:
+        reply, connection.reply = connection.reply, None
+        rows = connection.rows.digest()
+        connection.rows = judge_records.RowsDigest()
+        if not connection.started:
+            connection.started = True
+            return
+        if not connection.pending or reply is None:
+            return
+        request = connection.pending.popleft()
+        if isinstance(reply, wire_reader.Complete):
+            self._check_run(connection, request)
+            self._apply_run(connection, request, reply, rows)
+        elif reply.code not in NOT_RUN:
+            self._check_run(connection, request)
+        if ready.state == "I":
+            connection.end_transaction()
+
+    def _check_run(
+        self,
+        connection: judge_records.UpstreamConnection,
+        request: judge_records.UpstreamRequest,
+    ) -> None:
+        """Checks a run against the connection's state before it."""
+        self._check_owner(connection, request.query)
+        statement = request.statement
+        if statement is None:
+            return
+        for problem in judge_pins.problems(
+            connection, request.query, statement
+        ):
+            self._report(
+                Rule.PINNED, f"{connection.name}: {_name(statement)}: {problem}"
+            )
+
+    def _check_owner(
+        self,
+        connection: judge_records.UpstreamConnection,
+        query: wire_reader.Query,
+    ) -> None:
+        """Checks without the clients' side that a transaction has one owner."""
+        if self._client_of_id is None or query.id == wire_reader.PROXY_ID:
+            return
+        client = self._client_of_id(query.id)
+        if connection.in_transaction and connection.owner not in (None, client):
+            self._report(
+                Rule.PINNED,
+                f"{connection.name}: {query.id} runs in a transaction of "
+                f"{connection.owner}",
+            )
+        connection.owner = client
+
+    def _apply_run(
+        self,
+        connection: judge_records.UpstreamConnection,
+        request: judge_records.UpstreamRequest,
+        reply: wire_reader.Complete,
+        rows: bytes,
+    ) -> None:
+        query, statement = request.query, request.statement
+        connection.apply(query.call)
+        if isinstance(query.call, wire_reader.Begin):
+            connection.in_transaction = True
+        if statement is None:
+            return
+        if isinstance(query.call, wire_reader.NEEDS_RECEIPT):
+            statement.runs.append(judge_records.Run(reply.receipt, rows))
+        transaction = statement.transaction
+        if connection.in_transaction and transaction is not None:
+            connection.transaction = transaction
+            transaction.connection = connection.name
+            transaction.begun |= not isinstance(query.call, wire_reader.Begin)
+        if isinstance(query.call, wire_reader.Commit):
+            self._commit(connection, statement)
+        elif _writes(connection, query.call):
+            if connection.in_transaction:
+                connection.writes.append(statement)
+            else:
+                self._take_effect(connection, statement)
+
+    def _commit(
+        self,
+        connection: judge_records.UpstreamConnection,
+        commit: judge_records.SentStatement,
+    ) -> None:
+        transaction = commit.transaction
+        if connection.writes and transaction is not None:
+            transaction.committed_writes = True
+            if transaction.promised:
+                self._report(
+                    Rule.REFUSED,
+                    f"{connection.name}: {_name(commit)}: commits after "
+                    f"{transaction.promised}",
+                )
+        for write in connection.writes:
+            self._take_effect(connection, write)
+
+    def _take_effect(
+        self,
+        connection: judge_records.UpstreamConnection,
+        write: judge_records.SentStatement,
+    ) -> None:
+        write.effects += 1
+        where = f"{connection.name}: {_name(write)}"
+        if write.effects > 1:
+            self._report(Rule.TWICE, f"{where}: {write.effects} effects")
+        if write.promised and write.transaction is None:
+            self._report(Rule.REFUSED, f"{where}: runs after {write.promised}")
+
+
+def _name(statement: judge_records.SentStatement) -> str:
+    query = statement.query
+    return f"client {statement.client}: {query.id} {query.text[:100]!r}"
+
+
+def _writes(
+    connection: judge_records.UpstreamConnection, call: wire_reader.UpstreamText
+) -> bool:
+    match call:
+        case wire_reader.Write():
+            return True
+        case wire_reader.Execute():
+            shape = connection.shapes.get(call.name)
+            return shape is not None and shape.writes
+    return False
