--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
@@ -95,6 +95,10 @@
         self._connections: dict[str, judge_records.UpstreamConnection] = {}
         self._sent = judge_records.StatementIndex(max_finished)
 
+    def kept_counts(self) -> tuple[int, int, int]:
+        """Returns how many clients, connections and statements are kept."""
+        return len(self._clients), len(self._connections), len(self._sent)
+
     def client_sent(self, client: str, line: bytes) -> None:
         """Takes a message that a client sends."""
         session = self._client(client)
@@ -287,9 +291,10 @@
         request: judge_records.UpstreamRequest,
     ) -> None:
         """Checks a run against the connection's state before it."""
-        self._check_owner(connection, request.query)
         statement = request.statement
         if statement is None:
+            if not self._sees_clients:
+                self._check_by_upstream(connection, request.query)
             return
         for problem in judge_pins.problems(
             connection, request.query, statement
@@ -298,12 +303,15 @@
                 Rule.PINNED, f"{connection.name}: {_name(statement)}: {problem}"
             )
 
-    def _check_owner(
+    def _check_by_upstream(
         self,
         connection: judge_records.UpstreamConnection,
         query: wire_reader.Query,
     ) -> None:
-        """Checks without the clients' side that a transaction has one owner."""
+        """Checks what shows without the clients' side."""
+        problem = judge_pins.arguments_problem(connection, query)
+        if problem:
+            self._report(Rule.UNASKED, f"{connection.name}: {problem}")
         if self._client_of_id is None or query.id == wire_reader.PROXY_ID:
             return
         client = self._client_of_id(query.id)
@@ -333,7 +341,8 @@
         transaction = statement.transaction
         if connection.in_transaction and transaction is not None:
             connection.transaction = transaction
-            transaction.connection = connection.name
+            if not transaction.begun:
+                transaction.connection = connection.name
             transaction.begun |= not isinstance(query.call, wire_reader.Begin)
         if isinstance(query.call, wire_reader.Commit):
             self._commit(connection, statement)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_pins.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_pins.py
@@ -34,6 +34,18 @@
     )
 
 
+def arguments_problem(
+    connection: judge_records.UpstreamConnection, query: wire_reader.Query
+) -> str:
+    """Says whether a prepared write has no data, or a prepared read some."""
+    if not isinstance(query.call, wire_reader.Execute):
+        return ""
+    shape = connection.shapes.get(query.call.name)
+    if shape is not None and shape.writes == (query.call.data is not None):
+        return ""
+    return f"{query.text!r} of the shape {shape}"
+
+
 def _transaction_problem(
     connection: judge_records.UpstreamConnection,
     statement: judge_records.SentStatement,
