Judge every deployment of real processes

Cause: the stand-in parsed the proxy's lines leniently and its answers all carried one receipt, so functional tests could not see that an upstream ran something else than its client sent.

Test clients write one too: their connections record the bytes sent and received. At the end of a deployment the judge reads both in the order of time and raises on a violation. Tests whose clients shared a statement's id now use each id once; tests that compared the constant receipt compare its pattern, and the judge the receipt itself.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -17,11 +19,11 @@
 
 from fescueshunt import errors
 from fescueshunt_standins import fleet
-from fescueshunt_standins.hosted import lines
+from fescueshunt_standins.hosted import journal, lines, recorded_clients
 from fescueshunt_wire import http
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Iterable, Iterator
 
 START_TIMEOUT_S = 20.0
 ANSWER_TIMEOUT_S = 5.0
@@ -29,9 +31,19 @@
 RETRY_INTERVAL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 6.0
+UPSTREAM_JOURNAL = "upstreams.journal"
+CLIENT_JOURNAL = "clients.journal"
+MAX_SHOWN_VIOLATIONS = 20
 ROUTES_VERSION = re.compile(rb"^fescueshunt_routes_version ([0-9]+)$", re.M)
 
 
+_statement_numbers = itertools.count(1)
+
+
+class ViolationError(AssertionError):
+    """Clients or upstreams saw what the rules forbid."""
+
+
 @dataclasses.dataclass(slots=True)
 class HostProcess:
     """A host process, the addresses on which it listens, and its log file."""
@@ -84,6 +96,18 @@
         """Returns the values in the latest log of a member, in order."""
         return (await self._call_stand_in("GET", "statements"))["committed"]
 
+    async def read_entry(self, upstream: str) -> dict[str, Any]:
+        """Returns what an upstream has registered in the store."""
+        with http.open_client(self.platform_address) as client:
+            target = f"/kv-key?key=servers/{upstream}"
+            response = await client.call("GET", target, ANSWER_TIMEOUT_S)
+        value = json.loads(response.body)["value"]
+        return json.loads(base64.b64decode(value))
+
+    async def read_violations(self) -> list[dict[str, str]]:
+        """Returns what the stand-in has found wrong at the upstreams so far."""
+        return (await self._call_stand_in("GET", "violations"))["violations"]
+
     async def _call_stand_in(self, method: str, call: str) -> dict[str, Any]:
         """Calls the stand-in; repeats a call that a busy machine held up."""
         target = f"/stand-in/{call}"
@@ -128,39 +152,74 @@
 ) -> AsyncIterator[Deployment]:
     """Runs a platform stand-in and hosts; stops only these on exit.
 
+    What clients of `session` or of a recorded connection sent and received is
+    compared with what upstreams ran; all clients have to be recorded.
+
     Args:
       host_count: the number of hosts to start.
       source_tree: a source tree whose packages the hosts run, for example that
         of an earlier version; by default, they run the installed packages.
       statement_duration_s: how long a client's statement takes at an upstream.
+
+    Raises:
+      ViolationError: if a rule was broken, on exit.
     """
-    with contextlib.ExitStack() as stack:
-        folder = pathlib.Path(
-            stack.enter_context(tempfile.TemporaryDirectory())
-        )
-        platform_address = fleet.free_address()
-        command = [
-            sys.executable,
-            "-m",
-            "fescueshunt_standins.hosted",
-            platform_address,
-            "--statement-duration-s",
-            str(statement_duration_s),
-        ]
-        env = dict(os.environ)
-        platform_popen = stack.enter_context(
-            _running_process(command, folder / "platform.log", env)
-        )
-        hosts = [
-            _start_host(stack, folder, platform_address, number, source_tree)
-            for number in range(host_count)
-        ]
-        deployment = Deployment(platform_address, platform_popen, hosts)
-        async with asyncio.timeout(START_TIMEOUT_S):
-            for host in hosts:
-                while not await is_ready(host):
-                    await asyncio.sleep(0.05)
-        yield deployment
+    with tempfile.TemporaryDirectory() as folder_name:
+        folder = pathlib.Path(folder_name)
+        paths = (folder / UPSTREAM_JOURNAL, folder / CLIENT_JOURNAL)
+        with contextlib.ExitStack() as stack:
+            written = stack.enter_context(journal.writing(paths[1]))
+            stack.enter_context(recorded_clients.recording(written))
+            deployment = _start(
+                stack, folder, host_count, source_tree, statement_duration_s
+            )
+            async with asyncio.timeout(START_TIMEOUT_S):
+                for host in deployment.hosts:
+                    while not await is_ready(host):
+                        await asyncio.sleep(0.05)
+            yield deployment
+        # All processes have ended, so both journals are complete.
+        _check_journals(paths)
+
+
+def _start(
+    stack: contextlib.ExitStack,
+    folder: pathlib.Path,
+    host_count: int,
+    source_tree: pathlib.Path | None,
+    statement_duration_s: float,
+) -> Deployment:
+    platform_address = fleet.free_address()
+    command = [
+        sys.executable,
+        "-m",
+        "fescueshunt_standins.hosted",
+        platform_address,
+        "--statement-duration-s",
+        str(statement_duration_s),
+        "--journal",
+        str(folder / UPSTREAM_JOURNAL),
+    ]
+    platform_popen = stack.enter_context(
+        _running_process(command, folder / "platform.log", dict(os.environ))
+    )
+    hosts = [
+        _start_host(stack, folder, platform_address, number, source_tree)
+        for number in range(host_count)
+    ]
+    return Deployment(platform_address, platform_popen, hosts)
+
+
+def _check_journals(paths: Iterable[pathlib.Path]) -> None:
+    """Compares what upstreams ran with what clients sent and received.
+
+    Raises:
+      ViolationError: if a rule was broken.
+    """
+    violations = journal.find_violations(paths)
+    if violations:
+        shown = "\n".join(map(str, violations[:MAX_SHOWN_VIOLATIONS]))
+        raise ViolationError(f"{len(violations)} violations:\n{shown}")
 
 
 @contextlib.contextmanager
@@ -244,7 +303,6 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
-        self._statement_count = 0
 
     async def read_answer(self) -> list[str]:
         """Reads lines up to and including the `READY` line and returns them."""
@@ -257,8 +315,8 @@
 
     async def execute(self, text: str) -> list[str]:
         """Sends a statement and returns the lines of the answer."""
-        self._statement_count += 1
-        self.writer.write(f"QUERY q{self._statement_count} {text}\r\n".encode())
+        statement_id = f"q{next(_statement_numbers)}"
+        self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         return await self.read_answer()
 
 
@@ -266,7 +324,7 @@
 async def session(address: str, route: str) -> AsyncIterator[LineClient]:
     """Opens a session for a route on the host at `address`."""
     host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await recorded_clients.open_connection(host, int(port))
     client = LineClient(reader, writer)
     try:
         writer.write(f"START {route} tester\r\n".encode())
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import contextlib
+import itertools
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import position, sessions
-from fescueshunt_standins.hosted import replicas, statements
+from fescueshunt_standins.hosted import (
+    journal,
+    observer,
+    replicas,
+    statements,
+    wire_reader,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
 CALL_DURATION_S = 0.001
-PROXY_STATEMENT_ID = "-"
 _STATE_CODES = {
     sessions.TransactionState.IDLE: "I",
     sessions.TransactionState.OPEN: "T",
@@ -25,11 +31,15 @@
     sessions.Failure.NO_STATEMENT: "NOSTMT",
     sessions.Failure.INVALID: "MALFORMED",
 }
-_VERBS = {
-    "READ": sessions.Verb.READ,
-    "WRITE": sessions.Verb.WRITE,
-    "COMMIT": sessions.Verb.COMMIT,
+_CONTROL_CALLS = {
+    "STATUS": lambda call: sessions.GetStatus(),
+    "PAUSE": lambda call: sessions.Pause(call.term),
+    "STEPDOWN": lambda call: sessions.StepDown(call.term),
+    "RESUME": lambda call: sessions.Resume(),
 }
+# A message that is too long is read whole and refused by the reader.
+READ_LIMIT_BYTES = 2 * wire_reader.MAX_MESSAGE_BYTES
+_HAS_RECEIPT = sessions.RunStatement | sessions.RunPrepared
 
 
 class MemberListener:
@@ -44,6 +54,7 @@
         replica_set: replicas.ReplicaSet,
         member: replicas.Member,
         statement_duration_s: float,
+        observed: observer.Observer | None = None,
     ) -> None:
         self.received_ids: list[str] = []
         self._replica_set = replica_set
@@ -51,12 +62,16 @@
         self._statement_duration_s = statement_duration_s
         self._writers: set[asyncio.StreamWriter] = set()
         self._database = ""
+        self._observer = observed or observer.Observer()
+        self._receipts = itertools.count(1)
 
     @contextlib.asynccontextmanager
     async def serving(self, database: str) -> AsyncIterator[str]:
         """Serves on a free loopback port and yields the bound address."""
         self._database = database
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._accept, "127.0.0.1", 0, limit=READ_LIMIT_BYTES
+        )
         try:
             port = server.sockets[0].getsockname()[1]
             yield f"127.0.0.1:{port}"
@@ -74,36 +89,69 @@
         self._writers.add(writer)
         session = statements.UpstreamSession(self._member)
         try:
-            start_fields = (await reader.readuntil(b"\r\n")).decode().split()
-            if not self._is_addressed_to_member(start_fields):
-                writer.write(b"ERROR MISROUTED -\r\n")
-                return
-            writer.write(self._ready_line(session))
-            while True:
-                line = await reader.readuntil(b"\r\n")
-                writer.write(await self._execute_line(session, line.decode()))
-        except (asyncio.IncompleteReadError, OSError):
+            with self._observer.connection(self._member.name) as connection:
+                await self._serve(connection, session, reader, writer)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            OSError,
+        ):
             pass
         finally:
             session.roll_back()
             self._writers.discard(writer)
             writer.close()
 
-    def _is_addressed_to_member(self, start_fields: list[str]) -> bool:
-        expected = ["START", self._database]
-        member_names = start_fields[3:] or [self._member.name]
+    async def _serve(
+        self,
+        connection: observer.ObservedConnection,
+        session: statements.UpstreamSession,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answers the requests on a connection until it ends."""
+
+        def send(data: bytes) -> None:
+            connection.sent(data)
+            writer.write(data)
+
+        line = await reader.readuntil(wire_reader.LINE_END)
+        connection.received(line)
+        if not self._is_addressed_to_member(line):
+            send(b"ERROR MISROUTED -\r\n")
+            return
+        send(self._ready_line(session))
+        while True:
+            line = await reader.readuntil(wire_reader.LINE_END)
+            connection.received(line)
+            send(await self._execute_line(session, line))
+
+    def _is_addressed_to_member(self, line: bytes) -> bool:
+        try:
+            start = wire_reader.read_upstream_request(line)
+        except wire_reader.WireError:
+            return False
+        if not isinstance(start, wire_reader.Start):
+            return False
+        database, *others = start.words
+        member_names = others[1:] or [self._member.name]
         return (
             self._member.up
-            and start_fields[:2] == expected
+            and database == self._database
             and member_names == [self._member.name]
         )
 
     async def _execute_line(
-        self, session: statements.UpstreamSession, line: str
+        self, session: statements.UpstreamSession, line: bytes
     ) -> bytes:
-        _, statement_id, text = line.rstrip("\r\n").split(" ", 2)
-        await self._wait_for_duration(statement_id)
-        call = parse_call(statement_id, text)
+        try:
+            query = wire_reader.read_upstream_request(line)
+        except wire_reader.WireError:
+            query = None
+        if not isinstance(query, wire_reader.Query):
+            return b"ERROR MALFORMED -\r\n" + self._ready_line(session)
+        await self._wait_for_duration(query.id)
+        call = _interpret(query)
         reply_future = asyncio.get_running_loop().create_future()
 
         def reply(
@@ -120,14 +168,21 @@
         failure, rows = await reply_future
         lines = [f"ROW {row}\r\n" for row in rows]
         if failure is None:
-            lines.append("COMPLETE receipt\r\n")
+            lines.append(f"COMPLETE {self._receipt(call)}\r\n")
         else:
             lines.append(f"ERROR {_FAILURE_CODES[failure]} -\r\n")
-        return "".join(lines).encode() + self._ready_line(session)
+        data = "".join(lines).encode(journal.ENCODING)
+        return data + self._ready_line(session)
+
+    def _receipt(self, call: sessions.UpstreamCall) -> str:
+        """Returns a new receipt for a statement, "-" for other calls."""
+        if isinstance(call, _HAS_RECEIPT):
+            return f"{self._member.name}.{next(self._receipts)}"
+        return "-"
 
     async def _wait_for_duration(self, statement_id: str) -> None:
         """Takes the time of a client's statement or of a call of the proxy."""
-        if statement_id == PROXY_STATEMENT_ID:
+        if statement_id == wire_reader.PROXY_ID:
             await asyncio.sleep(CALL_DURATION_S)
             return
         self.received_ids.append(statement_id)
@@ -139,60 +194,59 @@
         return f"READY {state} {_format_position(applied)}\r\n".encode()
 
 
-def parse_call(statement_id: str, text: str) -> sessions.UpstreamCall:
-    """Parses the call in a line that a proxy sent.
-
-    Args:
-      statement_id: the id that precedes the text in the line.
-      text: the text of the line after the id; `SINCE term.index` in front of
-        the call sets the minimum position.
-    """
-    min_position = None
-    if text.startswith("SINCE "):
-        _, position_text, text = text.split(" ", 2)
-        term, index = position_text.split(".")
-        min_position = position.Position(position.Term(int(term)), int(index))
-    verb, _, fields_text = text.partition(" ")
-    name, _, argument = fields_text.partition(" ")
-    match verb:
-        case "STATUS":
-            return sessions.GetStatus()
-        case "PAUSE":
-            return sessions.Pause(int(fields_text))
-        case "STEPDOWN":
-            return sessions.StepDown(int(fields_text))
-        case "RESUME":
-            return sessions.Resume()
-        case "RESET":
+def _interpret(query: wire_reader.Query) -> sessions.UpstreamCall:
+    """Returns the call that a proxy's request stands for."""
+    min_position = _parse_position(query.since)
+    call = query.call
+    match call:
+        case wire_reader.Control():
+            return _CONTROL_CALLS[call.verb](call)
+        case wire_reader.Reset():
             return sessions.Reset()
-        case "SET":
-            return sessions.SetValue(name, argument)
-        case "PREPARE":
-            kind, _, shape = argument.partition(" ")
-            prepared = sessions.Prepared(kind == "WRITE", shape)
-            return sessions.Prepare(name, prepared)
-        case "BEGIN":
-            begin_statement = sessions.Statement(
-                statement_id,
+        case wire_reader.SetValue():
+            return sessions.SetValue(call.name, call.value)
+        case wire_reader.Prepare():
+            shape = call.shape
+            prepared = sessions.Prepared(shape.writes, shape.text)
+            return sessions.Prepare(call.name, prepared)
+        case wire_reader.Rollback():
+            return sessions.Rollback()
+        case wire_reader.Begin():
+            statement = sessions.Statement(
+                query.id,
                 sessions.Verb.BEGIN,
-                text,
-                read_only=fields_text == "READ",
+                query.text,
+                read_only=call.read_only,
             )
-            return sessions.Begin(begin_statement, min_position)
-        case "ROLLBACK":
-            return sessions.Rollback()
-        case "EXECUTE":
-            statement = _parse_statement(statement_id, text, argument)
-            return sessions.RunPrepared(statement, name, min_position)
-    statement = _parse_statement(statement_id, text, argument)
+            return sessions.Begin(statement, min_position)
+        case wire_reader.Execute():
+            # The prepared statement tells the verb.
+            statement = _statement(
+                query, sessions.Verb.INVALID, call.data or ""
+            )
+            return sessions.RunPrepared(statement, call.name, min_position)
+        case wire_reader.Read():
+            statement = _statement(query, sessions.Verb.READ)
+        case wire_reader.Write():
+            statement = _statement(query, sessions.Verb.WRITE, call.data)
+        case wire_reader.Commit():
+            statement = _statement(query, sessions.Verb.COMMIT)
+        case _:
+            statement = _statement(query, sessions.Verb.INVALID)
     return sessions.RunStatement(statement, min_position)
 
 
-def _parse_statement(
-    statement_id: str, text: str, argument: str
+def _statement(
+    query: wire_reader.Query, verb: sessions.Verb, argument: str = ""
 ) -> sessions.Statement:
-    verb = _VERBS.get(text.split(" ", 1)[0], sessions.Verb.INVALID)
-    return sessions.Statement(statement_id, verb, text, argument=argument)
+    return sessions.Statement(query.id, verb, query.text, argument=argument)
+
+
+def _parse_position(since: str | None) -> position.Position | None:
+    if since is None:
+        return None
+    term, index = since.split(".")
+    return position.Position(position.Term(int(term)), int(index))
 
 
 def _format_status(status: sessions.ReplicaStatus) -> str:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -10,6 +10,8 @@
 a promotion late, and doesn't answer them.
 `GET /stand-in/statements` returns the ids of the statements that clients sent
 and that arrived at an upstream, and the values in the latest log of a member.
+`GET /stand-in/violations` returns what a judge has found wrong in the messages
+that arrived at the upstreams.
 """
 
 from __future__ import annotations
@@ -23,10 +25,11 @@
 from typing import TYPE_CHECKING, Any
 
 from fescueshunt.core import sessions, store_items
-from fescueshunt_standins.hosted import kv, lines, replicas
+from fescueshunt_standins.hosted import journal, kv, lines, observer, replicas
 from fescueshunt_wire import http
 
 if TYPE_CHECKING:
+    import pathlib
     from collections.abc import AsyncIterator
 
 TICK_S = 0.01
@@ -46,7 +49,8 @@
 class Platform:
     """The key-value store and one replica set, with the HTTP calls on them."""
 
-    def __init__(self) -> None:
+    def __init__(self, written: journal.Journal | None = None) -> None:
+        self.observer = observer.Observer(written)
         self.store = kv.KeyValueStore()
         names = ("u-a", "u-b", "u-c")
         self.members = {
@@ -163,6 +167,8 @@
         match method, action:
             case "GET", "statements":
                 return self._list_statements()
+            case "GET", "violations":
+                return self._list_violations()
             case "POST", "routes":
                 self.publish_routes(int(params["timeout_ms"]))
             case "POST", "late-promotions":
@@ -263,6 +269,16 @@
         committed = [entry.tag for entry in latest.log]
         return _json_response(ids=ids, committed=committed)
 
+    def _list_violations(self) -> http.Response:
+        checked = self.observer.judge
+        violations = [
+            {"rule": violation.rule.value, "detail": violation.detail}
+            for violation in checked.violations
+        ]
+        return _json_response(
+            count=checked.violation_count, violations=violations
+        )
+
     def _crash_or_restart(self, action: str, name: str) -> None:
         member = self.members[name]
         member.up = action == "restart"
@@ -274,17 +290,28 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    address: str, statement_duration_s: float = lines.CALL_DURATION_S
+    address: str,
+    statement_duration_s: float = lines.CALL_DURATION_S,
+    journal_path: pathlib.Path | None = None,
 ) -> AsyncIterator[Platform]:
     """Serves a platform stand-in on `address` and yields it.
 
-    Each statement of a client takes `statement_duration_s` at an upstream.
+    Args:
+      address: the IP address and port to listen on, as `ip:port`.
+      statement_duration_s: how long a client's statement takes at an upstream.
+      journal_path: where to write the messages of the upstreams, if anywhere.
     """
-    platform = Platform()
     async with contextlib.AsyncExitStack() as stack:
+        written = None
+        if journal_path is not None:
+            written = stack.enter_context(journal.writing(journal_path))
+        platform = Platform(written)
         for name, member in platform.members.items():
             listener = lines.MemberListener(
-                platform.replica_set, member, statement_duration_s
+                platform.replica_set,
+                member,
+                statement_duration_s,
+                platform.observer,
             )
             platform.listeners[name] = listener
             listening = listener.serving(DATABASE)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/wire_reader.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/wire_reader.py
@@ -198,6 +198,12 @@
 Answer = Row | Complete | Error | Ready
 
 
+def split_lines(data: bytes) -> tuple[list[bytes], bytes]:
+    """Splits bytes into whole messages and the unfinished rest."""
+    *bodies, rest = data.split(LINE_END)
+    return [body + LINE_END for body in bodies], rest
+
+
 def read_client_request(line: bytes) -> Request:
     """Reads a message that a client may send."""
     return _read_request(line, from_proxy=False)
--- a/tests/functional/test_client_disconnects.py
+++ b/tests/functional/test_client_disconnects.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import AsyncIterator
 
-from fescueshunt_standins.hosted import deployment, server
+from fescueshunt_standins.hosted import deployment, recorded_clients, server
 
 STATEMENT_DURATION_S = 0.05
 LONG_STATEMENT_S = 0.5
@@ -46,7 +46,7 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
     await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    reader, writer = await asyncio.open_connection(sock=sock)
+    reader, writer = await recorded_clients.open_connection(sock=sock)
     try:
         writer.write(f"START {ROUTE} tester\r\n".encode())
         assert await reader.readuntil(b"\r\n") == b"READY I -\r\n"
@@ -157,7 +157,9 @@
                 for name, (data, ends_side) in cases.items()
             }
             host, _, port = address.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await recorded_clients.open_connection(
+                host, int(port)
+            )
             writer.write_eof()
             lines_by_case["no start"] = await _read_lines_to_end(reader)
             writer.close()
@@ -219,7 +221,8 @@
       last_data: what the client sends just before it starts to read.
     """
     async with _open_session(address) as (reader, writer):
-        writer.write(b"QUERY q1 READ a\r\n")
+        statement_id = f"slow{len(last_data)}"
+        writer.write(f"QUERY {statement_id} READ a\r\n".encode())
         await asyncio.sleep(LEAD_S + SLOW_READ_START_S)
         writer.write(last_data)
         await asyncio.sleep(LEAD_S)
--- a/tests/functional/test_hosted_path.py
+++ b/tests/functional/test_hosted_path.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
 from fescueshunt_cli._internal.commands import host as host_command
-from fescueshunt_standins.hosted import deployment
+from fescueshunt_standins.hosted import deployment, recorded_clients
 from fescueshunt_wire import http
 
 WRITE_TIMEOUT_S = 8.0
 CONFIRM_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 6.0
+RECEIPT = "COMPLETE receipt"
+UPSTREAM_RECEIPT = re.compile(r"COMPLETE u-[abc]\.[0-9]+")
+
+
+def _without_receipt(answer: list[str]) -> list[str]:
+    """Returns an answer with one word for every receipt of an upstream.
+
+    The judge of the deployment compares the receipt itself.
+    """
+    return [
+        RECEIPT if UPSTREAM_RECEIPT.fullmatch(line) else line for line in answer
+    ]
 
 
 async def _write_until_acknowledged(address: str, item: str) -> None:
@@ -31,10 +44,8 @@
             async with deployment.session(
                 first.session_address, "agent-history"
             ) as client:
-                assert await client.execute("WRITE a 1") == [
-                    "COMPLETE receipt",
-                    "READY I -",
-                ]
+                answer = await client.execute("WRITE a 1")
+                assert _without_receipt(answer) == [RECEIPT, "READY I -"]
                 assert "ROW 1" in await client.execute("READ a")
                 assert await client.execute("SET zone west") == [
                     "COMPLETE -",
@@ -43,9 +54,9 @@
                 await client.execute("PREPARE p WRITE shape1")
                 await client.execute("BEGIN")
                 answer = await client.execute("EXECUTE p b 2")
-                assert answer == ["COMPLETE receipt", "READY T -"]
+                assert _without_receipt(answer) == [RECEIPT, "READY T -"]
                 answer = await client.execute("COMMIT")
-                assert answer == ["COMPLETE receipt", "READY I -"]
+                assert _without_receipt(answer) == [RECEIPT, "READY I -"]
                 rows = await client.execute("READ b")
                 assert any(row.startswith("ROW") for row in rows)
             async with deployment.session(
@@ -63,7 +74,7 @@
             host, _, port = address.rpartition(":")
             async with deployment.session(address, "card-renew") as other:
                 for data in (b"START nobody x\r\n", b"\xff\x00\r\n", b"x\r\n"):
-                    reader, writer = await asyncio.open_connection(
+                    reader, writer = await recorded_clients.open_connection(
                         host, int(port)
                     )
                     writer.write(data)
@@ -71,9 +82,8 @@
                         answer = await reader.read()
                     assert answer.startswith(b"ERROR")
                     writer.close()
-                assert (await other.execute("WRITE a 1"))[
-                    0
-                ] == "COMPLETE receipt"
+                answer = await other.execute("WRITE a 1")
+                assert _without_receipt(answer)[0] == RECEIPT
 
     asyncio.run(run())
 
@@ -108,7 +118,7 @@
                 await asyncio.sleep(0.3)
                 assert not await deployment.is_ready(host)
                 answer = await client.execute("COMMIT")
-                assert answer[0] == "COMPLETE receipt"
+                assert _without_receipt(answer)[0] == RECEIPT
             code = await asyncio.to_thread(host.popen.wait, STOP_TIMEOUT_S)
             assert code == 0
 
--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import os
 import random
 import signal
@@ -41,6 +42,7 @@
     "at once": (("READ a",) * 4, 0.0),
     "with pauses": (("READ a",) * 4, 0.05),
 }
+_numbers = itertools.count(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,8 +157,7 @@
     async with deployment.session(address, stop_load.PRIMARY_ROUTE) as client:
         await asyncio.sleep(LEAD_S + DRAINING_S)
         lines = [
-            f"QUERY q{number} {text}\r\n".encode()
-            for number, text in enumerate(texts)
+            f"QUERY ahead{next(_numbers)} {text}\r\n".encode() for text in texts
         ]
         # Without pauses, in one write, so that they arrive together.
         for data in lines if interval_s else [b"".join(lines)]:
--- a/tests/functional/test_hosted_stop_end.py
+++ b/tests/functional/test_hosted_stop_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 import os
 import signal
 import socket
@@ -11,7 +12,7 @@
 from fescueshunt_proxy._internal.hosted import ports
 from fescueshunt_proxy.platform import front_end
 from fescueshunt_standins import fleet
-from fescueshunt_standins.hosted import deployment
+from fescueshunt_standins.hosted import deployment, recorded_clients
 from lib import stop_load
 
 HOSTS = int(os.environ.get("STOP_END_HOSTS", "3"))
@@ -27,9 +28,12 @@
 REFUSED = "refused"
 REFUSAL = f"ERROR BUSY {stop_load.REPLICA_ROUTE}\r\n".encode()
 START = f"START {stop_load.REPLICA_ROUTE} tester"
+_numbers = itertools.count(1)
 
 
-def _connect_and_send(address: str, text: str) -> socket.socket | None:
+def _connect_and_send(
+    address: str, text: str, recorded: recorded_clients.Recording
+) -> socket.socket | None:
     """Connects and sends a session's start and a statement in one step.
 
     So the host has the whole statement once it accepts the connection, however
@@ -39,7 +43,9 @@
     sock = socket.socket()
     try:
         sock.connect((host, int(port)))
-        sock.sendall(f"{START}\r\nQUERY q {text}\r\n".encode())
+        data = f"{START}\r\nQUERY q{next(_numbers)} {text}\r\n".encode()
+        recorded.sent(data)
+        sock.sendall(data)
     except ConnectionRefusedError:
         sock.close()
         return None
@@ -47,10 +53,14 @@
     return sock
 
 
-async def _read_outcome(sock: socket.socket) -> str:
+async def _read_outcome(
+    sock: socket.socket, recorded: recorded_clients.Recording
+) -> str:
     """Returns how a connection ended: answered, refused, or neither."""
     received = b""
-    reader, writer = await asyncio.open_connection(sock=sock)
+    reader, writer = await recorded_clients.open_connection(
+        sock=sock, recorded=recorded
+    )
     try:
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             while received.count(stop_load.READY) < 2:
@@ -69,11 +79,13 @@
     reads = []
     refused_count = 0
     while refused_count < MAX_REFUSED:
-        sock = _connect_and_send(address, TEXTS[len(reads) % len(TEXTS)])
+        recorded = recorded_clients.Recording()
+        text = TEXTS[len(reads) % len(TEXTS)]
+        sock = _connect_and_send(address, text, recorded)
         if sock is None:
             refused_count += 1
         else:
-            reads.append(asyncio.create_task(_read_outcome(sock)))
+            reads.append(asyncio.create_task(_read_outcome(sock, recorded)))
         await asyncio.sleep(INTERVAL_S)
     return await asyncio.gather(*reads)
 
@@ -132,9 +144,10 @@
         address, lambda _: _RecordingListener(texts)
     )
     async with serving as listener:
-        socks = [_connect_and_send(address, text) for text in TEXTS]
+        recorded = recorded_clients.Recording()
+        socks = [_connect_and_send(address, text, recorded) for text in TEXTS]
         listener.close()
-        assert _connect_and_send(address, TEXTS[0]) is None
+        assert _connect_and_send(address, TEXTS[0], recorded) is None
         await asyncio.sleep(SETTLE_S)
         for sock in socks:
             sock.close()
--- a/tests/functional/test_paused_hosts.py
+++ b/tests/functional/test_paused_hosts.py
@@ -34,7 +34,7 @@
             await asyncio.sleep(LEAD_S)
             asked_at = time.monotonic()
             host.popen.send_signal(signal.SIGTERM)
-            client.writer.write(b"QUERY q1 READ a\r\n")
+            client.writer.write(b"QUERY paused READ a\r\n")
             await asyncio.sleep(PAUSE_S)
             host.popen.send_signal(signal.SIGCONT)
             received = await client.reader.read()
--- a/tests/lib/stop_clients.py
+++ b/tests/lib/stop_clients.py
@@ -10,6 +10,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from fescueshunt_standins.hosted import recorded_clients
 from lib import stop_load
 
 if TYPE_CHECKING:
@@ -255,7 +256,7 @@
       IncompleteReadError: if the host ends it before the session is open.
     """
     host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(
+    reader, writer = await recorded_clients.open_connection(
         host, int(port), limit=BUFFER_BYTES
     )
     with contextlib.ExitStack() as stack:
--- a/tests/lib/stop_load.py
+++ b/tests/lib/stop_load.py
@@ -8,7 +8,7 @@
 import select
 from typing import TYPE_CHECKING
 
-from fescueshunt_standins.hosted import deployment
+from fescueshunt_standins.hosted import deployment, recorded_clients
 
 if TYPE_CHECKING:
     import random
@@ -112,7 +112,7 @@
     ) -> None:
         writer = None
         try:
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await recorded_clients.open_connection(
                 self._host, self._port
             )
             writer.write(f"START {route} tester\r\n".encode())
