Keep the digest of rows apart from what a client sends

A correct answer to a client that sends while it receives counted as mixed (test_stopping_host_delivers_large_answers_to_slow_readers, 1 violation).

Change: one digest for each direction; a cut answer's digest is dropped.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
@@ -58,20 +58,28 @@
 
     def __init__(self, file: TextIO) -> None:
         self._file = file
-        self._rows: dict[str, judge_records.RowsDigest] = {}
+        self._rows: dict[tuple[Event, str], judge_records.RowsDigest] = {}
 
     def add(self, event: Event, name: str, line: bytes = b"") -> None:
         """Adds what happens now."""
+        answer = event, name
         if line.startswith(_ROW) and line.endswith(wire_reader.LINE_END):
-            rows = self._rows.setdefault(name, judge_records.RowsDigest())
+            rows = self._rows.setdefault(answer, judge_records.RowsDigest())
             rows.add(wire_reader.Row(line.decode(ENCODING)))
             return
-        rows = self._rows.pop(name, None)
-        if rows is not None and line:
+        rows = self._rows.pop(answer, None)
+        if rows is not None:
             digest = rows.digest().hex().encode()
             self._write(event, name, _ROW + digest + wire_reader.LINE_END)
+        if not line:
+            self._forget(name)
         self._write(event, name, line)
 
+    def _forget(self, name: str) -> None:
+        """Forgets the rows of an answer that the end of a connection cut."""
+        for event in (Event.CLIENT_RECEIVED, Event.UPSTREAM_SENT):
+            self._rows.pop((event, name), None)
+
     def _write(self, event: Event, name: str, line: bytes) -> None:
         fields = (
             time.monotonic_ns(),
