Judge every run of the simulated hosts

Cause: the simulated world passes data classes and compared nothing of what upstreams ran with what clients asked.

Change: a judge reads what clients, hosts and upstreams of the world exchange, written as messages without the proxy's codec, and every run of the world fails on a violation. Receipts of upstreams differ for each run.

--- a/tests/lib/hosted_nodes.py
+++ b/tests/lib/hosted_nodes.py
@@ -12,11 +12,19 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Connection:
-    """A host's connection to a member of the replica set."""
+    """A host's connection to a member of the replica set.
+
+    Attributes:
+      host: the host's name.
+      session: the connection's state at the member.
+      open: whether neither side has ended it.
+      name: its name for the judge, used once.
+    """
 
     host: str
     session: statements.UpstreamSession
     open: bool = True
+    name: str = ""
 
     @property
     def member(self) -> replicas.Member:
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -1,7 +1,8 @@
 """Simulation of hosts with an in-memory store and replica set.
 
 All events happen in virtual time; random choices depend only on the seed.
-Messages between the nodes of a partitioned pair are lost.
+Messages between the nodes of a partitioned pair are lost. A judge compares what
+upstreams ran with what clients sent and received, in every run.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
     hosted_routes,
     hosted_store,
     promotion_network,
+    simulated_judge,
     timeline,
 )
 
@@ -50,6 +52,7 @@
     def __init__(self, seed: int = 0, hosts: int = 3) -> None:
         super().__init__()
         self.rng = random.Random(seed)
+        self.judged = simulated_judge.SimulatedJudge()
         self.store = kv.KeyValueStore()
         self.partitions: set[frozenset[str]] = set()
         self.answers: dict[tuple[str, int], Callable] = {}
@@ -82,6 +85,11 @@
 
     # Virtual time and network partitions.
 
+    def run(self, seconds: float) -> None:
+        """Advances the clock; fails if the judge has found a violation."""
+        super().run(seconds)
+        assert not self.judged.judge.violations, self.judged.judge.violations
+
     def _tick(self) -> None:
         self.call_later(TICK_S, self._tick)
         self.store.expire_leases(self.now)
@@ -112,6 +120,7 @@
         host = self.hosts.pop(name)
         for conn in host.connections.values():
             self._roll_back(conn)
+        self.judged.end_host(name)
 
     def freeze(self, name: str, seconds: float) -> None:
         host = self.hosts[name]
@@ -130,7 +139,9 @@
             if not isinstance(item, filters.Tick):
                 host.deferred_items.append(item)
             return
+        self.judged.take_item(host.name, item)
         for effect in host.core.feed(item, self.on_exception):
+            self.judged.take_effect(host.name, effect)
             self._execute(host, effect)
 
     def _deliver_store_changes(self, host: hosted_nodes.Host) -> None:
@@ -242,9 +253,9 @@
                 self.feed(host, hosted_members.refuse(self, effect))
                 return
             session = statements.UpstreamSession(member)
-            host.connections[effect.connection_id] = hosted_nodes.Connection(
-                host.name, session
-            )
+            conn = hosted_nodes.Connection(host.name, session)
+            host.connections[effect.connection_id] = conn
+            self.judged.open_connection(conn)
             self.feed(
                 host,
                 session_items.ConnectionOpened(self.now, effect.connection_id),
@@ -279,6 +290,7 @@
     def _roll_back(self, conn: hosted_nodes.Connection) -> None:
         conn.open = False
         conn.session.roll_back()
+        self.judged.end_connection(conn)
 
     def _call(
         self, host: hosted_nodes.Host, effect: session_items.SendCall
@@ -317,13 +329,14 @@
         ) -> None:
             answer = sessions.UpstreamReply(
                 rows,
-                "" if failure else "receipt",
+                "" if failure else f"r{next(self._sequence)}",
                 failure,
                 "",
                 conn.session.state,
                 conn.member.applied_position(),
                 status,
             )
+            self.judged.end_call(conn, answer)
 
             def deliver() -> None:
                 if conn.open and self.reaches(host.name, conn.member.name):
@@ -334,6 +347,7 @@
 
             self.call_later(LATENCY_S, deliver)
 
+        self.judged.start_call(conn, effect.call)
         statements.run(self.replicas, conn.session, effect.call, reply)
 
     # Clients.
