Show messages beyond the limit to the judge

Change: what is beyond the reader's buffer is fed to the judge before the connection closes. A test sends messages on both sides of the limit.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -122,7 +122,12 @@
             return
         send(self._ready_line(session))
         while True:
-            line = await reader.readuntil(wire_reader.LINE_END)
+            try:
+                line = await reader.readuntil(wire_reader.LINE_END)
+            except asyncio.LimitOverrunError:
+                # Shows the judge that there is more than a message may have.
+                connection.received(await reader.readexactly(READ_LIMIT_BYTES))
+                return
             connection.received(line)
             send(await self._execute_line(session, line))
 
--- a/tests/functional/test_judged_processes.py
+++ b/tests/functional/test_judged_processes.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
-from fescueshunt_standins.hosted import deployment, server
+from fescueshunt_standins.hosted import deployment, server, wire_reader
 
 ROUTE = "card-renew"
+MAX_BYTES = wire_reader.MAX_MESSAGE_BYTES
 START = f"START {server.DATABASE} caller\r\n".encode()
-SETTLE_S = 0.1
 
 
 async def _prepare_and_execute(client: deployment.LineClient, text: str):
@@ -72,6 +73,33 @@
     return answer
 
 
+# Failure: the stand-in gives up at a message that the protocol permits, or runs
+# a longer one, so that a test can't tell the two apart.
+@pytest.mark.parametrize(
+    ("data_bytes", "rules"),
+    [
+        (MAX_BYTES - 100, []),
+        (MAX_BYTES, ["unasked"]),
+        (3 * MAX_BYTES, ["unasked"]),
+    ],
+)
+def test_stand_in_takes_messages_up_to_the_limit(data_bytes, rules):
+    async def run() -> None:
+        async with deployment.running(1) as deployed:
+            address = await _upstream_address(deployed)
+            data = b"QUERY q WRITE a " + b"x" * data_bytes + b"\r\n"
+            with contextlib.suppress(ConnectionError):
+                answer = await _send_to_upstream(address, data)
+                assert (b"COMPLETE" in answer) == (not rules)
+            found.extend(await deployed.read_violations())
+
+    found: list[dict[str, str]] = []
+    # No client has sent it, which shows with the journals of both sides.
+    with pytest.raises(deployment.ViolationError, match="UNASKED"):
+        asyncio.run(run())
+    assert [each["rule"] for each in found] == rules
+
+
 # Failure: a deployment ends without an error though an upstream ran what no
 # client sent, so that a functional test passes over it.
 @pytest.mark.parametrize(
