Don't blame the proxy for an unknown DEALLOC or a second BEGIN

Cause: the judge read NOSTMT after DEALLOC of a name that was never prepared as PINNED, and gave what follows a second BEGIN, which is refused, to a transaction of its own. Ruled out: an error of the proxy; both conversations are as the protocol describes them.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_pins.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_pins.py
@@ -61,6 +61,8 @@
         return "outside its transaction" * outside
     if transaction is None:
         return "inside a transaction though its client has none"
+    if connection.transaction in transaction.outers():
+        transaction = connection.transaction
     if connection.transaction not in (None, transaction):
         return "inside another transaction"
     if transaction.begun and transaction.connection != connection.name:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
@@ -10,7 +10,7 @@
 from fescueshunt_standins.hosted import wire_reader
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
 MAX_FINISHED_STATEMENTS = 20_000
 MAX_PLAIN_KEY_CHARS = 200
@@ -27,6 +27,8 @@
       refused: whether its `BEGIN` failed, so that none is open at the client.
       promised: the promise that nothing of it is kept, if one was given.
       committed_writes: whether writes of it have been committed.
+      outer: the client's transaction before this one, if the client had not
+        asked for its end; this one's `BEGIN` is then refused.
     """
 
     client: str
@@ -35,6 +37,14 @@
     refused: bool = False
     promised: str = ""
     committed_writes: bool = False
+    outer: Transaction | None = None
+
+    def outers(self) -> Iterator[Transaction]:
+        """Yields the transactions that may still be open instead."""
+        outer = self.outer
+        while outer is not None:
+            yield outer
+            outer = outer.outer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +130,7 @@
     def send(self, query: wire_reader.Query) -> SentStatement:
         """Records a statement that the client sends now."""
         if isinstance(query.call, wire_reader.Begin):
-            self.transaction = Transaction(self.name)
+            self.transaction = Transaction(self.name, outer=self.transaction)
         statement = SentStatement(
             self.name,
             query,
--- a/tests/unit/test_judge.py
+++ b/tests/unit/test_judge.py
@@ -244,6 +244,26 @@
     assert talk.rules() == PINNED
 
 
+# Failure: an unknown name in DEALLOC counted as PINNED.
+def test_deallocation_of_an_unknown_name_breaks_nothing(talk):
+    talk.send("A", "DEALLOC s1")
+    talk.answer("A", "ERROR NOSTMT -")
+    assert not talk.judge.violations
+
+
+# Failure: what follows a second BEGIN counted as another transaction.
+def test_second_begin_that_is_refused_breaks_nothing(talk):
+    talk.send("A", "BEGIN", "a1")
+    talk.send("A", "BEGIN", "a2")
+    talk.send("A", "READ it0", "a3")
+    talk.run("u", "a1 BEGIN", state="T")
+    talk.run("u", "a3 READ it0", "COMPLETE r1", state="T")
+    talk.answer("A", "COMPLETE -", state="T")
+    talk.answer("A", "ERROR MALFORMED -", state="T")
+    talk.answer("A", "COMPLETE r1", state="T")
+    assert not talk.judge.violations
+
+
 def test_unknown_after_deallocation_breaks_nothing(talk):
     talk.answer_locally("A", "PREPARE s READ q5")
     talk.answer_locally("A", "DEALLOC s")
