Draw transactions, and try one fault at each call of an upstream

Change: clients begin transactions more often, and four conversations run with each fault at each of their first seven calls.

--- a/tests/lib/wire_strategies.py
+++ b/tests/lib/wire_strategies.py
@@ -88,11 +88,14 @@
     )
     single = strategies.one_of(prepare, execute, change, access)
     assign = _queries(b"SET", words, rests)
+    begin = _queries(strategies.sampled_from((b"BEGIN", b"BEGIN READ")))
     return strategies.one_of(
         strategies.tuples(prepare, execute),
         strategies.tuples(prepare, execute, prepare, execute),
         strategies.tuples(assign, access),
         strategies.tuples(assign, prepare, execute),
+        strategies.tuples(begin, access),
+        strategies.tuples(begin, access, access, _queries(b"COMMIT")),
         strategies.lists(single, min_size=1, max_size=4).map(tuple),
     )
 
--- a/tests/unit/test_whole_way_fuzz.py
+++ b/tests/unit/test_whole_way_fuzz.py
@@ -9,6 +9,7 @@
 import os
 
 import hypothesis
+import pytest
 
 from lib import (
     wire_answers,
@@ -122,3 +123,31 @@
 @hypothesis.example(steps=_SET_MAY_HAVE_RUN, faults=[Fault.TIMEOUT])
 def test_what_runs_is_what_was_asked_for_while_upstreams_fail(steps, faults):
     _run(steps, faults)
+
+
+_CONVERSATIONS = {
+    "prepared_write": [
+        _step(0, b"SET v1 x", b"PREPARE s1 WRITE q6", b"EXECUTE s1 it0 d"),
+        _step(1, b"READ it0"),
+        _step(0, b"EXECUTE s1 it1 d", wait_ms=50),
+    ],
+    "single_write": [_step(0, b"WRITE it0 d"), _step(1, b"WRITE it1 d")],
+    "transaction": [
+        _step(0, b"BEGIN", b"READ it0", b"WRITE it0 d", b"COMMIT"),
+        _step(0, b"READ it0"),
+    ],
+    "changed_values": [
+        _step(0, b"SET v1 x", b"READ it0", wait_ms=20),
+        _step(1, b"SET v2 y", b"READ it0", wait_ms=20),
+        _step(0, b"READ it0", wait_ms=20),
+    ],
+}
+_MAX_CALLS = 7
+
+
+# Failure: state of a connection that the proxy was wrong about after one fault.
+@pytest.mark.parametrize("fault", Fault, ids=lambda fault: fault.name)
+@pytest.mark.parametrize("name", _CONVERSATIONS)
+def test_one_fault_at_each_call_changes_nothing_else(name, fault):
+    for position in range(_MAX_CALLS):
+        _run(_CONVERSATIONS[name], [*[None] * position, fault])
