--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -31,7 +31,7 @@
         if current_values.get(name) != value:
             calls.append(sessions.SetValue(name, value))
     if job.prepared is not None:
-        name = sessions.prepared_name(job.prepared)
+        name = job.prepared.name
         if name not in current_prepared:
             calls.append(sessions.Prepare(name, job.prepared))
     if job.begin_statement is not None:
@@ -58,6 +58,13 @@
             conn.prepared.add(call.name)
 
 
+def is_setup_call(call: sessions.UpstreamCall) -> bool:
+    """Returns whether `call` only prepares a connection for a statement."""
+    return isinstance(
+        call, sessions.Reset | sessions.SetValue | sessions.Prepare
+    )
+
+
 def is_client_statement(call: sessions.UpstreamCall) -> bool:
     """Returns whether `call` runs the client's statement itself."""
     return isinstance(call, sessions.RunStatement | sessions.RunPrepared)
@@ -77,5 +84,4 @@
 ) -> sessions.UpstreamCall:
     if job.prepared is None:
         return sessions.RunStatement(job.statement, min_position)
-    name = sessions.prepared_name(job.prepared)
-    return sessions.RunPrepared(job.statement, name, min_position)
+    return sessions.RunPrepared(job.statement, job.prepared.name, min_position)
