--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
@@ -97,7 +97,9 @@
             verb = sessions.Verb.INVALID
         case sessions.Verb.SET_VALUE | sessions.Verb.EXECUTE if not argument:
             verb = sessions.Verb.INVALID
-        case sessions.Verb.READ | sessions.Verb.WRITE if not name:
+        case sessions.Verb.READ if not name:
+            verb = sessions.Verb.INVALID
+        case sessions.Verb.WRITE if not name or not argument:
             verb = sessions.Verb.INVALID
     if verb in _NAMED_VERBS and not _is_name(name):
         verb = sessions.Verb.INVALID
--- a/tests/unit/test_client_lines.py
+++ b/tests/unit/test_client_lines.py
@@ -65,6 +65,8 @@
         "PREPARE s\t READ q",
         "PREPARE s  READ q",
         "EXECUTE s",
+        "WRITE a",
+        "WRITE  a b",
         "EXECUTE  s a",
         "DEALLOC s t",
         "BEGIN ",
