--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from fescueshunt.sessions import items, pool
 
+# A connection that has so many prepared statements is reset before the next one
+# is prepared on it, but not inside a transaction.
+MAX_PREPARED_PER_CONNECTION = 256
+
 
 def plan_calls(
     job: items.StatementJob,
@@ -24,7 +28,11 @@
     """
     calls: collections.deque[sessions.UpstreamCall] = collections.deque()
     current_values, current_prepared = conn.values, conn.prepared
-    if current_values.keys() - job.settings.values.keys():
+    if (
+        conn.is_unknown
+        or current_values.keys() - job.settings.values.keys()
+        or _has_no_room(job, conn)
+    ):
         calls.append(sessions.Reset())
         current_values, current_prepared = {}, set()
     for name, value in job.settings.values.items():
@@ -46,12 +54,42 @@
     return len(plan_calls(job, conn, None)) - 1
 
 
-def record_success(conn: pool.Connection, call: sessions.UpstreamCall) -> None:
-    """Updates `conn` with the changes that a successful call made."""
+def record_outcome(
+    conn: pool.Connection,
+    call: sessions.UpstreamCall,
+    failure: sessions.Failure | None,
+) -> None:
+    """Updates what is known of `conn` after the reply to a call.
+
+    A failure that does not exclude that the call ran leaves unknown what it
+    changed. A name that the upstream does not know, although it was prepared,
+    shows that the connection has lost what it had.
+    """
+    if failure is None:
+        _record_success(conn, call)
+    elif is_setup_call(call):
+        conn.is_unknown |= failure not in sessions.NOT_RUN
+    elif isinstance(call, sessions.RunPrepared):
+        conn.is_unknown |= failure is sessions.Failure.NO_STATEMENT
+
+
+def _has_no_room(job: items.StatementJob, conn: pool.Connection) -> bool:
+    """Returns whether `conn` is too full for the prepared statement."""
+    if (
+        job.prepared is None
+        or conn.client is not None
+        or len(conn.prepared) < MAX_PREPARED_PER_CONNECTION
+    ):
+        return False
+    return job.prepared.name not in conn.prepared
+
+
+def _record_success(conn: pool.Connection, call: sessions.UpstreamCall) -> None:
     match call:
         case sessions.Reset():
             conn.values.clear()
             conn.prepared.clear()
+            conn.is_unknown = False
         case sessions.SetValue():
             conn.values[call.name] = call.value
         case sessions.Prepare():
--- a/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/transactions.py
@@ -10,9 +10,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from fescueshunt.core import filters, session_items
+    from fescueshunt.core import filters
     from fescueshunt.sessions import connection_closer, pools, statement_runner
 
+CONNECTION_GONE = "connection of the transaction is gone"
+
 
 class TransactionManager:
     """Holds the connections that transactions are open on.
@@ -68,6 +70,14 @@
         else:
             yield from self._closer.close(conn, "session closed", item.at)
 
+    def fail_without_connection(
+        self, job: items.StatementJob, now: float
+    ) -> Iterator[filters.Item]:
+        """Fails a statement whose transaction ended with its connection."""
+        yield items.JobFinished(
+            now, job, None, sessions.Failure.ABORTED, CONNECTION_GONE, ""
+        )
+
     def abort(
         self, conn: pool.Connection, job: items.StatementJob, now: float
     ) -> Iterator[filters.Item]:
@@ -82,15 +92,6 @@
         )
         yield from self.end(items.RollBackTransaction(now, job.client))
 
-    def finish_rollback(
-        self, conn: pool.Connection, item: session_items.CallReplied
-    ) -> Iterator[filters.Item]:
-        """Releases a connection after a rollback, or closes it."""
-        if item.reply.state is sessions.TransactionState.IDLE:
-            yield from self._runner.release(conn, item.at)
-        else:
-            yield from self._closer.close(conn, "rollback failed", item.at)
-
     def expire_idle(self, now: float) -> Iterator[filters.Item]:
         """Rolls back the transactions that exceed the idle timeout."""
         for conn in watchdog.idle_transaction_connections(
