Suspect no upstream that refuses a write in a read-only transaction

Found by the fuzz test's author: a client that declares a transaction read-only and then writes makes an upstream answer that it only reads, and the host took that for a primary that has lost its role: a suspicion and a status call for each such statement, by what a client wrote.

test_refused_write_of_a_read_only_transaction_is_no_suspicion shows it, beside a plain transaction, where the suspicion stays.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -170,7 +170,11 @@
                 item.at, job, reply, None, "", conn.upstream
             )
             return
-        if reply.failure is sessions.Failure.READ_ONLY:
+        # Any upstream refuses a write in a transaction declared read-only.
+        is_client_error = job.read_only and job.writes
+        if (
+            reply.failure is sessions.Failure.READ_ONLY and not is_client_error
+        ):
             yield session_items.UpstreamSuspected(
                 item.at, conn.upstream, reply.failure.value
             )
--- a/tests/lib/connection_world.py
+++ b/tests/lib/connection_world.py
@@ -47,6 +47,7 @@
       judge: what the connections hold, and what ran on them.
       sent: the calls that arrived at upstreams, with their connection.
       answers: the answers to clients, by the id of the statement.
+      suspicions: the suspicions that an upstream has failed.
       faults: what happens to the next calls.
       links: the connections by their number, also those that have ended.
     """
@@ -58,6 +59,7 @@
         self.sent: list[tuple[int, sessions.UpstreamCall]] = []
         self.answers: dict[str, sessions.SessionAnswer] = {}
         self.control_replies: list[session_items.UpstreamCallCompleted] = []
+        self.suspicions: list[session_items.UpstreamSuspected] = []
         self.faults: list[connection_judge.Fault] = []
         self.links: dict[int, connection_judge.Link] = {}
         self.judge = connection_judge.Judge()
@@ -197,6 +199,8 @@
                 self.judge.acknowledge(effect.statement_id, effect.answer)
             case session_items.UpstreamCallCompleted():
                 self.control_replies.append(effect)
+            case session_items.UpstreamSuspected():
+                self.suspicions.append(effect)
 
     def _opener(self, link: connection_judge.Link) -> Callable[[], None]:
         def opened() -> None:
--- a/tests/unit/test_connection_state.py
+++ b/tests/unit/test_connection_state.py
@@ -350,3 +350,20 @@
     link.names[name] = sessions.Prepared(writes=False, shape="b")
     assert world.do(1, "EXECUTE s i") == ["ok"]
     assert len(world.judge.broken) == 1
+
+
+# Failure: a client that writes in a transaction that it declared read-only made
+# hosts suspect the primary.
+@pytest.mark.parametrize(
+    ("begin", "is_suspected"), [("BEGIN", True), ("BEGIN READ", False)]
+)
+def test_refused_write_of_a_read_only_transaction_is_no_suspicion(
+    begin, is_suspected
+):
+    refusal = connection_judge.Fault(
+        sessions.RunStatement, failure=Failure.READ_ONLY, runs=False
+    )
+    world = _make_world(refusal)
+    assert world.do(1, begin, "WRITE i d") == ["ok", "busy"]
+    assert bool(world.suspicions) is is_suspected
+    _assert_kept(world, 0)
