--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/host_log.py
@@ -34,9 +34,7 @@
         "store_lost",
         "store_regained",
         "link_failed",
-        "setup_failed",
-        "statement_prepared",
-        "reply_contradicted",
+        "unexpected_reply",
         "pools",
     }
 )
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
@@ -12,26 +12,22 @@
 from fescueshunt.core import sessions, texts
 from fescueshunt_proxy.platform import lines, sizes
 
+BEGIN = "BEGIN"
+BEGIN_READ_ONLY = "BEGIN READ"
+READ = "READ"
+WRITE = "WRITE"
+
 _VERB_BY_KEYWORD = {
-    "BEGIN": sessions.Verb.BEGIN,
+    BEGIN: sessions.Verb.BEGIN,
     "COMMIT": sessions.Verb.COMMIT,
     "ROLLBACK": sessions.Verb.ROLLBACK,
-    "READ": sessions.Verb.READ,
-    "WRITE": sessions.Verb.WRITE,
+    READ: sessions.Verb.READ,
+    WRITE: sessions.Verb.WRITE,
     "SET": sessions.Verb.SET_VALUE,
     "PREPARE": sessions.Verb.PREPARE,
     "EXECUTE": sessions.Verb.EXECUTE,
     "DEALLOC": sessions.Verb.DEALLOCATE,
 }
-# The verbs whose first field names something in the session.
-_NAMED_VERBS = frozenset(
-    {
-        sessions.Verb.SET_VALUE,
-        sessions.Verb.PREPARE,
-        sessions.Verb.EXECUTE,
-        sessions.Verb.DEALLOCATE,
-    }
-)
 
 
 def decode_start(line: str) -> tuple[texts.Word, texts.Line]:
@@ -46,7 +42,9 @@
     """
     keyword, _, fields_text = texts.Line(line).partition(" ")
     name, _, account = fields_text.partition(" ")
-    if keyword != "START" or sizes.has_long_word((name, account)):
+    if keyword != "START" or (
+        sizes.is_too_long(name) or sizes.is_too_long(account)
+    ):
         raise errors.FrameError("expected the start of a session")
     return texts.Word(name), texts.Line(account)
 
@@ -61,7 +59,7 @@
     if keyword == "TERMINATE":
         return None
     statement_id, _, text = fields_text.partition(" ")
-    if keyword != "QUERY" or sizes.has_long_word((statement_id,)):
+    if keyword != "QUERY" or sizes.is_too_long(statement_id):
         raise errors.FrameError("expected a statement")
     statement = _parse_statement(texts.Word(statement_id), texts.Line(text))
     size = sizes.upstream_size(statement, line)
@@ -76,48 +74,50 @@
     statement_id: texts.Word, text: texts.Line
 ) -> sessions.Statement:
     keyword, _, fields_text = text.partition(" ")
-    verb = _VERB_BY_KEYWORD.get(keyword, sessions.Verb.INVALID)
     name, _, argument = fields_text.partition(" ")
-    writes, shape = False, ""
-    read_only = False
-    match verb:
-        case sessions.Verb.BEGIN:
-            read_only = text == "BEGIN READ"
-            if text not in ("BEGIN", "BEGIN READ"):
-                verb = sessions.Verb.INVALID
-        case sessions.Verb.PREPARE:
-            kind, _, shape = argument.partition(" ")
-            writes = kind == "WRITE"
-            if kind not in ("READ", "WRITE") or not shape:
-                verb = sessions.Verb.INVALID
-        case sessions.Verb.COMMIT | sessions.Verb.ROLLBACK:
-            if text != keyword:
-                verb = sessions.Verb.INVALID
-        case sessions.Verb.DEALLOCATE if argument:
-            verb = sessions.Verb.INVALID
-        case sessions.Verb.SET_VALUE | sessions.Verb.EXECUTE if not argument:
-            verb = sessions.Verb.INVALID
-        case sessions.Verb.READ if not name:
-            verb = sessions.Verb.INVALID
-        case sessions.Verb.WRITE if not name or not argument:
-            verb = sessions.Verb.INVALID
-    if verb in _NAMED_VERBS and not _is_name(name):
+    verb = _VERB_BY_KEYWORD.get(keyword, sessions.Verb.INVALID)
+    if not _is_well_formed(verb, text, name, argument):
         verb = sessions.Verb.INVALID
+    kind, _, shape = argument.partition(" ")
+    prepares = verb is sessions.Verb.PREPARE
     return sessions.Statement(
         statement_id,
         verb,
         text,
-        name,
-        texts.Line(argument),
-        writes,
-        texts.Line(shape),
-        read_only,
+        name=name,
+        argument=texts.Line(argument),
+        writes=prepares and kind == WRITE,
+        shape=texts.Line(shape if prepares else ""),
+        read_only=text == BEGIN_READ_ONLY,
     )
 
 
+def _is_well_formed(
+    verb: sessions.Verb, text: str, name: str, argument: str
+) -> bool:
+    """Returns whether a statement has the fields of its verb, and no others."""
+    match verb:
+        case sessions.Verb.BEGIN:
+            return text in (BEGIN, BEGIN_READ_ONLY)
+        case sessions.Verb.COMMIT | sessions.Verb.ROLLBACK:
+            return text in _VERB_BY_KEYWORD
+        case sessions.Verb.READ:
+            return bool(name)
+        case sessions.Verb.WRITE:
+            return bool(name and argument)
+        case sessions.Verb.SET_VALUE | sessions.Verb.EXECUTE:
+            return _is_name(name) and bool(argument)
+        case sessions.Verb.PREPARE:
+            kind, _, shape = argument.partition(" ")
+            return _is_name(name) and kind in (READ, WRITE) and bool(shape)
+        case sessions.Verb.DEALLOCATE:
+            return _is_name(name) and not argument
+    return False
+
+
 def _is_name(text: str) -> bool:
     """Returns whether `text` can be the name of a value or of a statement."""
     try:
-        return not sizes.has_long_word((texts.Word(text),))
+        return not sizes.is_too_long(texts.Word(text))
     except errors.FrameError:
         return False
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/sizes.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/sizes.py
@@ -6,19 +6,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from fescueshunt.core import digits, sessions
 
-if TYPE_CHECKING:
-    from fescueshunt.core import texts
-
 # The longest line, with its line end.
 MAX_LINE_BYTES = 1 << 20
 LINE_END = b"\r\n"
 # `SINCE`, a term, a dot and an index, with the spaces between and behind them.
 MIN_POSITION_BYTES = len("SINCE . ") + 2 * digits.MAX_DIGITS
-# Of the words that are kept, or that logs contain.
+# The longest name, id or account of a client.
 MAX_WORD_CHARS = 1000
 
 
@@ -44,9 +39,9 @@
     return size - byte_size(statement.name) + sessions.PREPARED_NAME_CHARS
 
 
-def has_long_word(words: tuple[texts.Word, ...]) -> bool:
-    """Returns whether one of `words` is longer than what is kept or logged."""
-    return any(len(word) > MAX_WORD_CHARS for word in words)
+def is_too_long(word: str) -> bool:
+    """Returns whether a name, id or account is longer than what is kept."""
+    return len(word) > MAX_WORD_CHARS
 
 
 def byte_size(text: str) -> int:
--- a/packages/fescueshunt/src/fescueshunt/core/texts.py
+++ b/packages/fescueshunt/src/fescueshunt/core/texts.py
@@ -2,7 +2,7 @@
 
 A text that came from one program must not change how another one reads the
 message that carries it. Each type accepts only what can stand at its place, so
-that an encoder that asks for it can't build a message with other fields.
+that an encoder that makes each field one can't build a message with others.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 
 
 class Line(str):
-    """The last field of a message, up to the end of its line.
+    """A text without line breaks: a line, or the last field of one.
 
     Raises:
       FrameError: if the text has a character that may end a line.
@@ -46,7 +46,7 @@
     __slots__ = ()
 
     def __new__(cls, text: str) -> Line:
-        """Returns `text` as the rest of a line."""
+        """Returns `text` as a line."""
         if type(text) is cls:
             return text
         if _LINE_BREAK.search(text):
--- a/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/connection_closer.py
@@ -38,14 +38,17 @@
         detail: str,
         now: float,
         *,
-        may_be_kept: bool = False,
+        may_have_committed: bool = False,
     ) -> Iterator[filters.Item]:
         """Closes a connection and handles the loss of its work.
 
-        `may_be_kept` says that writes of its transaction may have been kept.
+        `may_have_committed` says whether writes of its transaction may
+        have been committed.
         """
         yield self._pools.close(conn, now)
-        yield from self._handle_loss(conn, detail, now, may_be_kept=may_be_kept)
+        yield from self._handle_loss(
+            conn, detail, now, may_have_committed=may_have_committed
+        )
 
     def handle_failure(
         self, item: session_items.ConnectionFailed
@@ -90,7 +93,7 @@
         detail: str,
         now: float,
         *,
-        may_be_kept: bool = False,
+        may_have_committed: bool = False,
     ) -> Iterator[filters.Item]:
         self._pools.remove(conn)
         if conn.client is not None:
@@ -105,7 +108,7 @@
             job, conn.job = conn.job, None
             self._queue.release(job, now, ran=False)
             decision = retry.decide_after_connection_loss(
-                job, detail, now, may_be_kept=may_be_kept
+                job, detail, now, may_have_committed=may_have_committed
             )
             yield from self._runner.retry_or_fail(
                 job, decision, None, conn, now
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -21,12 +21,12 @@
     asks,
     calls,
     connection_closer,
-    contradictions,
     control_requests,
     items,
     pool,
     pools,
     queue,
+    reply_checks,
     reports,
     retry,
     statement_runner,
@@ -116,10 +116,10 @@
         if conn is None:
             return
         if not conn.pending_calls:
-            # The next reply might be taken for that of another call. One that
-            # is still being opened fails by itself.
+            # Later replies could be taken for those of other calls. A
+            # connection that is still opening fails by itself.
             if conn.state is not pool.ConnectionState.OPENING:
-                yield from self._close_contradicted(conn, item)
+                yield from self._close_after_unexpected_reply(conn, None, item)
             return
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
@@ -129,8 +129,8 @@
         if item.reply.failure is None:
             self._completed_calls[type(call).__name__] += 1
         steps.record_outcome(conn, call, item.reply.failure)
-        if contradictions.is_contradictory(conn, call, item.reply):
-            yield from self._close_contradicted(conn, item)
+        if reply_checks.must_close(conn, call, item.reply):
+            yield from self._close_after_unexpected_reply(conn, call, item)
         elif conn.control_request is not None:
             yield from control_requests.finish(conn, item)
             yield from self._runner.release(conn, item.at)
@@ -139,16 +139,21 @@
         else:
             yield from self._runner.release(conn, item.at)
 
-    def _close_contradicted(
-        self, conn: pool.Connection, item: session_items.CallReplied
+    def _close_after_unexpected_reply(
+        self,
+        conn: pool.Connection,
+        call: sessions.UpstreamCall | None,
+        item: session_items.CallReplied,
     ) -> Iterator[filters.Item]:
-        """Closes a connection with a reply that can't follow from its call."""
-        yield reports.reply_contradicted(conn, item)
+        """Closes a connection; `call` is None if none was in flight."""
+        yield reports.unexpected_reply(conn, call, item)
         yield from self._closer.close(
             conn,
-            contradictions.DETAIL,
+            reply_checks.DETAIL,
             item.at,
-            may_be_kept=contradictions.may_be_kept(conn.job, item.reply),
+            may_have_committed=reply_checks.may_have_committed(
+                conn.job, item.reply
+            ),
         )
 
     def _continue_job(
@@ -172,9 +177,7 @@
             return
         # Any upstream refuses a write in a transaction declared read-only.
         is_client_error = job.read_only and job.writes
-        if (
-            reply.failure is sessions.Failure.READ_ONLY and not is_client_error
-        ):
+        if reply.failure is sessions.Failure.READ_ONLY and not is_client_error:
             yield session_items.UpstreamSuspected(
                 item.at, conn.upstream, reply.failure.value
             )
--- a/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/jobs.py
@@ -29,6 +29,7 @@
     writes = statement.verb is sessions.Verb.WRITE or (
         prepared is not None and prepared.writes
     )
+    # The position for a transaction goes with its BEGIN, which is short.
     may_read_replica = not writes and (
         session.read_only if in_transaction else statement.fits_min_position
     )
--- a/packages/fescueshunt/src/fescueshunt/sessions/pool.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pool.py
@@ -63,7 +63,7 @@
       state: its state.
       values: the session values that are set on the connection.
       prepared: the names of the statements that are prepared on it.
-      is_unknown: whether a failure has left unknown which values and prepared
+      needs_reset: whether a failure has left unknown which values and prepared
         statements it has. It must then be reset before a statement runs on it.
       client: the client whose transaction is open on it, or None.
       job: the client's statement in flight, or None.
@@ -79,7 +79,7 @@
     state: ConnectionState = ConnectionState.OPENING
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: set[str] = dataclasses.field(default_factory=set)
-    is_unknown: bool = False
+    needs_reset: bool = False
     client: int | None = None
     job: items.StatementJob | None = None
     control_request: session_items.CallUpstream | None = None
--- a/packages/fescueshunt/src/fescueshunt/sessions/contradictions.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reply_checks.py
@@ -1,6 +1,7 @@
-"""Finds replies that can't follow from the call that they reply to.
+"""Finds replies after which a connection can't be used again.
 
-After such a reply, the transaction of the connection is not what this host
+They can't follow from their call, or report that a rollback failed. After such
+a reply, the transaction of the connection is not what this host
 believes. A statement that ran on the connection could then run in no
 transaction, or in a wrong one.
 """
@@ -19,12 +20,12 @@
 OPEN = sessions.TransactionState.OPEN
 
 
-def is_contradictory(
+def must_close(
     conn: pool.Connection,
     call: sessions.UpstreamCall,
     reply: sessions.UpstreamReply,
 ) -> bool:
-    """Returns whether the connection is in a state that excludes its use.
+    """Returns whether the reply excludes any further use of the connection.
 
     A statement that fails may leave a transaction open, failed or ended.
     """
@@ -37,10 +38,10 @@
     return reply.state is not _state_after(conn, call)
 
 
-def may_be_kept(
+def may_have_committed(
     job: items.StatementJob | None, reply: sessions.UpstreamReply
 ) -> bool:
-    """Returns whether writes of an ended transaction may have been kept."""
+    """Returns whether the transaction that ended may have committed writes."""
     if job is None or not job.in_transaction or reply.state is not IDLE:
         return False
     return job.has_written or (job.writes and job.statement_sent)
--- a/packages/fescueshunt/src/fescueshunt/sessions/reports.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reports.py
@@ -93,18 +93,25 @@
     return session_items.LogDecision(item.at, "link_failed", "", details)
 
 
-def reply_contradicted(
-    conn: pool.Connection, item: session_items.CallReplied
+def unexpected_reply(
+    conn: pool.Connection,
+    call: sessions.UpstreamCall | None,
+    item: session_items.CallReplied,
 ) -> session_items.LogDecision:
-    """Returns the event of a reply that can't follow from its call."""
+    """Returns the event of a reply that closes its connection.
+
+    `call` is the call that it replies to, or None if none was in flight.
+    """
     reply = item.reply
     details = {
         "upstream": conn.upstream,
+        "connection": conn.number,
+        "call": type(call).__name__ if call else "",
         "was": conn.state.value,
         "state": reply.state.value,
         "failure": reply.failure.value if reply.failure else "",
     }
-    return session_items.LogDecision(item.at, "reply_contradicted", "", details)
+    return session_items.LogDecision(item.at, "unexpected_reply", "", details)
 
 
 def statement_failed(item: items.JobFinished) -> session_items.LogDecision:
--- a/packages/fescueshunt/src/fescueshunt/sessions/retry.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/retry.py
@@ -64,14 +64,15 @@
     detail: str,
     now: float,
     *,
-    may_be_kept: bool = False,
+    may_have_committed: bool = False,
 ) -> Decision:
     """Decides what follows the loss of the connection that `job` ran on.
 
-    `may_be_kept` says that its transaction ended in an unknown way before.
+    `may_have_committed` says that writes of its transaction may have been
+    committed, so that the outcome is in doubt.
     """
     is_committing = job.statement_sent and steps.commits_changes(job)
-    if is_committing or may_be_kept:
+    if is_committing or may_have_committed:
         return Decision(sessions.Failure.IN_DOUBT, detail)
     if _may_run_elsewhere(job) and _has_time(job, now):
         return Decision(None)
--- a/packages/fescueshunt/src/fescueshunt/sessions/steps.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/steps.py
@@ -29,9 +29,9 @@
     calls: collections.deque[sessions.UpstreamCall] = collections.deque()
     current_values, current_prepared = conn.values, conn.prepared
     if (
-        conn.is_unknown
+        conn.needs_reset
         or current_values.keys() - job.settings.values.keys()
-        or _has_no_room(job, conn)
+        or _exceeds_prepared_limit(job, conn)
     ):
         calls.append(sessions.Reset())
         current_values, current_prepared = {}, set()
@@ -68,12 +68,14 @@
     if failure is None:
         _record_success(conn, call)
     elif is_setup_call(call):
-        conn.is_unknown |= failure not in sessions.NOT_RUN
+        conn.needs_reset |= failure not in sessions.NOT_RUN
     elif isinstance(call, sessions.RunPrepared):
-        conn.is_unknown |= failure is sessions.Failure.NO_STATEMENT
+        conn.needs_reset |= failure is sessions.Failure.NO_STATEMENT
 
 
-def _has_no_room(job: items.StatementJob, conn: pool.Connection) -> bool:
+def _exceeds_prepared_limit(
+    job: items.StatementJob, conn: pool.Connection
+) -> bool:
     """Returns whether `conn` is too full for the prepared statement."""
     if (
         job.prepared is None
@@ -89,7 +91,7 @@
         case sessions.Reset():
             conn.values.clear()
             conn.prepared.clear()
-            conn.is_unknown = False
+            conn.needs_reset = False
         case sessions.SetValue():
             conn.values[call.name] = call.value
         case sessions.Prepare():
--- a/packages/fescueshunt/src/fescueshunt/sessions/watchdog.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/watchdog.py
@@ -31,6 +31,7 @@
     """
     for conn in pool_manager.connections.values():
         elapsed_s = now - conn.sent_at
+        # A fault in the handling of a reply can leave a job without a call.
         if (
             conn.state is not pool.ConnectionState.WORKING
             or conn.job is None
