Count all violations, and record what is written together

Change: the judge itself is returned, with its count; writelines joins its data and calls write. Conclusion: both are mended.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -216,10 +216,11 @@
     Raises:
       ViolationError: if a rule was broken.
     """
-    violations = journal.find_violations(paths)
-    if violations:
-        shown = "\n".join(map(str, violations[:MAX_SHOWN_VIOLATIONS]))
-        raise ViolationError(f"{len(violations)} violations:\n{shown}")
+    checked = journal.judge_journals(paths)
+    if checked.violation_count:
+        kept = itertools.islice(checked.violations, MAX_SHOWN_VIOLATIONS)
+        shown = "\n".join(map(str, kept))
+        raise ViolationError(f"{checked.violation_count} violations:\n{shown}")
 
 
 @contextlib.contextmanager
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
@@ -107,13 +107,13 @@
             yield Entry(at_ns, Event(event), name, text.encode(ENCODING))
 
 
-def find_violations(paths: Iterable[pathlib.Path]) -> list[judge.Violation]:
-    """Judges what the journals hold together."""
+def judge_journals(paths: Iterable[pathlib.Path]) -> judge.Judge:
+    """Returns a judge of what the journals hold together."""
     checked = judge.Judge()
     journals = [read_entries(path) for path in paths]
     for entry in heapq.merge(*journals, key=lambda entry: entry.at_ns):
         feed(checked, entry)
-    return list(checked.violations)
+    return checked
 
 
 def feed(checked: judge.Judge, entry: Entry) -> None:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/recorded_clients.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/recorded_clients.py
@@ -11,7 +11,7 @@
 from fescueshunt_standins.hosted import journal, wire_reader
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
 DEFAULT_LIMIT_BYTES = 1 << 16
 _numbers = itertools.count(1)
@@ -88,6 +88,9 @@
         self._recorded.sent(data)
         super().write(data)
 
+    def writelines(self, data: Iterable[bytes]) -> None:
+        self.write(b"".join(data))
+
     def close(self) -> None:
         self._recorded.closed()
         super().close()
