--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
@@ -9,11 +9,15 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
-import enum
 from typing import TYPE_CHECKING
 
-from fescueshunt_standins.hosted import judge_pins, judge_records, wire_reader
+from fescueshunt_standins.hosted import (
+    judge_effects,
+    judge_pins,
+    judge_records,
+    judge_rules,
+    wire_reader,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,30 +40,6 @@
 )
 
 
-class Rule(enum.Enum):
-    """What clients may rely on.
-
-    MIXED: an answer belongs to the client's statement, with its receipt and
-    rows. PINNED: a statement runs in its client's transaction and session.
-    UNASKED: upstreams run only what clients sent. TWICE: a write takes effect
-    once. REFUSED: nothing is kept after a promise to keep nothing.
-    """
-
-    MIXED = "mixed"
-    PINNED = "pinned"
-    UNASKED = "unasked"
-    TWICE = "twice"
-    REFUSED = "refused"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Violation:
-    """A violation of a rule, with what was seen."""
-
-    rule: Rule
-    detail: str
-
-
 class Judge:
     """Judges the messages of clients and upstreams as they are fed to it.
 
@@ -85,8 +65,8 @@
             clients' side only.
           max_finished: how many answered statements are remembered.
         """
-        self.violations: collections.deque[Violation] = collections.deque(
-            maxlen=MAX_KEPT_VIOLATIONS
+        self.violations: collections.deque[judge_rules.Violation] = (
+            collections.deque(maxlen=MAX_KEPT_VIOLATIONS)
         )
         self.violation_count = 0
         self._sees_clients = sees_clients
@@ -117,7 +97,9 @@
         try:
             answer = wire_reader.read_answer(line)
         except wire_reader.WireError as exc:
-            self._report(Rule.MIXED, f"client {client}: {exc}: {line[:80]!r}")
+            self._report(
+                judge_rules.Rule.MIXED, f"client {client}: {exc}: {line[:80]!r}"
+            )
             return
         match answer:
             case wire_reader.Row():
@@ -142,7 +124,9 @@
         try:
             request = wire_reader.read_upstream_request(line)
         except wire_reader.WireError as exc:
-            self._report(Rule.UNASKED, f"{conn}: {exc}: {line[:80]!r}")
+            self._report(
+                judge_rules.Rule.UNASKED, f"{conn}: {exc}: {line[:80]!r}"
+            )
             return
         if not isinstance(request, wire_reader.Query):
             return
@@ -175,9 +159,11 @@
             name, judge_records.UpstreamConnection(name)
         )
 
-    def _report(self, rule: Rule, detail: str) -> None:
+    def _report(self, rule: judge_rules.Rule, detail: str) -> None:
         self.violation_count += 1
-        self.violations.append(Violation(rule, detail[:MAX_DETAIL_CHARS]))
+        self.violations.append(
+            judge_rules.Violation(rule, detail[:MAX_DETAIL_CHARS])
+        )
 
     def _find_statement(
         self, conn: str, query: wire_reader.Query
@@ -185,7 +171,8 @@
         if query.id == wire_reader.PROXY_ID:
             if isinstance(query.call, wire_reader.NEEDS_RECEIPT):
                 self._report(
-                    Rule.UNASKED, f"{conn}: the proxy's own {query.text!r}"
+                    judge_rules.Rule.UNASKED,
+                    f"{conn}: the proxy's own {query.text!r}",
                 )
             return None
         if not self._sees_clients:
@@ -195,7 +182,8 @@
             known = self._sent.knows_id(query.id)
             reason = "changed text" if known else "unknown id"
             self._report(
-                Rule.UNASKED, f"{conn}: {query.id} {query.text!r}: {reason}"
+                judge_rules.Rule.UNASKED,
+                f"{conn}: {query.id} {query.text!r}: {reason}",
             )
         return statement
 
@@ -211,7 +199,8 @@
         if not session.pending:
             if isinstance(reply, wire_reader.Complete):
                 self._report(
-                    Rule.MIXED, f"client {session.name}: answer to nothing"
+                    judge_rules.Rule.MIXED,
+                    f"client {session.name}: answer to nothing",
                 )
             return
         statement = session.pending.popleft()
@@ -237,7 +226,10 @@
             return
         receipts = [earlier.receipt for earlier in statement.runs]
         reason = "other rows" if receipt in receipts else "no such receipt"
-        self._report(Rule.MIXED, f"{_name(statement)}: {reason}, {receipt!r}")
+        self._report(
+            judge_rules.Rule.MIXED,
+            f"{statement.describe()}: {reason}, {receipt!r}",
+        )
 
     def _check_failure(
         self, statement: judge_records.SentStatement, code: str
@@ -249,8 +241,8 @@
         shapes = statement.shapes
         if code == "NOSTMT" and shapes and None not in shapes:
             self._report(
-                Rule.PINNED,
-                f"{_name(statement)}: unknown though its shape is prepared",
+                judge_rules.Rule.PINNED,
+                f"{statement.describe()}: unknown though its shape is prepared",
             )
         if code not in PROMISES:
             return
@@ -261,7 +253,8 @@
             kept = transaction.committed_writes
         if kept:
             self._report(
-                Rule.REFUSED, f"{_name(statement)}: {code} after its commit"
+                judge_rules.Rule.REFUSED,
+                f"{statement.describe()}: {code} after its commit",
             )
 
     def _end_upstream_answer(
@@ -280,7 +273,9 @@
         request = connection.pending.popleft()
         if isinstance(reply, wire_reader.Complete):
             self._check_run(connection, request)
-            self._apply_run(connection, request, reply, rows)
+            run = judge_records.Run(reply.receipt, rows)
+            for each in judge_effects.apply_run(connection, request, run):
+                self._report(each.rule, each.detail)
         elif reply.code not in NOT_RUN:
             self._check_run(connection, request)
         if ready.state == "I":
@@ -301,7 +296,8 @@
             connection, request.query, statement
         ):
             self._report(
-                Rule.PINNED, f"{connection.name}: {_name(statement)}: {problem}"
+                judge_rules.Rule.PINNED,
+                f"{connection.name}: {statement.describe()}: {problem}",
             )
 
     def _check_by_upstream(
@@ -312,89 +308,16 @@
         """Checks what shows without the clients' side."""
         problem = judge_pins.arguments_problem(connection, query)
         if problem:
-            self._report(Rule.UNASKED, f"{connection.name}: {problem}")
+            self._report(
+                judge_rules.Rule.UNASKED, f"{connection.name}: {problem}"
+            )
         if self._client_of_id is None or query.id == wire_reader.PROXY_ID:
             return
         client = self._client_of_id(query.id)
         if connection.in_transaction and connection.owner not in (None, client):
             self._report(
-                Rule.PINNED,
+                judge_rules.Rule.PINNED,
                 f"{connection.name}: {query.id} runs in a transaction of "
                 f"{connection.owner}",
             )
         connection.owner = client
-
-    def _apply_run(
-        self,
-        connection: judge_records.UpstreamConnection,
-        request: judge_records.UpstreamRequest,
-        reply: wire_reader.Complete,
-        rows: bytes,
-    ) -> None:
-        query, statement = request.query, request.statement
-        connection.apply(query.call)
-        if isinstance(query.call, wire_reader.Begin):
-            connection.in_transaction = True
-        if statement is None:
-            return
-        if isinstance(query.call, wire_reader.NEEDS_RECEIPT):
-            statement.runs.append(judge_records.Run(reply.receipt, rows))
-        transaction = statement.transaction
-        if connection.in_transaction and transaction is not None:
-            connection.transaction = transaction
-            if not transaction.begun:
-                transaction.connection = connection.name
-            transaction.begun |= not isinstance(query.call, wire_reader.Begin)
-        if isinstance(query.call, wire_reader.Commit):
-            self._commit(connection, statement)
-        elif _writes(connection, query.call):
-            if connection.in_transaction:
-                connection.writes.append(statement)
-            else:
-                self._take_effect(connection, statement)
-
-    def _commit(
-        self,
-        connection: judge_records.UpstreamConnection,
-        commit: judge_records.SentStatement,
-    ) -> None:
-        transaction = commit.transaction
-        if connection.writes and transaction is not None:
-            transaction.committed_writes = True
-            if transaction.promised:
-                self._report(
-                    Rule.REFUSED,
-                    f"{connection.name}: {_name(commit)}: commits after "
-                    f"{transaction.promised}",
-                )
-        for write in connection.writes:
-            self._take_effect(connection, write)
-
-    def _take_effect(
-        self,
-        connection: judge_records.UpstreamConnection,
-        write: judge_records.SentStatement,
-    ) -> None:
-        write.effects += 1
-        where = f"{connection.name}: {_name(write)}"
-        if write.effects > 1:
-            self._report(Rule.TWICE, f"{where}: {write.effects} effects")
-        if write.promised and write.transaction is None:
-            self._report(Rule.REFUSED, f"{where}: runs after {write.promised}")
-
-
-def _name(statement: judge_records.SentStatement) -> str:
-    query = statement.query
-    return f"client {statement.client}: {query.id} {query.text[:100]!r}"
-
-
-def _writes(
-    connection: judge_records.UpstreamConnection, call: wire_reader.UpstreamText
-) -> bool:
-    match call:
-        case wire_reader.Write():
-            return True
-        case wire_reader.Execute():
-            shape = connection.shapes.get(call.name)
-            return shape is not None and shape.writes
-    return False
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
@@ -82,6 +82,11 @@
     promised: str = ""
     answered: bool = False
 
+    def describe(self) -> str:
+        """Returns a text that names the statement and its client."""
+        query = self.query
+        return f"client {self.client}: {query.id} {query.text[:100]!r}"
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class RowsDigest:
--- a/tests/lib/judged_conversation.py
+++ b/tests/lib/judged_conversation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescueshunt_standins.hosted import judge
+from fescueshunt_standins.hosted import judge, judge_rules
 
 SUCCESS = "COMPLETE -"
 
@@ -13,7 +13,7 @@
     def __init__(self, checked: judge.Judge | None = None) -> None:
         self.judge = checked or judge.Judge()
 
-    def rules(self) -> set[judge.Rule]:
+    def rules(self) -> set[judge_rules.Rule]:
         """Returns the rules that were broken."""
         return {violation.rule for violation in self.judge.violations}
 
--- a/tests/unit/test_journal.py
+++ b/tests/unit/test_journal.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from fescueshunt_standins.hosted import journal, judge, recorded_clients
+from fescueshunt_standins.hosted import (
+    journal,
+    judge,
+    judge_rules,
+    recorded_clients,
+)
 
 Event = journal.Event
 START = b"START db c\r\n"
@@ -51,7 +56,7 @@
 def test_journals_show_other_rows(tmp_path, rows):
     paths = _write_exchange(tmp_path, rows)
     (violation,) = _find_violations(paths)
-    assert violation.rule is judge.Rule.MIXED
+    assert violation.rule is judge_rules.Rule.MIXED
 
 
 # Failure: what a client sends while it receives rows ends their digest, so that
@@ -64,7 +69,7 @@
 def test_journal_of_upstreams_alone_is_judged_as_unasked(tmp_path):
     _, path = _write_exchange(tmp_path, ROWS)
     (violation,) = _find_violations([path, tmp_path / "missing"])
-    assert violation.rule is judge.Rule.UNASKED
+    assert violation.rule is judge_rules.Rule.UNASKED
 
 
 # Failure: only the violations that the judge had kept were counted.
--- a/tests/unit/test_judge_limits.py
+++ b/tests/unit/test_judge_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueshunt_standins.hosted import judge, wire_reader
+from fescueshunt_standins.hosted import judge, judge_rules, wire_reader
 from lib import judged_conversation
 
 MAX_BYTES = wire_reader.MAX_MESSAGE_BYTES
@@ -107,7 +107,7 @@
     talk = _upstream_talk()
     talk.run("u", "A.1 BEGIN", state="T")
     talk.run("u", "B.1 READ a", state="T")
-    assert talk.rules() == {judge.Rule.PINNED}
+    assert talk.rules() == {judge_rules.Rule.PINNED}
 
 
 @pytest.mark.parametrize(
@@ -116,7 +116,7 @@
 def test_upstream_side_alone_finds_bad_lines_and_own_statements(text):
     talk = _upstream_talk()
     talk.judge.upstream_received("u", f"QUERY {text}\r\n".encode())
-    assert talk.rules() == {judge.Rule.UNASKED}
+    assert talk.rules() == {judge_rules.Rule.UNASKED}
 
 
 # Failure: a shape with blanks became a part of the name at the upstream, so a
@@ -128,7 +128,7 @@
     talk = _upstream_talk()
     talk.run("u", f"- PREPARE r.q5 {kind} q5")
     talk.run("u", f"A.1 EXECUTE r.q5 {arguments}")
-    assert talk.rules() == {judge.Rule.UNASKED}
+    assert talk.rules() == {judge_rules.Rule.UNASKED}
 
 
 def test_memory_is_bounded():
--- a/tests/unit/test_simulated_judge.py
+++ b/tests/unit/test_simulated_judge.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fescueshunt.core import session_items, sessions
-from fescueshunt_standins.hosted import judge
+from fescueshunt_standins.hosted import judge_rules
 from lib import hosted_world
 
 HOST = "h0"
@@ -70,10 +70,10 @@
 @pytest.mark.parametrize(
     ("change", "rule"),
     [
-        (lambda call: [_with_argument(call)], judge.Rule.UNASKED),
-        (lambda call: [_with_id(call, "other")], judge.Rule.UNASKED),
-        (lambda call: [_with_id(call, "-")], judge.Rule.UNASKED),
-        (lambda call: [call, call], judge.Rule.TWICE),
+        (lambda call: [_with_argument(call)], judge_rules.Rule.UNASKED),
+        (lambda call: [_with_id(call, "other")], judge_rules.Rule.UNASKED),
+        (lambda call: [_with_id(call, "-")], judge_rules.Rule.UNASKED),
+        (lambda call: [call, call], judge_rules.Rule.TWICE),
     ],
 )
 def test_changed_or_repeated_call_is_found(change, rule):
@@ -96,17 +96,17 @@
     world.send(OTHER_CLIENT, READ)
     world.change = lambda call: [call, *other_texts]
     world.send(CLIENT, WRITE, "w2")
-    assert judge.Rule.PINNED in world.rules()
+    assert judge_rules.Rule.PINNED in world.rules()
 
 
 @pytest.mark.parametrize(
     ("answer", "rule"),
     [
-        (sessions.SessionAnswer(receipt="other"), judge.Rule.MIXED),
-        (sessions.SessionAnswer(), judge.Rule.MIXED),
+        (sessions.SessionAnswer(receipt="other"), judge_rules.Rule.MIXED),
+        (sessions.SessionAnswer(), judge_rules.Rule.MIXED),
         (
             sessions.SessionAnswer(failure=sessions.Failure.BUSY),
-            judge.Rule.REFUSED,
+            judge_rules.Rule.REFUSED,
         ),
     ],
 )
