Name the judge's rules and codes by what they say

Cause: PROMISES, NOT_RUN and promised didn't say what is promised, and kept_counts returned a bare tuple. Conclusion: the judge finds what it found.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
@@ -24,20 +24,6 @@
 
 MAX_KEPT_VIOLATIONS = 1000
 MAX_DETAIL_CHARS = 300
-PROMISES = frozenset(
-    ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT")
-)
-NOT_RUN = frozenset(
-    (
-        "BUSY",
-        "NOSTMT",
-        "LAGGING",
-        "READONLY",
-        "MALFORMED",
-        "MISROUTED",
-        "CONNLIMIT",
-    )
-)
 
 
 class Judge:
@@ -75,9 +61,13 @@
         self._connections: dict[str, judge_records.UpstreamConnection] = {}
         self._sent = judge_records.StatementIndex(max_finished)
 
-    def kept_counts(self) -> tuple[int, int, int]:
-        """Returns how many clients, connections and statements are kept."""
-        return len(self._clients), len(self._connections), len(self._sent)
+    def kept_counts(self) -> judge_records.KeptCounts:
+        """Returns how much the judge remembers."""
+        return judge_records.KeptCounts(
+            clients=len(self._clients),
+            connections=len(self._connections),
+            statements=len(self._sent),
+        )
 
     def client_sent(self, client: str, line: bytes) -> None:
         """Takes a message that a client sends."""
@@ -244,12 +234,12 @@
                 judge_rules.Rule.PINNED,
                 f"{statement.describe()}: unknown though its shape is prepared",
             )
-        if code not in PROMISES:
+        if code not in judge_rules.NO_EFFECT_CODES:
             return
-        statement.promised = code
+        statement.no_effect_code = code
         kept = statement.effects > 0
         if transaction is not None:
-            transaction.promised = code
+            transaction.no_effect_code = code
             kept = transaction.committed_writes
         if kept:
             self._report(
@@ -268,6 +258,8 @@
         if not connection.started:
             connection.started = True
             return
+        # A request that can't be read was reported and isn't pending; what the
+        # upstream says to it answers no statement.
         if not connection.pending or reply is None:
             return
         request = connection.pending.popleft()
@@ -276,7 +268,7 @@
             run = judge_records.Run(reply.receipt, rows)
             for each in judge_effects.apply_run(connection, request, run):
                 self._report(each.rule, each.detail)
-        elif reply.code not in NOT_RUN:
+        elif reply.code not in judge_rules.NOT_EXECUTED_CODES:
             self._check_run(connection, request)
         if ready.state == "I":
             connection.end_transaction()
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_effects.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_effects.py
@@ -59,11 +59,11 @@
     transaction = commit.transaction
     if connection.writes and transaction is not None:
         transaction.committed_writes = True
-        if transaction.promised:
+        if transaction.no_effect_code:
             yield judge_rules.Violation(
                 judge_rules.Rule.REFUSED,
                 f"{connection.name}: {commit.describe()}: commits after "
-                f"{transaction.promised}",
+                f"{transaction.no_effect_code}",
             )
     for write in connection.writes:
         yield from _take_effect(connection, write)
@@ -79,9 +79,10 @@
         yield judge_rules.Violation(
             judge_rules.Rule.TWICE, f"{where}: {write.effects} effects"
         )
-    if write.promised and write.transaction is None:
+    if write.no_effect_code and write.transaction is None:
         yield judge_rules.Violation(
-            judge_rules.Rule.REFUSED, f"{where}: runs after {write.promised}"
+            judge_rules.Rule.REFUSED,
+            f"{where}: runs after {write.no_effect_code}",
         )
 
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
@@ -25,7 +25,7 @@
       connection: the upstream connection that ran its first statement.
       begun: whether a statement other than `BEGIN` has run in it.
       refused: whether its `BEGIN` failed, so that none is open at the client.
-      promised: the promise that nothing of it is kept, if one was given.
+      no_effect_code: the code that says that nothing of it is kept, "" if none.
       committed_writes: whether writes of it have been committed.
       outer: the client's transaction before this one, if the client had not
         asked for its end; this one's `BEGIN` is then refused.
@@ -35,7 +35,7 @@
     connection: str | None = None
     begun: bool = False
     refused: bool = False
-    promised: str = ""
+    no_effect_code: str = ""
     committed_writes: bool = False
     outer: Transaction | None = None
 
@@ -47,6 +47,15 @@
             outer = outer.outer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptCounts:
+    """How many clients, connections and statements a judge remembers."""
+
+    clients: int
+    connections: int
+    statements: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
     """A run of a statement that the upstream reported as a success."""
@@ -68,7 +77,8 @@
       shapes: what its prepared name may stand for; None means unknown.
       runs: the runs that upstreams reported.
       effects: how often its write took effect.
-      promised: the promise that the client received for it, if any.
+      no_effect_code: the code that the client received for it and that says
+        that nothing of it is kept, "" if none.
       answered: whether the client got an answer or has left.
     """
 
@@ -79,7 +89,7 @@
     shapes: frozenset[wire_reader.Shape | None]
     runs: list[Run] = dataclasses.field(default_factory=list)
     effects: int = 0
-    promised: str = ""
+    no_effect_code: str = ""
     answered: bool = False
 
     def describe(self) -> str:
--- a/tests/lib/wire_answers.py
+++ b/tests/lib/wire_answers.py
@@ -5,7 +5,7 @@
 import dataclasses
 import itertools
 
-from fescueshunt_standins.hosted import judge, wire_reader
+from fescueshunt_standins.hosted import judge_rules, wire_reader
 from lib import wire_upstreams, wire_world
 
 LINE_END = b"\r\n"
@@ -61,7 +61,7 @@
         for line, error in statement_results(client):
             statement_id = line.split(b" ")[1].decode("latin-1")
             kept = world.upstreams.committed_by.get(statement_id)
-            if kept and error in judge.PROMISES:
+            if kept and error in judge_rules.NO_EFFECT_CODES:
                 broken.append(f"{statement_id}: {error}, though {kept} is kept")
     return broken
 
@@ -140,7 +140,7 @@
 def _ends_in_blank(lines: list[bytes], statements: list[bytes]) -> bool:
     """Returns whether the line behind the statements is TERMINATE and more.
 
-    The pages don't say whether the end of a session may have fields.
+    The protocol leaves open whether the end of a session may have fields.
     """
     return lines[1 + len(statements)].startswith(b"TERMINATE ")
 
--- a/tests/unit/test_judge_effects.py
+++ b/tests/unit/test_judge_effects.py
@@ -61,7 +61,7 @@
 
 # REFUSED.
 
-PROMISES = (
+NO_EFFECT_CODES = (
     "BUSY",
     "ABORTED",
     "LAGGING",
@@ -71,7 +71,7 @@
 )
 
 
-@pytest.mark.parametrize("code", PROMISES)
+@pytest.mark.parametrize("code", NO_EFFECT_CODES)
 def test_promise_after_the_write_is_refused(talk, code):
     talk.send("A", "WRITE a 1")
     talk.run("u", "A WRITE a 1", "COMPLETE r1")
@@ -79,7 +79,7 @@
     assert talk.rules() == REFUSED
 
 
-@pytest.mark.parametrize("code", PROMISES)
+@pytest.mark.parametrize("code", NO_EFFECT_CODES)
 def test_write_after_the_promise_is_refused(talk, code):
     talk.send("A", "WRITE a 1")
     talk.answer("A", f"ERROR {code} -")
@@ -88,7 +88,7 @@
     assert talk.rules() == REFUSED
 
 
-@pytest.mark.parametrize("code", PROMISES)
+@pytest.mark.parametrize("code", NO_EFFECT_CODES)
 def test_commit_after_the_promise_is_refused(talk, code):
     talk.begin("A", "u")
     talk.serve("A", "u", "WRITE a 1", "r1", state="T")
--- a/tests/unit/test_judge_limits.py
+++ b/tests/unit/test_judge_limits.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from fescueshunt_standins.hosted import judge, judge_rules, wire_reader
+from fescueshunt_standins.hosted import (
+    judge,
+    judge_records,
+    judge_rules,
+    wire_reader,
+)
 from lib import judged_conversation
 
 MAX_BYTES = wire_reader.MAX_MESSAGE_BYTES
@@ -143,7 +148,7 @@
         talk.judge.client_closed(client)
         talk.judge.upstream_closed(conn)
     assert not checked.violations
-    assert checked.kept_counts() == (0, 0, 100)
+    assert checked.kept_counts() == judge_records.KeptCounts(0, 0, 100)
     for _ in range(3000):
         talk.judge.upstream_received("u", b"QUERY - COMMIT\r\n")
     assert checked.violation_count == 3000
--- a/tests/unit/test_simulated_judge.py
+++ b/tests/unit/test_simulated_judge.py
@@ -164,4 +164,4 @@
         name="s",
         argument="it0",
     )
-    assert world.judged.judge.kept_counts()[2] == 2
+    assert world.judged.judge.kept_counts().statements == 2
