Say which failure each of these tests guards against

Cause: comments were missing or named a state instead of a failure. Change: comments and a docstring only. Conclusion: each test's purpose is written above it.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/wire_reader.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/wire_reader.py
@@ -1,8 +1,8 @@
 """Strict reader of single messages of the line protocol.
 
-Written from the protocol's description alone and independent of the codec of
-the proxy, so that an error of the codec isn't repeated here. Bytes are decoded
-as Latin-1, which keeps every byte: texts are equal only if their bytes are.
+Independent of the proxy's codec, so that its errors aren't repeated here. Bytes
+are decoded as Latin-1, which keeps every byte: texts are equal only if their
+bytes are.
 """
 
 from __future__ import annotations
--- a/tests/unit/test_setup_reports.py
+++ b/tests/unit/test_setup_reports.py
@@ -22,6 +22,8 @@
     return list(reports.setup_call_replied(conn, call, item))
 
 
+# Failure: the log of an incident didn't tell which shape a prepared name stood
+# for.
 def test_prepared_statement_is_logged_with_its_name_and_shape():
     call = sessions.Prepare(NAME, sessions.Prepared(True, SHAPE))
     (event,) = _events(call, None)
@@ -31,6 +33,7 @@
     assert event.details["writes"]
 
 
+# Failure: the log of an incident didn't tell which setup call had failed.
 @pytest.mark.parametrize(
     "call",
     [
@@ -49,6 +52,7 @@
     assert event.details["why"] == "detail"
 
 
+# Failure: a client's long text filled the log.
 def test_logged_texts_of_clients_are_cut():
     call = sessions.Prepare(NAME, sessions.Prepared(False, "x" * 100_000))
     (event,) = _events(call, None)
--- a/tests/unit/test_whole_way_fuzz.py
+++ b/tests/unit/test_whole_way_fuzz.py
@@ -146,7 +146,8 @@
 _MAX_CALLS = 7
 
 
-# Failure: state of a connection that the proxy was wrong about after one fault.
+# Failure: after one failed call, a later statement runs with another session's
+# values or in the wrong transaction.
 @pytest.mark.parametrize("fault", Fault, ids=lambda fault: fault.name)
 @pytest.mark.parametrize("name", _CONVERSATIONS)
 def test_one_fault_at_each_call_changes_nothing_else(name, fault):
--- a/tests/unit/test_whole_way_sizes.py
+++ b/tests/unit/test_whole_way_sizes.py
@@ -82,6 +82,8 @@
     assert of_execute in PERMITTED_CODES
 
 
+# Failure: a long value that was accepted couldn't be sent upstream, so that
+# later statements failed.
 @pytest.mark.parametrize("short_by", [0, 1, 10])
 def test_long_value_is_set_or_refused_as_malformed(short_by):
     _, (of_set, of_read) = _converse(
@@ -91,6 +93,8 @@
     assert of_read == ""
 
 
+# Failure: the session went on after a message over the limit, whose rest was
+# read as other messages.
 @pytest.mark.parametrize("over", [1, 3, 100_000])
 def test_message_over_the_limit_ends_its_session_with_an_error(over):
     world, codes = _converse(_fill(READ, MAX_MESSAGE_BYTES + over))
