Shorten the stand-in's functions for requests and its start

Change: control calls, the proxy's calls and clients' statements are interpreted apart; running a call and waiting for hosts are functions.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -173,15 +173,19 @@
             deployment = _start(
                 stack, folder, host_count, source_tree, statement_duration_s
             )
-            async with asyncio.timeout(START_TIMEOUT_S):
-                for host in deployment.hosts:
-                    while not await is_ready(host):
-                        await asyncio.sleep(0.05)
+            await _wait_until_ready(deployment.hosts)
             yield deployment
         # All processes have ended, so both journals are complete.
         _check_journals(paths)
 
 
+async def _wait_until_ready(hosts: Iterable[HostProcess]) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for host in hosts:
+            while not await is_ready(host):
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+
 def _start(
     stack: contextlib.ExitStack,
     folder: pathlib.Path,
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -31,12 +31,6 @@
     sessions.Failure.NO_STATEMENT: "NOSTMT",
     sessions.Failure.INVALID: "MALFORMED",
 }
-_CONTROL_CALLS = {
-    "STATUS": lambda call: sessions.GetStatus(),
-    "PAUSE": lambda call: sessions.Pause(call.term),
-    "STEPDOWN": lambda call: sessions.StepDown(call.term),
-    "RESUME": lambda call: sessions.Resume(),
-}
 # A message that is too long is read whole and refused by the reader.
 READ_LIMIT_BYTES = 2 * wire_reader.MAX_MESSAGE_BYTES
 _HAS_RECEIPT = sessions.RunStatement | sessions.RunPrepared
@@ -157,6 +151,19 @@
             return b"ERROR MALFORMED -\r\n" + self._ready_line(session)
         await self._wait_for_duration(query.id)
         call = _interpret(query)
+        failure, rows = await self._run(session, call)
+        lines = [f"ROW {row}\r\n" for row in rows]
+        if failure is None:
+            lines.append(f"COMPLETE {self._receipt(call)}\r\n")
+        else:
+            lines.append(f"ERROR {_FAILURE_CODES[failure]} -\r\n")
+        data = "".join(lines).encode(journal.ENCODING)
+        return data + self._ready_line(session)
+
+    async def _run(
+        self, session: statements.UpstreamSession, call: sessions.UpstreamCall
+    ) -> tuple[sessions.Failure | None, tuple[str, ...]]:
+        """Runs a call; returns the failure, if any, and the rows."""
         reply_future = asyncio.get_running_loop().create_future()
 
         def reply(
@@ -170,14 +177,7 @@
                 reply_future.set_result((failure, rows))
 
         statements.run(self._replica_set, session, call, reply)
-        failure, rows = await reply_future
-        lines = [f"ROW {row}\r\n" for row in rows]
-        if failure is None:
-            lines.append(f"COMPLETE {self._receipt(call)}\r\n")
-        else:
-            lines.append(f"ERROR {_FAILURE_CODES[failure]} -\r\n")
-        data = "".join(lines).encode(journal.ENCODING)
-        return data + self._ready_line(session)
+        return await reply_future
 
     def _receipt(self, call: sessions.UpstreamCall) -> str:
         """Returns a new receipt for a statement, "-" for other calls."""
@@ -201,11 +201,10 @@
 
 def _interpret(query: wire_reader.Query) -> sessions.UpstreamCall:
     """Returns the call that a proxy's request stands for."""
-    min_position = _parse_position(query.since)
     call = query.call
     match call:
         case wire_reader.Control():
-            return _CONTROL_CALLS[call.verb](call)
+            return _control_call(call)
         case wire_reader.Reset():
             return sessions.Reset()
         case wire_reader.SetValue():
@@ -216,6 +215,27 @@
             return sessions.Prepare(call.name, prepared)
         case wire_reader.Rollback():
             return sessions.Rollback()
+    return _client_call(query)
+
+
+def _control_call(call: wire_reader.Control) -> sessions.UpstreamCall:
+    match call.verb:
+        case "STATUS":
+            return sessions.GetStatus()
+        case "PAUSE":
+            return sessions.Pause(call.term)
+        case "STEPDOWN":
+            return sessions.StepDown(call.term)
+        case "RESUME":
+            return sessions.Resume()
+    raise ValueError(f"unknown control call {call.verb!r}")
+
+
+def _client_call(query: wire_reader.Query) -> sessions.UpstreamCall:
+    """Returns the call that runs a client's statement."""
+    min_position = _parse_position(query.since)
+    call = query.call
+    match call:
         case wire_reader.Begin():
             statement = sessions.Statement(
                 query.id,
