Name the recorder of upstreams, and feed a judge without an entry

Cause: Observer said nothing about what it does, and an Entry with the time 0 was built for each message. Change: UpstreamRecorder; feed takes the event, the connection and the line. Conclusion: the judge is fed the same.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
@@ -112,22 +112,22 @@
     checked = judge.Judge()
     journals = [read_entries(path) for path in paths]
     for entry in heapq.merge(*journals, key=lambda entry: entry.at_ns):
-        feed(checked, entry)
+        feed(checked, entry.event, entry.name, entry.line)
     return checked
 
 
-def feed(checked: judge.Judge, entry: Entry) -> None:
-    """Feeds an entry to a judge."""
-    match entry.event:
+def feed(checked: judge.Judge, event: Event, name: str, line: bytes) -> None:
+    """Feeds an event on a connection to a judge."""
+    match event:
         case Event.CLIENT_SENT:
-            checked.client_sent(entry.name, entry.line)
+            checked.client_sent(name, line)
         case Event.CLIENT_RECEIVED:
-            checked.client_received(entry.name, entry.line)
+            checked.client_received(name, line)
         case Event.CLIENT_CLOSED:
-            checked.client_closed(entry.name)
+            checked.client_closed(name)
         case Event.UPSTREAM_RECEIVED:
-            checked.upstream_received(entry.name, entry.line)
+            checked.upstream_received(name, line)
         case Event.UPSTREAM_SENT:
-            checked.upstream_sent(entry.name, entry.line)
+            checked.upstream_sent(name, line)
         case Event.UPSTREAM_CLOSED:
-            checked.upstream_closed(entry.name)
+            checked.upstream_closed(name)
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/lines.py
@@ -48,7 +48,7 @@
         replica_set: replicas.ReplicaSet,
         member: replicas.Member,
         statement_duration_s: float,
-        observed: observer.Observer | None = None,
+        recorder: observer.UpstreamRecorder | None = None,
     ) -> None:
         self.received_ids: list[str] = []
         self._replica_set = replica_set
@@ -56,7 +56,7 @@
         self._statement_duration_s = statement_duration_s
         self._writers: set[asyncio.StreamWriter] = set()
         self._database = ""
-        self._observer = observed or observer.Observer()
+        self._recorder = recorder or observer.UpstreamRecorder()
         self._receipts = itertools.count(1)
 
     @contextlib.asynccontextmanager
@@ -83,7 +83,7 @@
         self._writers.add(writer)
         session = statements.UpstreamSession(self._member)
         try:
-            with self._observer.connection(self._member.name) as connection:
+            with self._recorder.connection(self._member.name) as connection:
                 await self._serve(connection, session, reader, writer)
         except (
             asyncio.IncompleteReadError,
@@ -98,7 +98,7 @@
 
     async def _serve(
         self,
-        connection: observer.ObservedConnection,
+        connection: observer.RecordedConnection,
         session: statements.UpstreamSession,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/observer.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/observer.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterator
 
 
-class ObservedConnection:
+class RecordedConnection:
     """An upstream connection whose messages are judged and written down."""
 
     def __init__(
@@ -39,12 +39,11 @@
     def _pass_on(self, event: journal.Event, line: bytes) -> None:
         if self._journal is not None:
             self._journal.add(event, self._name, line)
-        entry = journal.Entry(0, event, self._name, line)
-        journal.feed(self._checked, entry)
+        journal.feed(self._checked, event, self._name, line)
 
 
-class Observer:
-    """Observes the connections of all upstreams of a stand-in.
+class UpstreamRecorder:
+    """Records the connections of all upstreams of a stand-in.
 
     Attributes:
       judge: judges the upstreams' side as it happens.
@@ -56,10 +55,10 @@
         self._numbers = itertools.count(1)
 
     @contextlib.contextmanager
-    def connection(self, upstream: str) -> Iterator[ObservedConnection]:
-        """Observes a connection to an upstream until it ends."""
+    def connection(self, upstream: str) -> Iterator[RecordedConnection]:
+        """Records a connection to an upstream until it ends."""
         name = f"{upstream}#{next(self._numbers)}"
-        connection = ObservedConnection(name, self.judge, self._journal)
+        connection = RecordedConnection(name, self.judge, self._journal)
         try:
             yield connection
         finally:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -50,7 +50,7 @@
     """The key-value store and one replica set, with the HTTP calls on them."""
 
     def __init__(self, written: journal.Journal | None = None) -> None:
-        self.observer = observer.Observer(written)
+        self.recorder = observer.UpstreamRecorder(written)
         self.store = kv.KeyValueStore()
         names = ("u-a", "u-b", "u-c")
         self.members = {
@@ -270,7 +270,7 @@
         return _json_response(ids=ids, committed=committed)
 
     def _list_violations(self) -> http.Response:
-        checked = self.observer.judge
+        checked = self.recorder.judge
         violations = [
             {"rule": violation.rule.value, "detail": violation.detail}
             for violation in checked.violations
@@ -311,7 +311,7 @@
                 platform.replica_set,
                 member,
                 statement_duration_s,
-                platform.observer,
+                platform.recorder,
             )
             platform.listeners[name] = listener
             listening = listener.serving(DATABASE)
