Take the ids of statements from one place

Cause: three counters gave ids, two of them with the same prefix, and a judge takes statements with the same id for one. Change: next_statement_id. Conclusion: ids don't repeat in a deployment.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -40,6 +40,15 @@
 _statement_numbers = itertools.count(1)
 
 
+def next_statement_id() -> str:
+    """Returns an id that no other statement of this process has.
+
+    The judge identifies a statement by its id, so ids don't repeat in a
+    deployment.
+    """
+    return f"q{next(_statement_numbers)}"
+
+
 class ViolationError(AssertionError):
     """Clients or upstreams saw what the rules forbid."""
 
@@ -320,7 +329,7 @@
 
     async def execute(self, text: str) -> list[str]:
         """Sends a statement and returns the lines of the answer."""
-        statement_id = f"q{next(_statement_numbers)}"
+        statement_id = next_statement_id()
         self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         return await self.read_answer()
 
--- a/tests/functional/test_hosted_stop.py
+++ b/tests/functional/test_hosted_stop.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import os
 import random
 import signal
@@ -42,7 +41,6 @@
     "at once": (("READ a",) * 4, 0.0),
     "with pauses": (("READ a",) * 4, 0.05),
 }
-_numbers = itertools.count(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,7 +155,8 @@
     async with deployment.session(address, stop_load.PRIMARY_ROUTE) as client:
         await asyncio.sleep(LEAD_S + DRAINING_S)
         lines = [
-            f"QUERY ahead{next(_numbers)} {text}\r\n".encode() for text in texts
+            f"QUERY {deployment.next_statement_id()} {text}\r\n".encode()
+            for text in texts
         ]
         # Without pauses, in one write, so that they arrive together.
         for data in lines if interval_s else [b"".join(lines)]:
--- a/tests/functional/test_hosted_stop_end.py
+++ b/tests/functional/test_hosted_stop_end.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import itertools
 import os
 import signal
 import socket
@@ -28,7 +27,6 @@
 REFUSED = "refused"
 REFUSAL = f"ERROR BUSY {stop_load.REPLICA_ROUTE}\r\n".encode()
 START = f"START {stop_load.REPLICA_ROUTE} tester"
-_numbers = itertools.count(1)
 
 
 def _connect_and_send(
@@ -43,7 +41,8 @@
     sock = socket.socket()
     try:
         sock.connect((host, int(port)))
-        data = f"{START}\r\nQUERY q{next(_numbers)} {text}\r\n".encode()
+        statement_id = deployment.next_statement_id()
+        data = f"{START}\r\nQUERY {statement_id} {text}\r\n".encode()
         recorded.sent(data)
         sock.sendall(data)
     except ConnectionRefusedError:
