--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -40,6 +40,15 @@
 _statement_numbers = itertools.count(1)
 
 
+def next_statement_id() -> str:
+    """Returns an id that no other statement of this process has.
+
+    The judge identifies a statement by its id, so ids don't repeat in a
+    deployment.
+    """
+    return f"q{next(_statement_numbers)}"
+
+
 class ViolationError(AssertionError):
     """Clients or upstreams saw what the rules forbid."""
 
@@ -173,15 +182,19 @@
             deployment = _start(
                 stack, folder, host_count, source_tree, statement_duration_s
             )
-            async with asyncio.timeout(START_TIMEOUT_S):
-                for host in deployment.hosts:
-                    while not await is_ready(host):
-                        await asyncio.sleep(0.05)
+            await _wait_until_ready(deployment.hosts)
             yield deployment
         # All processes have ended, so both journals are complete.
         _check_journals(paths)
 
 
+async def _wait_until_ready(hosts: Iterable[HostProcess]) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for host in hosts:
+            while not await is_ready(host):
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+
 def _start(
     stack: contextlib.ExitStack,
     folder: pathlib.Path,
@@ -216,10 +229,11 @@
     Raises:
       ViolationError: if a rule was broken.
     """
-    violations = journal.find_violations(paths)
-    if violations:
-        shown = "\n".join(map(str, violations[:MAX_SHOWN_VIOLATIONS]))
-        raise ViolationError(f"{len(violations)} violations:\n{shown}")
+    checked = journal.judge_journals(paths)
+    if checked.violation_count:
+        kept = itertools.islice(checked.violations, MAX_SHOWN_VIOLATIONS)
+        shown = "\n".join(map(str, kept))
+        raise ViolationError(f"{checked.violation_count} violations:\n{shown}")
 
 
 @contextlib.contextmanager
@@ -315,7 +329,7 @@
 
     async def execute(self, text: str) -> list[str]:
         """Sends a statement and returns the lines of the answer."""
-        statement_id = f"q{next(_statement_numbers)}"
+        statement_id = next_statement_id()
         self.writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         return await self.read_answer()
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/journal.py
@@ -107,27 +107,27 @@
             yield Entry(at_ns, Event(event), name, text.encode(ENCODING))
 
 
-def find_violations(paths: Iterable[pathlib.Path]) -> list[judge.Violation]:
-    """Judges what the journals hold together."""
+def judge_journals(paths: Iterable[pathlib.Path]) -> judge.Judge:
+    """Returns a judge of what the journals hold together."""
     checked = judge.Judge()
     journals = [read_entries(path) for path in paths]
     for entry in heapq.merge(*journals, key=lambda entry: entry.at_ns):
-        feed(checked, entry)
-    return list(checked.violations)
+        feed(checked, entry.event, entry.name, entry.line)
+    return checked
 
 
-def feed(checked: judge.Judge, entry: Entry) -> None:
-    """Feeds an entry to a judge."""
-    match entry.event:
+def feed(checked: judge.Judge, event: Event, name: str, line: bytes) -> None:
+    """Feeds an event on a connection to a judge."""
+    match event:
         case Event.CLIENT_SENT:
-            checked.client_sent(entry.name, entry.line)
+            checked.client_sent(name, line)
         case Event.CLIENT_RECEIVED:
-            checked.client_received(entry.name, entry.line)
+            checked.client_received(name, line)
         case Event.CLIENT_CLOSED:
-            checked.client_closed(entry.name)
+            checked.client_closed(name)
         case Event.UPSTREAM_RECEIVED:
-            checked.upstream_received(entry.name, entry.line)
+            checked.upstream_received(name, line)
         case Event.UPSTREAM_SENT:
-            checked.upstream_sent(entry.name, entry.line)
+            checked.upstream_sent(name, line)
         case Event.UPSTREAM_CLOSED:
-            checked.upstream_closed(entry.name)
+            checked.upstream_closed(name)
