Mend what the review of the incident's fix found

- Data of an upstream that came between two replies, in a chunk of its own, was kept for the next reply.
The connection knows now whether it awaits one.
- A reply with a receipt and an error was a failure that promises that nothing was kept; one with a receipt that no line can carry failed when the answer was encoded.
Both close the connection.
- A statement whose name an upstream had lost was never tried again at the primary.
It is; the connection is reset first.
- A connection whose reset always fails was kept.
It is closed.
- explain failed on a shape with bytes outside UTF-8, and sent control characters to the terminal.
It escapes them.
- An EXECUTE with an empty item was sent on.
It is malformed.
- The acknowledgement of a host with a slash in its name was another's.

--- a/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/explain.py
+++ b/packages/fescueshunt-cli/src/fescueshunt_cli/_internal/commands/explain.py
@@ -34,7 +34,7 @@
             entries = host_log.read_entries(_read_lines(files, exit_stack))
             explanation = host_log.explain(entries, statement)
         for line in format_report(explanation, statement):
-            print(line)
+            print(_printable(line))
         return base.SUCCESS if explanation.entries else base.FAILURE
 
 
@@ -56,6 +56,17 @@
         yield f"  {part.entry.event}{age}: {_join_details(part.entry)}"
 
 
+def _printable(line: str) -> str:
+    """Escapes what a terminal would interpret or can't show.
+
+    Logs contain texts that clients have sent.
+    """
+    return "".join(
+        char if char.isprintable() else char.encode("unicode_escape").decode()
+        for char in line
+    )
+
+
 def _read_lines(
     files: tuple[pathlib.Path, ...], exit_stack: contextlib.ExitStack
 ) -> Iterator[str]:
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
@@ -40,13 +40,13 @@
     Raises:
       FrameError: if the line does not start a session.
     """
-    keyword, _, fields_text = texts.Line(line).partition(" ")
-    name, _, account = fields_text.partition(" ")
+    keyword, fields_text = texts.Line(line).split_word()
+    name, account = fields_text.split_word()
     if keyword != "START" or (
         sizes.is_too_long(name) or sizes.is_too_long(account)
     ):
         raise errors.FrameError("expected the start of a session")
-    return texts.Word(name), texts.Line(account)
+    return texts.Word(name), account
 
 
 def decode_statement(line: str) -> sessions.Statement | None:
@@ -55,15 +55,19 @@
     Raises:
       FrameError: if the line is neither a statement nor the session's end.
     """
-    keyword, _, fields_text = texts.Line(line).partition(" ")
+    keyword, fields_text = texts.Line(line).split_word()
     if keyword == "TERMINATE":
         return None
-    statement_id, _, text = fields_text.partition(" ")
+    statement_id, text = fields_text.split_word()
     if keyword != "QUERY" or sizes.is_too_long(statement_id):
         raise errors.FrameError("expected a statement")
-    statement = _parse_statement(texts.Word(statement_id), texts.Line(text))
+    statement = _parse_statement(texts.Word(statement_id), text)
+    if statement_id == lines.PROXY_STATEMENT_ID:
+        return dataclasses.replace(statement, verb=sessions.Verb.INVALID)
+    if len(line) < sizes.MIN_CHECKED_CHARS:
+        return statement
     size = sizes.upstream_size(statement, line)
-    if statement_id == lines.PROXY_STATEMENT_ID or size > sizes.MAX_LINE_BYTES:
+    if size > sizes.MAX_LINE_BYTES:
         return dataclasses.replace(statement, verb=sessions.Verb.INVALID)
     if size + sizes.MIN_POSITION_BYTES > sizes.MAX_LINE_BYTES:
         return dataclasses.replace(statement, fits_min_position=False)
@@ -73,21 +77,21 @@
 def _parse_statement(
     statement_id: texts.Word, text: texts.Line
 ) -> sessions.Statement:
-    keyword, _, fields_text = text.partition(" ")
-    name, _, argument = fields_text.partition(" ")
+    keyword, fields_text = text.split_word()
+    name, argument = fields_text.split_word()
     verb = _VERB_BY_KEYWORD.get(keyword, sessions.Verb.INVALID)
     if not _is_well_formed(verb, text, name, argument):
         verb = sessions.Verb.INVALID
-    kind, _, shape = argument.partition(" ")
+    kind, shape = argument.split_word()
     prepares = verb is sessions.Verb.PREPARE
     return sessions.Statement(
         statement_id,
         verb,
         text,
         name=name,
-        argument=texts.Line(argument),
+        argument=argument,
         writes=prepares and kind == WRITE,
-        shape=texts.Line(shape if prepares else ""),
+        shape=shape if prepares else texts.EMPTY,
         read_only=text == BEGIN_READ_ONLY,
     )
 
@@ -105,8 +109,10 @@
             return bool(name)
         case sessions.Verb.WRITE:
             return bool(name and argument)
-        case sessions.Verb.SET_VALUE | sessions.Verb.EXECUTE:
+        case sessions.Verb.SET_VALUE:
             return _is_name(name) and bool(argument)
+        case sessions.Verb.EXECUTE:
+            return _is_name(name) and bool(argument.partition(" ")[0])
         case sessions.Verb.PREPARE:
             kind, _, shape = argument.partition(" ")
             return _is_name(name) and kind in (READ, WRITE) and bool(shape)
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -232,7 +232,7 @@
 class ReplyDecoder:
     """Assembles the replies of an upstream from their lines.
 
-    The first one, to the start of the session, has no receipt.
+    The reply to the start of the session has neither receipt nor failure.
     """
 
     def __init__(self) -> None:
@@ -240,6 +240,7 @@
         self._clear()
 
     def _clear(self) -> None:
+        self._has_outcome = False
         self._rows: list[str] = []
         self._receipt = ""
         self._failure: sessions.Failure | None = None
@@ -253,11 +254,13 @@
         """
         keyword, _, fields_text = line.partition(" ")
         match keyword:
-            case "ROW":
+            case "ROW" if not self._has_outcome:
                 self._add_row(fields_text)
-            case "COMPLETE" if fields_text:
-                self._receipt = fields_text
-            case "ERROR":
+            case "COMPLETE" if fields_text and not self._has_outcome:
+                self._receipt = texts.Line(fields_text)
+                self._has_outcome = True
+            case "ERROR" if not self._has_outcome:
+                self._has_outcome = True
                 code, _, self._detail = fields_text.partition(" ")
                 self._failure = _FAILURE_BY_CODE.get(
                     code, sessions.Failure.FAILED
@@ -290,8 +293,7 @@
         state_code, _, position_text = fields_text.partition(" ")
         if state_code not in _STATE_BY_CODE:
             raise errors.FrameError("unknown transaction state from upstream")
-        has_outcome = self._receipt or self._failure is not None
-        if self._has_started and not has_outcome:
+        if self._has_started and not self._has_outcome:
             raise errors.FrameError("reply without an outcome from upstream")
         self._has_started = True
         reply = sessions.UpstreamReply(
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/sizes.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/sizes.py
@@ -13,6 +13,9 @@
 LINE_END = b"\r\n"
 # `SINCE`, a term, a dot and an index, with the spaces between and behind them.
 MIN_POSITION_BYTES = len("SINCE . ") + 2 * digits.MAX_DIGITS
+# The size of a shorter line needs no check: a character has up to four bytes,
+# and far less than a half of the largest line is added.
+MIN_CHECKED_CHARS = MAX_LINE_BYTES // 8
 # The longest name, id or account of a client.
 MAX_WORD_CHARS = 1000
 
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/upstreams.py
@@ -76,6 +76,7 @@
         self._transport = transport
 
     def send(self, call: sessions.UpstreamCall) -> None:
+        self._transport.get_protocol().expect_reply()
         self._transport.write(lines.encode_call(call))
 
     def close(self) -> None:
@@ -95,11 +96,17 @@
         self._splitter = lines.LineSplitter()
         self._decoder = lines.ReplyDecoder()
         self._transport: asyncio.Transport | None = None
+        # The reply to the start comes first.
+        self._expects_reply = True
         self.is_closing = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
 
+    def expect_reply(self) -> None:
+        """Permits one more reply, to a call that is sent now."""
+        self._expects_reply = True
+
     def data_received(self, data: bytes) -> None:
         try:
             reply = self._decode_reply(data)
@@ -117,9 +124,11 @@
         """Returns the reply that `data` completes, or None.
 
         Raises:
-          FrameError: if the data can't be part of a reply, or continues after
-            it. At most one call is in flight, so that nothing follows a reply.
+          FrameError: if the data can't be part of a reply to the call in
+            flight, or continues after it.
         """
+        if not self._expects_reply:
+            raise errors.FrameError(UNEXPECTED_DATA)
         reply = None
         for line in self._splitter.split(data):
             if reply is not None:
@@ -129,6 +138,7 @@
                 self._refuse_start()
         if reply is not None and self._splitter.has_incomplete_line:
             raise errors.FrameError(UNEXPECTED_DATA)
+        self._expects_reply = reply is None
         return reply
 
     def _handle_reply(self, reply: sessions.UpstreamReply) -> None:
--- a/packages/fescueshunt/src/fescueshunt/core/leadership.py
+++ b/packages/fescueshunt/src/fescueshunt/core/leadership.py
@@ -104,7 +104,14 @@
 
 def ack_key(database: str, host: str) -> str:
     """Returns the key with which `host` acknowledges a failover."""
-    return f"{ACKS_PREFIX}{database}/{host}"
+    escaped_host = host.replace("%", "%25").replace("/", "%2F")
+    return f"{ACKS_PREFIX}{database}/{escaped_host}"
+
+
+def parse_ack_key(key: str) -> tuple[str, str]:
+    """Returns the database and the host of a key made by `ack_key`."""
+    database, _, host = key.removeprefix(ACKS_PREFIX).rpartition("/")
+    return database, host.replace("%2F", "/").replace("%25", "%")
 
 
 def format_record(record: Record) -> str:
--- a/packages/fescueshunt/src/fescueshunt/core/texts.py
+++ b/packages/fescueshunt/src/fescueshunt/core/texts.py
@@ -14,7 +14,7 @@
 # Neither white space of any kind nor control characters, which some readers
 # take for the end of a field.
 _WORD = re.compile(r"[^\s\x00-\x20\x7f]+")
-_LINE_BREAK = re.compile(r"[\r\n\x00]")
+_LINE_BREAKS = ("\r", "\n", "\0")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -49,10 +49,18 @@
         """Returns `text` as a line."""
         if type(text) is cls:
             return text
-        if _LINE_BREAK.search(text):
+        if any(char in text for char in _LINE_BREAKS):
             raise errors.FrameError("unexpected line break")
         return super().__new__(cls, text)
 
+    def split_word(self) -> tuple[str, Line]:
+        """Returns the text before the first blank, and what follows the blank.
+
+        What follows has no line break either, so it isn't checked again.
+        """
+        word, _, rest = self.partition(" ")
+        return word, str.__new__(Line, rest)
+
 
 EMPTY = Line("")
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/reply_checks.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/reply_checks.py
@@ -1,7 +1,7 @@
 """Finds replies after which a connection can't be used again.
 
-They can't follow from their call, or report that a rollback failed. After such
-a reply, the transaction of the connection is not what this host
+They can't follow from their call, or report that a rollback or a reset failed.
+After such a reply, the transaction of the connection is not what this host
 believes. A statement that ran on the connection could then run in no
 transaction, or in a wrong one.
 """
@@ -29,6 +29,8 @@
 
     A statement that fails may leave a transaction open, failed or ended.
     """
+    if isinstance(call, sessions.Reset) and reply.failure is not None:
+        return reply.failure not in sessions.NOT_RUN
     if conn.job is None:
         is_rollback = isinstance(call, sessions.Rollback)
         has_failed = is_rollback and reply.failure is not None
--- a/packages/fescueshunt/src/fescueshunt/sessions/retry.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/retry.py
@@ -19,6 +19,11 @@
     from fescueshunt.sessions import items
 
 MAX_ATTEMPTS = 8
+# The failures after which the same upstream may run the statement: it was busy,
+# or its connection lacked a prepared statement and is reset first.
+WORTH_ANOTHER_TRY = frozenset(
+    {sessions.Failure.BUSY, sessions.Failure.NO_STATEMENT}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,8 +54,8 @@
     """
     not_run = not is_client_statement or reply.failure in sessions.NOT_RUN
     if not_run and _may_run_elsewhere(job) and _has_time(job, now):
-        is_busy = reply.failure is sessions.Failure.BUSY
-        return Decision(None, avoid_upstream=not is_busy)
+        may_run_there = reply.failure in WORTH_ANOTHER_TRY
+        return Decision(None, avoid_upstream=not may_run_there)
     failure = reply.failure
     if not is_client_statement:
         failure = sessions.Failure.BUSY
--- a/packages/fescueshunt/src/fescueshunt/takeover/participants.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/participants.py
@@ -79,8 +79,7 @@
             self._leases[host] = stored.lease
             self._removed_at.pop(host, None)
         elif key.startswith(leadership.ACKS_PREFIX):
-            database_and_host = key.removeprefix(leadership.ACKS_PREFIX)
-            database, _, acknowledging_host = database_and_host.rpartition("/")
+            database, acknowledging_host = leadership.parse_ack_key(key)
             value = stored.value if stored is not None else ""
             announcement = digits.parse_number(value) or 0
             self._acks[(database, acknowledging_host)] = announcement
--- a/tests/unit/test_review_texts.py
+++ b/tests/unit/test_review_texts.py
@@ -20,18 +20,6 @@
 REPLY = b"ROW a\r\nCOMPLETE r\r\nREADY I 1.2\r\n"
 
 
-class _Transport(replies._Transport):
-    def __init__(self) -> None:
-        super().__init__()
-        self.protocol: asyncio.BaseProtocol | None = None
-
-    def get_protocol(self) -> asyncio.BaseProtocol | None:
-        return self.protocol
-
-    def write(self, data: bytes) -> None:
-        del data
-
-
 def _explain(log: str, statement: str) -> subprocess.CompletedProcess:
     code = (
         "import pathlib, sys\n"
@@ -68,7 +56,7 @@
 # as not kept.
 @pytest.mark.parametrize("line", [b"ROW b\r\n", b"ERROR BUSY -\r\n", b"RO"])
 def test_connection_with_data_between_replies_is_closed(line: bytes):
-    listener, transport = replies._Listener(), _Transport()
+    listener, transport = replies._Listener(), replies._Transport()
     loop = asyncio.new_event_loop()
     protocol = upstreams._UpstreamProtocol(listener, loop.create_future())
     loop.close()
--- a/tests/unit/test_upstream_replies.py
+++ b/tests/unit/test_upstream_replies.py
@@ -16,6 +16,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.is_aborted = False
+        self.protocol: asyncio.BaseProtocol | None = None
+
+    def get_protocol(self) -> asyncio.BaseProtocol | None:
+        return self.protocol
+
+    def write(self, data: bytes) -> None:
+        del data
 
     def abort(self) -> None:
         self.is_aborted = True
@@ -39,13 +46,16 @@
 
 
 def _receive(*chunks: bytes) -> tuple[_Listener, _Transport]:
-    """Starts a connection and receives `chunks`."""
+    """Starts a connection, sends a call and receives `chunks`."""
     listener, transport = _Listener(), _Transport()
     loop = asyncio.new_event_loop()
     protocol = upstreams._UpstreamProtocol(listener, loop.create_future())
     loop.close()
+    transport.protocol = protocol
     protocol.connection_made(transport)
-    for chunk in (b"READY I -\r\n", *chunks):
+    protocol.data_received(b"READY I -\r\n")
+    upstreams._LineProtocolConnection(transport).send(sessions.GetStatus())
+    for chunk in chunks:
         protocol.data_received(chunk)
     return listener, transport
 
