Check constant fields once, and spare what each statement doesn't need

Change: keywords, codes and the lines that end an answer are made once; a line is searched without a generator; a transaction is only ended for a new one if a connection is held. The rest of the difference is the check of what clients send. Codec, fuzz and connection tests pass.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/client_lines.py
@@ -12,17 +12,17 @@
 from fescueshunt.core import sessions, texts
 from fescueshunt_proxy.platform import lines, sizes
 
-BEGIN = "BEGIN"
-BEGIN_READ_ONLY = "BEGIN READ"
-READ = "READ"
-WRITE = "WRITE"
+_BEGIN = "BEGIN"
+_BEGIN_READ_ONLY = "BEGIN READ"
+_READ = "READ"
+_WRITE = "WRITE"
 
 _VERB_BY_KEYWORD = {
-    BEGIN: sessions.Verb.BEGIN,
+    _BEGIN: sessions.Verb.BEGIN,
     "COMMIT": sessions.Verb.COMMIT,
     "ROLLBACK": sessions.Verb.ROLLBACK,
-    READ: sessions.Verb.READ,
-    WRITE: sessions.Verb.WRITE,
+    _READ: sessions.Verb.READ,
+    _WRITE: sessions.Verb.WRITE,
     "SET": sessions.Verb.SET_VALUE,
     "PREPARE": sessions.Verb.PREPARE,
     "EXECUTE": sessions.Verb.EXECUTE,
@@ -90,9 +90,9 @@
         text,
         name=name,
         argument=argument,
-        writes=prepares and kind == WRITE,
+        writes=prepares and kind == _WRITE,
         shape=shape if prepares else texts.EMPTY,
-        read_only=text == BEGIN_READ_ONLY,
+        read_only=text == _BEGIN_READ_ONLY,
     )
 
 
@@ -102,7 +102,7 @@
     """Returns whether a statement has the fields of its verb, and no others."""
     match verb:
         case sessions.Verb.BEGIN:
-            return text in (BEGIN, BEGIN_READ_ONLY)
+            return text in (_BEGIN, _BEGIN_READ_ONLY)
         case sessions.Verb.COMMIT | sessions.Verb.ROLLBACK:
             return text in _VERB_BY_KEYWORD
         case sessions.Verb.READ:
@@ -115,7 +115,7 @@
             return _is_name(name) and bool(argument.partition(" ")[0])
         case sessions.Verb.PREPARE:
             kind, _, shape = argument.partition(" ")
-            return _is_name(name) and kind in (READ, WRITE) and bool(shape)
+            return _is_name(name) and kind in (_READ, _WRITE) and bool(shape)
         case sessions.Verb.DEALLOCATE:
             return _is_name(name) and not argument
     return False
--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -18,10 +18,19 @@
 
 ENCODING = "utf-8"
 OTHER_BYTES = "surrogateescape"
-EMPTY_FIELD = "-"
+EMPTY_FIELD = texts.Line("-")
 # Marks the statements of a proxy itself.
-PROXY_STATEMENT_ID = "-"
+PROXY_STATEMENT_ID = texts.Word("-")
 MIN_POSITION_KEYWORD = "SINCE"
+_QUERY = texts.Word("QUERY")
+_EXECUTE = texts.Word("EXECUTE")
+_PREPARE = texts.Word("PREPARE")
+_SET = texts.Word("SET")
+_READ = texts.Word("READ")
+_WRITE = texts.Word("WRITE")
+_ROW = texts.Word("ROW")
+_COMPLETE = texts.Word("COMPLETE")
+_ERROR = texts.Word("ERROR")
 # Of the description of a failure.
 MAX_DETAIL_CHARS = 500
 MS_PER_S = 1000
@@ -31,7 +40,6 @@
     "T": sessions.TransactionState.OPEN,
     "E": sessions.TransactionState.FAILED,
 }
-_CODE_BY_STATE = {state: code for code, state in _STATE_BY_CODE.items()}
 _FAILURE_BY_CODE = {
     "BUSY": sessions.Failure.BUSY,
     "ABORTED": sessions.Failure.ABORTED,
@@ -46,7 +54,9 @@
     "NODB": sessions.Failure.NO_DATABASE,
     "MALFORMED": sessions.Failure.INVALID,
 }
-_CODE_BY_FAILURE = {failure: code for code, failure in _FAILURE_BY_CODE.items()}
+_CODE_BY_FAILURE = {
+    failure: texts.Word(code) for code, failure in _FAILURE_BY_CODE.items()
+}
 _ROLE_BY_NAME = {
     "primary": sessions.ReplicaRole.PRIMARY,
     "replica": sessions.ReplicaRole.REPLICA,
@@ -114,28 +124,32 @@
     return data
 
 
+_READY_LINE_BY_STATE = {
+    state: encode_fields("READY", code, EMPTY_FIELD)
+    for code, state in _STATE_BY_CODE.items()
+}
+
+
 def encode_answer(answer: sessions.SessionAnswer) -> bytes:
     """Encodes all lines of the answer to a client's statement."""
-    lines = [encode_fields("ROW", row) for row in answer.rows]
+    lines = [encode_fields(_ROW, row) for row in answer.rows]
     if answer.failure is None:
-        lines.append(encode_fields("COMPLETE", answer.receipt or EMPTY_FIELD))
+        lines.append(encode_fields(_COMPLETE, answer.receipt or EMPTY_FIELD))
     else:
         lines.append(encode_failure(answer.failure, answer.detail))
-    lines.append(
-        encode_fields("READY", _CODE_BY_STATE[answer.state], EMPTY_FIELD)
-    )
+    lines.append(_READY_LINE_BY_STATE[answer.state])
     return b"".join(lines)
 
 
 def encode_failure(failure: sessions.Failure, detail: str) -> bytes:
     """Encodes a failure as an error line; a long `detail` is cut."""
     detail = texts.shorten(detail or EMPTY_FIELD, MAX_DETAIL_CHARS)
-    return encode_fields("ERROR", _CODE_BY_FAILURE[failure], detail)
+    return encode_fields(_ERROR, _CODE_BY_FAILURE[failure], detail)
 
 
 def encode_welcome() -> bytes:
     """Encodes the line that confirms to a client that its session is open."""
-    return encode_fields("READY", "I", EMPTY_FIELD)
+    return _READY_LINE_BY_STATE[sessions.TransactionState.IDLE]
 
 
 def encode_start(database: str, caller: str, upstream: str) -> bytes:
@@ -154,25 +168,25 @@
         case sessions.RunStatement():
             statement = call.statement
             text = _add_min_position(call.min_position, statement.text)
-            return encode_fields("QUERY", statement.statement_id, text)
+            return encode_fields(_QUERY, statement.statement_id, text)
         case sessions.RunPrepared():
-            text = _join_fields("EXECUTE", call.name, call.statement.argument)
+            text = _join_fields(_EXECUTE, call.name, call.statement.argument)
             text = _add_min_position(call.min_position, text)
-            return encode_fields("QUERY", call.statement.statement_id, text)
+            return encode_fields(_QUERY, call.statement.statement_id, text)
         case sessions.Begin():
             text = _add_min_position(call.min_position, call.statement.text)
-            return encode_fields("QUERY", call.statement.statement_id, text)
+            return encode_fields(_QUERY, call.statement.statement_id, text)
         case sessions.Rollback(
             statement=sessions.Statement() as rollback_statement
         ):
             return encode_fields(
-                "QUERY",
+                _QUERY,
                 rollback_statement.statement_id,
                 rollback_statement.text,
             )
         case _:
             return encode_fields(
-                "QUERY", PROXY_STATEMENT_ID, _format_internal_call(call)
+                _QUERY, PROXY_STATEMENT_ID, _format_internal_call(call)
             )
 
 
@@ -181,9 +195,9 @@
         case sessions.Rollback():
             return "ROLLBACK"
         case sessions.SetValue():
-            return _join_fields("SET", call.name, call.value)
+            return _join_fields(_SET, call.name, call.value)
         case sessions.Prepare():
-            kind = "WRITE" if call.prepared.writes else "READ"
+            kind = _WRITE if call.prepared.writes else _READ
             return _join_fields("PREPARE", call.name, kind, call.prepared.shape)
         case sessions.Reset():
             return "RESET"
--- a/packages/fescueshunt/src/fescueshunt/core/texts.py
+++ b/packages/fescueshunt/src/fescueshunt/core/texts.py
@@ -14,7 +14,6 @@
 # Neither white space of any kind nor control characters, which some readers
 # take for the end of a field.
 _WORD = re.compile(r"[^\s\x00-\x20\x7f]+")
-_LINE_BREAKS = ("\r", "\n", "\0")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -49,7 +48,7 @@
         """Returns `text` as a line."""
         if type(text) is cls:
             return text
-        if any(char in text for char in _LINE_BREAKS):
+        if "\r" in text or "\n" in text or "\0" in text:
             raise errors.FrameError("unexpected line break")
         return super().__new__(cls, text)
 
--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -97,10 +97,11 @@
     ) -> Iterator[filters.Item]:
         conn = self._pools.held_by_client.get(job.client)
         if not job.continues_transaction:
-            # A connection that is still held is left from another transaction.
-            yield from self._transactions.end(
-                items.RollBackTransaction(now, job.client)
-            )
+            if conn is not None:
+                # It is left from another transaction.
+                yield from self._transactions.end(
+                    items.RollBackTransaction(now, job.client)
+                )
             yield from self._runner.enqueue(job, now)
         elif conn is None:
             yield from self._transactions.fail_without_connection(job, now)
