Log each prepared statement once by a host, not for each connection

The name depends on kind and shape only, so one line says all. test_statement_is_logged_once_by_a_host fails without the change.

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -42,6 +42,7 @@
     from fescueshunt.sessions import choose
 
 POOL_LOG_INTERVAL_S = 2.0
+MAX_LOGGED_NAMES = 10_000
 
 
 class Dispatcher(filters.Filter):
@@ -63,6 +64,7 @@
             self._pools, self._runner, self._closer
         )
         self._next_pool_log_at = 0.0
+        self._logged_names: set[str] = set()
         self._completed_calls: collections.Counter[str] = collections.Counter()
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
@@ -125,7 +127,7 @@
         conn_pool = self._pools.by_upstream[conn.upstream]
         call = conn.pending_calls.popleft()
         yield from calls.report_reply(conn_pool, conn, call, item)
-        if steps.is_setup_call(call):
+        if steps.is_setup_call(call) and self._is_news(call, item.reply):
             yield from reports.setup_call_replied(conn, call, item)
         if item.reply.failure is None:
             self._completed_calls[type(call).__name__] += 1
@@ -140,6 +142,22 @@
         else:
             yield from self._runner.release(conn, item.at)
 
+    def _is_news(
+        self, call: sessions.UpstreamCall, reply: sessions.UpstreamReply
+    ) -> bool:
+        """Returns whether the outcome of a set-up call is to be logged.
+
+        A statement has the same name on all connections, which is logged once.
+        """
+        if reply.failure is not None or not isinstance(call, sessions.Prepare):
+            return True
+        if call.name in self._logged_names:
+            return False
+        if len(self._logged_names) >= MAX_LOGGED_NAMES:
+            self._logged_names.clear()
+        self._logged_names.add(call.name)
+        return True
+
     def _close_after_unexpected_reply(
         self,
         conn: pool.Connection,
--- a/tests/lib/connection_world.py
+++ b/tests/lib/connection_world.py
@@ -48,6 +48,7 @@
       sent: the calls that arrived at upstreams, with their connection.
       answers: the answers to clients, by the id of the statement.
       suspicions: the suspicions that an upstream has failed.
+      decisions: the logged decisions.
       faults: what happens to the next calls.
       links: the connections by their number, also those that have ended.
     """
@@ -60,6 +61,7 @@
         self.answers: dict[str, sessions.SessionAnswer] = {}
         self.control_replies: list[session_items.UpstreamCallCompleted] = []
         self.suspicions: list[session_items.UpstreamSuspected] = []
+        self.decisions: list[session_items.LogDecision] = []
         self.faults: list[connection_judge.Fault] = []
         self.links: dict[int, connection_judge.Link] = {}
         self.judge = connection_judge.Judge()
@@ -201,6 +203,8 @@
                 self.control_replies.append(effect)
             case session_items.UpstreamSuspected():
                 self.suspicions.append(effect)
+            case session_items.LogDecision():
+                self.decisions.append(effect)
 
     def _opener(self, link: connection_judge.Link) -> Callable[[], None]:
         def opened() -> None:
--- a/tests/unit/test_setup_reports.py
+++ b/tests/unit/test_setup_reports.py
@@ -6,6 +6,7 @@
 
 from fescueshunt.core import session_items, sessions
 from fescueshunt.sessions import pool, reports
+from lib import connection_world
 
 SHAPE = "q5 READ cq"
 NAME = "name-1"
@@ -57,3 +58,21 @@
     call = sessions.Prepare(NAME, sessions.Prepared(False, "x" * 100_000))
     (event,) = _events(call, None)
     assert len(event.details["shape"]) == reports.MAX_LOGGED_CHARS
+
+
+# Failure: each connection on which a statement is prepared again took a line of
+# the log, so that the lines on other statements were left out.
+def test_statement_is_logged_once_by_a_host():
+    world = connection_world.ConnectionWorld(max_connections=4)
+    world.connect(1, 2, 3)
+    for client in (1, 2, 3):
+        for text in ("READ a", "READ b"):
+            world.do(client, f"SET x{client} 1", f"PREPARE s {text}")
+            assert world.do(client, "EXECUTE s i") == ["ok"]
+    assert len(world.calls_of(sessions.Prepare)) > 2
+    prepared = [
+        event.details["shape"]
+        for event in world.decisions
+        if event.event == "statement_prepared"
+    ]
+    assert sorted(prepared) == ["a", "b"]
