Return a typed refusal for what a session can't keep

The limits returned a text, and their caller compared it with one of them to choose the failure. A refusal has its failure and its description; the names say that a value or statement is counted. Behaviour stays as it was but for the descriptions.

--- a/packages/fescueshunt/src/fescueshunt/sessions/local_statements.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/local_statements.py
@@ -71,9 +71,9 @@
 ) -> filters.Item:
     """Sets a session value, unless the session has too many."""
     name, value = statement.name, statement.argument
-    problem = limits.refuse_value(session, name, value)
-    if problem:
-        return _over_limit(session, statement, problem, now)
+    refusal = limits.try_add_value(session, name, value)
+    if refusal is not None:
+        return _refuse(session, statement, refusal, now)
     session.values[name] = value
     return answers.success(session, statement, now)
 
@@ -86,9 +86,9 @@
 ) -> filters.Item:
     """Prepares a statement in the session, unless it has too many."""
     prepared = sessions.Prepared(statement.writes, statement.shape)
-    problem = limits.refuse_prepared(session, statement.name, prepared)
-    if problem:
-        return _over_limit(session, statement, problem, now)
+    refusal = limits.try_add_prepared(session, statement.name, prepared)
+    if refusal is not None:
+        return _refuse(session, statement, refusal, now)
     session.prepared[statement.name] = prepared
     return answers.success(session, statement, now)
 
@@ -104,24 +104,20 @@
     if prepared is None:
         failure = sessions.Failure.NO_STATEMENT
         return answers.failure(session, statement, failure, now)
-    limits.deallocate(session.client, statement.name, prepared)
+    limits.remove_prepared(session.client, statement.name, prepared)
     return answers.success(session, statement, now)
 
 
-def _over_limit(
+def _refuse(
     session: client_session.Session,
     statement: sessions.Statement,
-    problem: str,
+    refusal: settings_limits.Refusal,
     now: float,
 ) -> filters.Item:
-    """Returns the answer to a statement that the session has no room for.
-
-    Only room on the host may become free; other limits stay the same.
-    """
-    failure = sessions.Failure.INVALID
-    if problem == settings_limits.HOST_FULL:
-        failure = sessions.Failure.BUSY
-    return answers.failure(session, statement, failure, now, problem)
+    """Returns the answer to a statement that the session has no room for."""
+    return answers.failure(
+        session, statement, refusal.failure, now, refusal.detail
+    )
 
 
 def answer_in_failed_transaction(
--- a/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/session_handler.py
@@ -137,7 +137,7 @@
     ) -> Iterator[filters.Item]:
         session = self._sessions.pop(client, None)
         self._unanswered.discard(client)
-        self._limits.remove(client)
+        self._limits.remove_session(client)
         if session is not None and session.begun_upstream:
             yield items.RollBackTransaction(now, client)
 
--- a/tests/unit/test_settings_limits.py
+++ b/tests/unit/test_settings_limits.py
@@ -55,8 +55,8 @@
 @pytest.mark.parametrize(
     ("keep", "max_count"),
     [
-        (_set, settings_limits.MAX_VALUES),
-        (_prepare, settings_limits.MAX_PREPARED),
+        (_set, settings_limits.MAX_VALUES_PER_SESSION),
+        (_prepare, settings_limits.MAX_PREPARED_PER_SESSION),
     ],
 )
 def test_number_of_values_and_statements_of_a_session_is_limited(
@@ -100,7 +100,7 @@
         _deallocate(limits, session, "n0")
     assert _prepare(limits, other, "n0", "x" * MIB) is None
     for session in hoarders:
-        limits.remove(session.client)
+        limits.remove_session(session.client)
     newcomers = [_session(client) for client in range(200, 210)]
     for session in newcomers:
         for number in range(3):
