Let one piece of code serve what the judge and its tests did twice

Both sides of the judge assembled answers from messages in the same way; an AnswerAssembler does it now. LineSplitter.feed had only tests left as callers.

No assertion changed.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/platform/lines.py
@@ -69,14 +69,6 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[str]:
-        """Appends `data` and returns the lines that it completes.
-
-        Raises:
-          FrameTooLargeError: if a line is too long.
-        """
-        return list(self.split(data))
-
     def split(self, data: bytes) -> Iterator[str]:
         """Appends `data` and yields the lines that it completes.
 
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge.py
@@ -85,27 +85,24 @@
         """Takes a message that a client received."""
         session = self._client(client)
         try:
-            answer = wire_reader.read_answer(line)
+            message = wire_reader.read_answer(line)
         except wire_reader.WireError as exc:
             self._report(
                 judge_rules.Rule.MIXED, f"client {client}: {exc}: {line[:80]!r}"
             )
             return
-        match answer:
-            case wire_reader.Row():
-                session.rows.add(answer)
-            case wire_reader.Ready():
-                self._end_client_answer(session, answer)
-            case _:
-                session.reply = answer
+        complete = session.answers.add(message)
+        if complete is not None:
+            self._end_client_answer(session, complete)
 
     def client_closed(self, client: str) -> None:
         """Takes the end of a client's session."""
         session = self._clients.pop(client, None)
         if session is None:
             return
-        if session.pending and isinstance(session.reply, wire_reader.Error):
-            self._check_failure(session.pending[0], session.reply.code)
+        reply = session.answers.reply
+        if session.pending and isinstance(reply, wire_reader.Error):
+            self._check_failure(session.pending[0], reply.code)
         self._sent.finish(session.pending)
 
     def upstream_received(self, conn: str, line: bytes) -> None:
@@ -128,14 +125,9 @@
     def upstream_sent(self, conn: str, line: bytes) -> None:
         """Takes a message that an upstream connection sends."""
         connection = self._connection(conn)
-        answer = wire_reader.read_answer(line)
-        match answer:
-            case wire_reader.Row():
-                connection.rows.add(answer)
-            case wire_reader.Ready():
-                self._end_upstream_answer(connection, answer)
-            case _:
-                connection.reply = answer
+        complete = connection.answers.add(wire_reader.read_answer(line))
+        if complete is not None:
+            self._end_upstream_answer(connection, complete)
 
     def upstream_closed(self, conn: str) -> None:
         """Takes the end of an upstream connection."""
@@ -178,14 +170,11 @@
         return statement
 
     def _end_client_answer(
-        self, session: judge_records.ClientSession, ready: wire_reader.Ready
+        self,
+        session: judge_records.ClientSession,
+        answer: judge_records.CompleteAnswer,
     ) -> None:
-        reply, session.reply = session.reply, None
-        rows = session.rows.digest()
-        session.rows = judge_records.RowsDigest()
-        if not session.started:
-            session.started = True
-            return
+        reply = answer.reply
         if not session.pending:
             if isinstance(reply, wire_reader.Complete):
                 self._report(
@@ -196,10 +185,10 @@
         statement = session.pending.popleft()
         if isinstance(reply, wire_reader.Complete):
             session.acknowledge(statement.query.call)
-            self._check_success(statement, reply.receipt, rows)
+            self._check_success(statement, reply.receipt, answer.rows)
         elif isinstance(reply, wire_reader.Error):
             self._check_failure(statement, reply.code)
-        if ready.state == "I" and not session.pending:
+        if answer.state == "I" and not session.pending:
             session.transaction = None
         self._sent.finish([statement])
 
@@ -250,14 +239,9 @@
     def _end_upstream_answer(
         self,
         connection: judge_records.UpstreamConnection,
-        ready: wire_reader.Ready,
+        answer: judge_records.CompleteAnswer,
     ) -> None:
-        reply, connection.reply = connection.reply, None
-        rows = connection.rows.digest()
-        connection.rows = judge_records.RowsDigest()
-        if not connection.started:
-            connection.started = True
-            return
+        reply = answer.reply
         # A request that can't be read was reported and isn't pending; what the
         # upstream says to it answers no statement.
         if not connection.pending or reply is None:
@@ -265,12 +249,12 @@
         request = connection.pending.popleft()
         if isinstance(reply, wire_reader.Complete):
             self._check_run(connection, request)
-            run = judge_records.Run(reply.receipt, rows)
+            run = judge_records.Run(reply.receipt, answer.rows)
             for each in judge_effects.apply_run(connection, request, run):
                 self._report(each.rule, each.detail)
         elif reply.code not in judge_rules.NOT_EXECUTED_CODES:
             self._check_run(connection, request)
-        if ready.state == "I":
+        if answer.state == "I":
             connection.end_transaction()
 
     def _check_run(
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/judge_records.py
@@ -114,6 +114,52 @@
         return self._hash.digest()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompleteAnswer:
+    """A complete answer to a request.
+
+    Attributes:
+      reply: its end before the `READY` message; None if it has none.
+      rows: the digest of its rows.
+      state: the state of the transaction after it.
+    """
+
+    reply: wire_reader.Complete | wire_reader.Error | None
+    rows: bytes
+    state: str
+
+
+class AnswerAssembler:
+    """Assembles answers from the messages of a session or connection.
+
+    Attributes:
+      reply: the end of the incomplete answer, or None if it hasn't come.
+    """
+
+    def __init__(self) -> None:
+        self.reply: wire_reader.Complete | wire_reader.Error | None = None
+        self._rows = RowsDigest()
+        self._has_started = False
+
+    def add(self, message: wire_reader.Answer) -> CompleteAnswer | None:
+        """Adds a message; returns the answer to a request that it completes."""
+        match message:
+            case wire_reader.Row():
+                self._rows.add(message)
+            case wire_reader.Ready():
+                return self._end(message)
+            case _:
+                self.reply = message
+        return None
+
+    def _end(self, ready: wire_reader.Ready) -> CompleteAnswer | None:
+        answer = CompleteAnswer(self.reply, self._rows.digest(), ready.state)
+        self.reply, self._rows = None, RowsDigest()
+        # The first one answers the start, which is no request.
+        was_started, self._has_started = self._has_started, True
+        return answer if was_started else None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class ClientSession:
     """The session of a client as its answers tell it.
@@ -124,9 +170,7 @@
       shapes: the acknowledged prepared statements by name.
       pending: the statements without an answer, in order.
       transaction: the transaction to which the next statement belongs.
-      rows: the rows of the answer that is being received.
-      reply: the end of that answer before its `READY` message.
-      started: whether the session was accepted.
+      answers: assembles the answers that it receives.
     """
 
     name: str
@@ -138,9 +182,9 @@
         default_factory=collections.deque
     )
     transaction: Transaction | None = None
-    rows: RowsDigest = dataclasses.field(default_factory=RowsDigest)
-    reply: wire_reader.Complete | wire_reader.Error | None = None
-    started: bool = False
+    answers: AnswerAssembler = dataclasses.field(
+        default_factory=AnswerAssembler
+    )
 
     def send(self, query: wire_reader.Query) -> SentStatement:
         """Records a statement that the client sends now."""
@@ -225,9 +269,7 @@
         statement of a client has run in it yet.
       owner: the client that the open transaction belongs to, if only ids tell.
       writes: the writes that have run in the open transaction.
-      rows: the rows of the answer that is being sent.
-      reply: the end of that answer before its `READY` message.
-      started: whether the connection was accepted.
+      answers: assembles the answers that it sends.
     """
 
     name: str
@@ -242,9 +284,9 @@
     transaction: Transaction | None = None
     owner: str | None = None
     writes: list[SentStatement] = dataclasses.field(default_factory=list)
-    rows: RowsDigest = dataclasses.field(default_factory=RowsDigest)
-    reply: wire_reader.Complete | wire_reader.Error | None = None
-    started: bool = False
+    answers: AnswerAssembler = dataclasses.field(
+        default_factory=AnswerAssembler
+    )
 
     def end_transaction(self) -> None:
         """Forgets the transaction that was open."""
--- a/tests/lib/connection_world.py
+++ b/tests/lib/connection_world.py
@@ -37,6 +37,8 @@
 # The transaction of a connection that no client has begun one on.
 STRAY = "stray"
 STATEMENT_CALLS = (sessions.RunStatement, sessions.RunPrepared)
+# A client's statements that set its connection up and run on it.
+SETUP_AND_RUN = ("SET x 1", "PREPARE s READ a", "EXECUTE s i")
 NO_FAULT = connection_judge.Fault(sessions.UpstreamCall)
 
 
@@ -72,6 +74,12 @@
         self._configure(max_connections, needs_primary)
         self._tick()
 
+    def check_runs(self, min_count: int) -> None:
+        """Asserts that all runs were in place, and that enough have run."""
+        assert self.judge.broken == []
+        assert self.exceptions == []
+        assert self.judge.judged_count >= min_count
+
     # What clients and other hosts do.
 
     def connect(self, *clients: int) -> None:
@@ -302,3 +310,11 @@
         shape=words[2] if is_preparing else "",
         read_only=verb is sessions.Verb.BEGIN and name == "READ",
     )
+
+
+def make(*faults: connection_judge.Fault, **options: object) -> ConnectionWorld:
+    """Returns a world with the sessions 1 to 3, and with planned faults."""
+    world = ConnectionWorld(**options)
+    world.connect(1, 2, 3)
+    world.faults += faults
+    return world
--- a/tests/lib/judged_conversation.py
+++ b/tests/lib/judged_conversation.py
@@ -75,3 +75,11 @@
     def begin(self, client: str, conn: str, text: str = "BEGIN") -> None:
         """Opens a transaction of a client on a connection."""
         self.serve(client, conn, text, "-", state="T")
+
+
+def start(*clients: str, connections: tuple[str, ...]) -> Conversation:
+    """Returns a conversation with open sessions and connections."""
+    conversation = Conversation()
+    conversation.open(*clients)
+    conversation.connect(*connections)
+    return conversation
--- a/tests/unit/test_client_lines.py
+++ b/tests/unit/test_client_lines.py
@@ -131,7 +131,7 @@
 # Failure: names outside Latin-1 were sent as question marks, and those of
 # routes never matched what their clients sent.
 def test_names_are_utf_8_on_the_wire():
-    (line,) = lines.LineSplitter().feed("START café tester\r\n".encode())
+    (line,) = lines.LineSplitter().split("START café tester\r\n".encode())
     assert client_lines.decode_start(line) == ("café", "tester")
     start_line = lines.encode_start("数据", "me", "i-1")
     assert start_line == "START 数据 me i-1\r\n".encode()
@@ -143,7 +143,7 @@
     line_bytes = b"QUERY id1 WRITE a " + data
     if any(character in data for character in b"\r\n\0"):
         return
-    (line,) = lines.LineSplitter().feed(line_bytes + b"\r\n")
+    (line,) = lines.LineSplitter().split(line_bytes + b"\r\n")
     statement = client_lines.decode_statement(line)
     call = sessions.RunStatement(statement)
     assert lines.encode_call(call) == line_bytes + b"\r\n"
--- a/tests/unit/test_connection_state.py
+++ b/tests/unit/test_connection_state.py
@@ -22,7 +22,7 @@
     "late": {"delay_s": connection_world.TIMEOUT_S + 0.2},
     "cut": {"cuts": True},
 }
-FIRST = ("SET x 1", "PREPARE s READ a", "EXECUTE s i")
+FIRST = connection_world.SETUP_AND_RUN
 OTHERS = {
     "same": FIRST,
     "other_value": ("SET x 2", "PREPARE s READ a", "EXECUTE s i"),
@@ -32,29 +32,12 @@
 }
 
 
-def _make_world(
-    *faults: connection_judge.Fault, **options: object
-) -> connection_world.ConnectionWorld:
-    world = connection_world.ConnectionWorld(**options)
-    world.connect(1, 2, 3)
-    world.faults += faults
-    return world
-
-
 def _fault(
     call_type: type | tuple[type, ...], outcome: str, **more: object
 ) -> connection_judge.Fault:
     return connection_judge.Fault(call_type, **OUTCOMES[outcome], **more)
 
 
-def _assert_kept(
-    world: connection_world.ConnectionWorld, min_runs: int
-) -> None:
-    assert world.judge.broken == []
-    assert world.exceptions == []
-    assert world.judge.judged_count >= min_runs
-
-
 # Failure: a reply reports a failure of a call that changed the connection, or
 # that may have, and the next client's statement runs with what it left there.
 @pytest.mark.parametrize("other", OTHERS)
@@ -63,7 +46,7 @@
 def test_failed_setup_call_leaves_nothing_to_later_clients(
     call_type, outcome, other
 ):
-    world = _make_world(_fault(call_type, outcome))
+    world = connection_world.make(_fault(call_type, outcome))
     world.do(3, "SET z 3", "PREPARE s READ c", "EXECUTE s i")
     for client, texts in ((1, FIRST), (2, OTHERS[other]), (3, ("READ i",))):
         world.do(client, *texts)
@@ -71,32 +54,32 @@
     assert world.do(2, *OTHERS[other])[-1] == "ok"
     assert world.do(3, "READ i", "EXECUTE s i") == ["ok", "ok"]
     assert world.do(1, *FIRST) == ["ok", "ok", "ok"]
-    _assert_kept(world, 6)
+    world.check_runs(6)
 
 
 # Failure: as above, when the value that was to be replaced is still believed.
 @pytest.mark.parametrize("outcome", OUTCOMES)
 def test_failed_replacement_of_a_value_is_not_believed_undone(outcome):
-    world = _make_world(_fault(sessions.SetValue, outcome, skips=1))
+    world = connection_world.make(_fault(sessions.SetValue, outcome, skips=1))
     world.do(1, "SET x 1", "READ i")
     world.do(2, "SET x 2", "READ i")
     world.run(connection_world.TIMEOUT_S)
     assert world.do(1, "READ i") == ["ok"]
     assert world.do(2, "READ i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: a reset fails after it took effect, and the connection is believed to
 # hold what it held before.
 @pytest.mark.parametrize("outcome", OUTCOMES)
 def test_failed_reset_is_not_believed_without_effect(outcome):
-    world = _make_world(_fault(sessions.Reset, outcome))
+    world = connection_world.make(_fault(sessions.Reset, outcome))
     world.do(3, "SET z 3", "PREPARE s READ c", "EXECUTE s i")
     world.do(1, "READ i")
     world.run(connection_world.TIMEOUT_S)
     assert world.do(3, "EXECUTE s i", "READ i") == ["ok", "ok"]
     assert world.do(1, "READ i") == ["ok"]
-    _assert_kept(world, 4)
+    world.check_runs(4)
 
 
 # Failure: a client sends a value in its transaction, the call fails, and the
@@ -104,21 +87,21 @@
 @pytest.mark.parametrize("outcome", OUTCOMES)
 @pytest.mark.parametrize("call_type", [sessions.SetValue, sessions.Prepare])
 def test_failed_setup_call_in_a_transaction(call_type, outcome):
-    world = _make_world(_fault(call_type, outcome))
+    world = connection_world.make(_fault(call_type, outcome))
     world.do(1, "BEGIN", "READ i")
     world.do(1, "SET x 1", "PREPARE s READ a", "EXECUTE s i", "ROLLBACK")
     world.run(connection_world.TIMEOUT_S)
     assert world.do(2, "READ i") == ["ok"]
     assert world.do(1, "EXECUTE s i") == ["ok"]
     assert world.do(2, "READ i") == ["ok"]
-    _assert_kept(world, 4)
+    world.check_runs(4)
 
 
 # Failure: a connection lacks a name that the pool believes prepared there, and
 # each later execution of it fails.
 @pytest.mark.parametrize("in_transaction", [False, True])
 def test_unknown_name_is_prepared_again(in_transaction):
-    world = _make_world()
+    world = connection_world.make()
     assert world.do(1, *FIRST) == ["ok", "ok", "ok"]
     (link,) = [each for each in world.open_links() if each.names]
     link.names.clear()
@@ -131,7 +114,7 @@
     world.judge.broken.clear()
     assert world.do(1, "EXECUTE s i") == ["ok"]
     assert world.do(2, "READ i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: a statement that waits runs with values or a shape that its client
@@ -141,7 +124,7 @@
     fault = connection_judge.Fault(
         connection_world.STATEMENT_CALLS, delay_s=delays, count=99
     )
-    world = _make_world(fault)
+    world = connection_world.make(fault)
     world.run(0.1)
     sent = []
     for client in (1, 2):
@@ -156,7 +139,7 @@
             ]
     world.run(6.0)
     assert [world.outcome(each) for each in sent] == ["ok"] * len(sent)
-    _assert_kept(world, 12)
+    world.check_runs(12)
 
 
 # Failure: a statement in the queue, or one between its calls, is given up, and
@@ -164,7 +147,7 @@
 @pytest.mark.parametrize("leaves", [False, True])
 @pytest.mark.parametrize("call_type", [*SETUP_CALLS, sessions.Begin])
 def test_statement_given_up_between_its_calls(call_type, leaves):
-    world = _make_world()
+    world = connection_world.make()
     world.do(3, "SET z 3", "READ i")
     world.faults.append(connection_judge.Fault(call_type, delay_s=1.5))
     for text in ("SET x 1", "PREPARE s READ a", "BEGIN"):
@@ -178,7 +161,7 @@
     assert world.outcome(waiting) in ("ok", "busy")
     assert world.do(2, "READ i") == ["ok"]
     assert world.do(3, "READ i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: a statement is retried on a connection without its session's values,
@@ -195,7 +178,7 @@
 def test_retry_is_planned_for_its_new_connection(
     call_type, outcome, in_transaction
 ):
-    world = _make_world(needs_primary=False)
+    world = connection_world.make(needs_primary=False)
     world.do(3, "SET z 3", "READ i", "READ i")
     world.do(2, "SET z 3", "PREPARE s READ b", "EXECUTE s i")
     world.faults.append(_fault(call_type, outcome, count=1))
@@ -207,7 +190,7 @@
     world.run(connection_world.TIMEOUT_S)
     assert world.do(1, "ROLLBACK", "EXECUTE s i")[1] == "ok"
     assert world.do(3, "READ i") == ["ok"]
-    _assert_kept(world, 5)
+    world.check_runs(5)
 
 
 LEAVING_AT = {
@@ -225,7 +208,7 @@
 def test_transaction_of_a_client_that_leaves_is_over_before_reuse(
     point, leaves_after_s, outcome
 ):
-    world = _make_world()
+    world = connection_world.make()
     if outcome is not None:
         world.faults.append(_fault(sessions.Rollback, outcome))
     world.do(1, "SET x 1", *LEAVING_AT[point])
@@ -239,26 +222,26 @@
     assert world.do(2, "BEGIN", "READ i", "COMMIT") == ["ok", "ok", "ok"]
     assert world.do(3, "WRITE i d") == ["ok"]
     assert all(not link.transaction for link in world.open_links())
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: a client's own rollback fails or gets no reply, and the connection is
 # used again inside the transaction.
 @pytest.mark.parametrize("outcome", OUTCOMES)
 def test_connection_is_not_used_again_before_its_rollback(outcome):
-    world = _make_world(_fault(sessions.Rollback, outcome))
+    world = connection_world.make(_fault(sessions.Rollback, outcome))
     world.do(1, "SET x 1", "BEGIN", "WRITE i d", "ROLLBACK")
     waiting = world.send(2, "READ i")
     world.run(3.0)
     assert world.outcome(waiting) in ("ok", "busy")
     assert world.do(1, "WRITE i d", "BEGIN", "READ i", "COMMIT") == ["ok"] * 4
-    _assert_kept(world, 4)
+    world.check_runs(4)
 
 
 # Failure: a value that was set inside a transaction is taken for undone, or a
 # connection is reset inside one.
 def test_values_set_in_a_transaction_outlast_its_rollback():
-    world = _make_world()
+    world = connection_world.make()
     world.do(3, "SET z 3", "READ i")
     world.do(1, "BEGIN", "READ i", "SET x 1", "READ i")
     world.do(1, "PREPARE s READ a", "EXECUTE s i", "SET x 2", "READ i")
@@ -268,7 +251,7 @@
     for number, call in world.sent:
         if isinstance(call, sessions.Reset):
             assert not world.links[number].transaction
-    _assert_kept(world, 11)
+    world.check_runs(11)
 
 
 CONTROL_CALLS = (sessions.GetStatus(), sessions.Pause(9), sessions.StepDown(9))
@@ -279,7 +262,7 @@
 @pytest.mark.parametrize("outcome", [None, *OUTCOMES])
 @pytest.mark.parametrize("call", CONTROL_CALLS)
 def test_control_requests_between_statements(call, outcome):
-    world = _make_world()
+    world = connection_world.make()
     if outcome is not None:
         world.faults.append(_fault(type(call), outcome))
     for _ in range(3):
@@ -294,14 +277,14 @@
     assert len(world.control_replies) == 9
     assert {type(each.call) for each in world.control_replies} == {type(call)}
     assert world.do(1, "EXECUTE s i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: an upstream starts again under its id and address, and the new
 # connections are believed to hold what the old ones held.
 @pytest.mark.parametrize("in_transaction", [False, True])
 def test_new_connections_are_believed_empty(in_transaction):
-    world = _make_world()
+    world = connection_world.make()
     world.do(1, *FIRST)
     if in_transaction:
         world.do(1, "BEGIN", "EXECUTE s i")
@@ -311,7 +294,7 @@
         assert world.do(1, "EXECUTE s i", "COMMIT") == ["invalid", "aborted"]
     assert world.do(1, "EXECUTE s i") == ["ok"]
     assert world.do(2, "READ i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 def _plan_without(
@@ -334,7 +317,7 @@
     "call_type", [sessions.Reset, sessions.SetValue, sessions.Begin]
 )
 def test_judge_finds_a_plan_with_a_call_left_out(monkeypatch, call_type):
-    world = _make_world()
+    world = connection_world.make()
     _plan_without(monkeypatch, call_type)
     world.do(3, "SET z 3", "READ i", "BEGIN", "READ i", "COMMIT")
     world.do(1, "READ i")
@@ -343,7 +326,7 @@
 
 # Failure: the judge of these tests passes whatever shape runs.
 def test_judge_finds_another_shape():
-    world = _make_world()
+    world = connection_world.make()
     world.do(1, *FIRST)
     (link,) = [each for each in world.open_links() if each.names]
     (name,) = link.names
@@ -363,7 +346,7 @@
     refusal = connection_judge.Fault(
         sessions.RunStatement, failure=Failure.READ_ONLY, runs=False
     )
-    world = _make_world(refusal)
+    world = connection_world.make(refusal)
     assert world.do(1, begin, "WRITE i d") == ["ok", "busy"]
     assert bool(world.suspicions) is is_suspected
-    _assert_kept(world, 0)
+    world.check_runs(0)
--- a/tests/unit/test_contradicting_replies.py
+++ b/tests/unit/test_contradicting_replies.py
@@ -10,24 +10,7 @@
 PRIMARY = connection_world.PRIMARY
 IDLE, OPEN = connection_judge.IDLE, connection_judge.OPEN
 Failure = sessions.Failure
-FIRST = ("SET x 1", "PREPARE s READ a", "EXECUTE s i")
-
-
-def _make_world(
-    *faults: connection_judge.Fault, **options: object
-) -> connection_world.ConnectionWorld:
-    world = connection_world.ConnectionWorld(**options)
-    world.connect(1, 2, 3)
-    world.faults += faults
-    return world
-
-
-def _assert_kept(
-    world: connection_world.ConnectionWorld, min_runs: int
-) -> None:
-    assert world.judge.broken == []
-    assert world.exceptions == []
-    assert world.judge.judged_count >= min_runs
+FIRST = connection_world.SETUP_AND_RUN
 
 
 # Failure: an upstream reports a rollback's failure but no open transaction; the
@@ -36,14 +19,14 @@
     fault = connection_judge.Fault(
         sessions.Rollback, Failure.FAILED, runs=False, state=IDLE
     )
-    world = _make_world(fault)
+    world = connection_world.make(fault)
     world.do(1, "BEGIN", "WRITE i d")
     (link,) = [each for each in world.open_links() if each.transaction]
     world.do(1, "ROLLBACK")
     world.run(0.1)
     assert not link.is_open
     assert world.do(2, "READ i") == ["ok"]
-    _assert_kept(world, 2)
+    world.check_runs(2)
 
 
 CONTRADICTIONS = {
@@ -62,7 +45,7 @@
 @pytest.mark.parametrize("case", CONTRADICTIONS)
 def test_connection_in_an_impossible_state_is_closed(case):
     call_type, state, texts = CONTRADICTIONS[case]
-    world = _make_world()
+    world = connection_world.make()
     world.run(0.1)
     numbers = [link.number for link in world.open_links()]
     world.faults.append(connection_judge.Fault(call_type, state=state, count=9))
@@ -73,7 +56,7 @@
     (primary,) = [
         number for number in numbers if world.links[number].upstream == PRIMARY
     ]
-    _assert_kept(world, 4)
+    world.check_runs(4)
     assert not world.links[primary].is_open
 
 
@@ -85,7 +68,7 @@
 )
 def test_write_with_an_impossible_state_is_in_doubt(texts, state):
     fault = connection_judge.Fault(sessions.RunStatement, state=state, count=9)
-    world = _make_world(fault)
+    world = connection_world.make(fault)
     assert world.do(1, *texts)[-1] == Failure.IN_DOUBT.value
     assert world.judge.judged_count == 1
 
@@ -94,7 +77,7 @@
 # is given to a client.
 def test_connection_left_open_by_a_control_request_is_closed():
     fault = connection_judge.Fault(sessions.GetStatus, state=OPEN)
-    world = _make_world(fault)
+    world = connection_world.make(fault)
     world.run(0.1)
     world.control(sessions.GetStatus())
     world.run(0.1)
@@ -106,7 +89,7 @@
 # Failure: an upstream sends a reply to nothing, and all later replies on that
 # connection are taken for those of the next call.
 def test_connection_with_a_reply_to_nothing_is_closed():
-    world = _make_world()
+    world = connection_world.make()
     world.do(1, *FIRST)
     (link,) = [each for each in world.open_links() if each.names]
     reply = sessions.UpstreamReply((), "receipt", None, "", IDLE, None)
@@ -114,12 +97,12 @@
     assert not link.is_open
     assert world.do(2, "READ i") == ["ok"]
     assert world.do(1, "EXECUTE s i") == ["ok"]
-    _assert_kept(world, 3)
+    world.check_runs(3)
 
 
 # Failure: the same, while a client's transaction is open on the connection.
 def test_transaction_with_a_reply_to_nothing_is_lost():
-    world = _make_world()
+    world = connection_world.make()
     world.do(1, "BEGIN", "WRITE i d")
     (link,) = [each for each in world.open_links() if each.transaction]
     world.reply(
@@ -128,4 +111,4 @@
     assert not link.is_open
     assert world.do(1, "COMMIT") == [Failure.ABORTED.value]
     assert world.do(1, "WRITE i d") == ["ok"]
-    _assert_kept(world, 2)
+    world.check_runs(2)
--- a/tests/unit/test_judge.py
+++ b/tests/unit/test_judge.py
@@ -13,10 +13,7 @@
 @pytest.fixture(name="talk")
 def _talk():
     """Two clients, A and B, and two connections, u and v."""
-    conversation = judged_conversation.Conversation()
-    conversation.open("A", "B")
-    conversation.connect("u", "v")
-    return conversation
+    return judged_conversation.start("A", "B", connections=("u", "v"))
 
 
 # Correct conversations.
--- a/tests/unit/test_judge_effects.py
+++ b/tests/unit/test_judge_effects.py
@@ -12,10 +12,7 @@
 @pytest.fixture(name="talk")
 def _talk():
     """Two clients, A and B, and two connections, u and v."""
-    conversation = judged_conversation.Conversation()
-    conversation.open("A", "B")
-    conversation.connect("u", "v")
-    return conversation
+    return judged_conversation.start("A", "B", connections=("u", "v"))
 
 
 # TWICE.
--- a/tests/unit/test_lines.py
+++ b/tests/unit/test_lines.py
@@ -82,7 +82,7 @@
     splitter = lines.LineSplitter()
     with pytest.raises(errors.FrameTooLargeError):
         for _ in range(20):
-            splitter.feed(b"x" * (1 << 17))
+            list(splitter.split(b"x" * (1 << 17)))
 
 
 @hypothesis.given(strategies.lists(strategies.binary(max_size=64)))
@@ -90,7 +90,7 @@
 def test_arbitrary_bytes_raise_only_frame_errors(parts: list[bytes]):
     splitter = lines.LineSplitter()
     for part in parts:
-        for line in splitter.feed(part):
+        for line in splitter.split(part):
             for decode in (
                 client_lines.decode_start,
                 client_lines.decode_statement,
@@ -104,12 +104,13 @@
 def test_lines_do_not_depend_on_chunk_boundaries(
     payload: bytes, data: strategies.DataObject
 ):
-    unsplit_lines = lines.LineSplitter().feed(payload)
+    unsplit_lines = list(lines.LineSplitter().split(payload))
     split_at = data.draw(strategies.integers(0, len(payload)))
     splitter = lines.LineSplitter()
-    parts = splitter.feed(payload[:split_at]) + splitter.feed(
-        payload[split_at:]
-    )
+    parts = [
+        *splitter.split(payload[:split_at]),
+        *splitter.split(payload[split_at:]),
+    ]
     assert parts == unsplit_lines
 
 
--- a/tests/unit/test_review_texts.py
+++ b/tests/unit/test_review_texts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
 import pathlib
@@ -13,7 +12,7 @@
 
 from fescueshunt.core import leadership, sessions, store_items
 from fescueshunt.takeover import participants
-from fescueshunt_proxy.platform import client_lines, lines, upstreams
+from fescueshunt_proxy.platform import client_lines, lines
 from lib import connection_judge, connection_world
 from unit import test_upstream_replies as replies
 
@@ -56,18 +55,8 @@
 # as not kept.
 @pytest.mark.parametrize("line", [b"ROW b\r\n", b"ERROR BUSY -\r\n", b"RO"])
 def test_connection_with_data_between_replies_is_closed(line: bytes):
-    listener, transport = replies._Listener(), replies._Transport()
-    loop = asyncio.new_event_loop()
-    protocol = upstreams._UpstreamProtocol(listener, loop.create_future())
-    loop.close()
-    transport.protocol = protocol
-    protocol.connection_made(transport)
-    protocol.data_received(b"READY I -\r\n")
-    conn = upstreams._LineProtocolConnection(transport)
-    conn.send(sessions.GetStatus())
-    protocol.data_received(REPLY)
+    listener, transport = replies._receive(REPLY, line)
     assert len(listener.replies) == 1
-    protocol.data_received(line)
     assert listener.errors
     assert transport.is_aborted
 
--- a/tests/unit/test_upstream_replies.py
+++ b/tests/unit/test_upstream_replies.py
@@ -98,8 +98,8 @@
 def test_longest_line_may_come_in_parts():
     line = b"x" * ((1 << 20) - 2)
     splitter = lines.LineSplitter()
-    assert not splitter.feed(line)
-    assert not splitter.feed(b"\r")
-    assert splitter.feed(b"\n") == [line.decode()]
+    assert not list(splitter.split(line))
+    assert not list(splitter.split(b"\r"))
+    assert list(splitter.split(b"\n")) == [line.decode()]
     with pytest.raises(errors.FrameTooLargeError):
-        splitter.feed(line + b"x\r\n")
+        list(splitter.split(line + b"x\r\n"))
