Give back the slot of a statement that a fault kept from its connection

Cause: a statement counts as running from its choice to its release, and an exception between the choice and the start leaves it without a connection that would release it. With one connection the rank is then at its ceiling for good.

Change: each tick releases the started statements that no connection runs. Ruled out: a wedged connection (idle), the view (primary confirmed).

--- a/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/dispatch.py
@@ -234,6 +234,7 @@
         yield from watchdog.suspect_slow_upstreams(self._pools, now)
         yield from self._closer.close_overdue(now)
         yield from self._transactions.expire_idle(now)
+        self._queue.release_lost(self._pools.running_jobs(), now)
         yield from self._runner.reject_overdue(now)
         yield from asks.expire_waiting(self._pools.by_upstream.values(), now)
         yield from self._pools.open_permanent(now)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pools.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pools.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterator, Mapping
 
     from fescueshunt.core import filters
+    from fescueshunt.sessions import items
 
 OPEN_TIMEOUT_S = 1.0
 # After an upstream reached its connection limit, this host takes turns with the
@@ -50,6 +51,14 @@
         self._policies = dict(view.databases)
         self._distribute_shares()
 
+    def running_jobs(self) -> set[items.StatementJob]:
+        """Returns the statements in flight on all connections."""
+        return {
+            conn.job
+            for conn in self.connections.values()
+            if conn.job is not None
+        }
+
     def set_members(
         self, view: replica_sets.ReplicaSetView
     ) -> Iterator[pool.Connection]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/queue.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/queue.py
@@ -20,7 +20,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Set
 
     from fescueshunt.core import filters, position, replica_sets
     from fescueshunt.sessions import choose, items, pools
@@ -168,6 +168,16 @@
         if ran:
             subqueue.schedule.released(job, now - started_at)
 
+    def release_lost(
+        self, running_jobs: Set[items.StatementJob], now: float
+    ) -> None:
+        """Releases the started statements that are not among `running_jobs`.
+
+        A fault in a filter has kept them from their connections.
+        """
+        for job in [job for job in self._started_at if job not in running_jobs]:
+            self.release(job, now, ran=False)
+
     def dequeue_overdue(self, now: float) -> Iterator[Rejection]:
         """Removes and yields the statements that waited too long."""
         for subqueue in self._subqueues.values():
--- a/tests/unit/test_faults_in_filters.py
+++ b/tests/unit/test_faults_in_filters.py
@@ -5,7 +5,12 @@
 import pytest
 
 from fescueshunt.core import sessions
-from fescueshunt.sessions import calls, session_handler, transactions
+from fescueshunt.sessions import (
+    calls,
+    session_handler,
+    statement_runner,
+    transactions,
+)
 from lib import connection_world
 
 
@@ -67,3 +72,15 @@
     world.run(connection_world.TIMEOUT_S)
     assert len(world.exceptions) == 1
     assert world.do(2, "READ i", "READ i") == ["ok", "ok"]
+
+
+# Failure: a fault between the choice of a connection and the start of a
+# statement on it left the statement counted as running for good, and all others
+# were refused though the connection was idle.
+def test_statement_that_was_not_started_occupies_no_slot(monkeypatch):
+    world = _make_world()
+    world.do(2, "READ i")
+    _fail_once(monkeypatch, statement_runner.StatementRunner, "start")
+    world.do(1, "READ i")
+    assert len(world.exceptions) == 1
+    assert world.do(2, "READ i", "WRITE i d") == ["ok", "ok"]
