--- /dev/null
+++ b/review/support2/scene.py
@@ -0,0 +1,158 @@
+"""A small deployment: store, one or more services, hosts and their clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import sys
+import time
+from typing import TYPE_CHECKING
+
+from support2 import backends, hosts, http_server
+from support2 import record as records
+from support2 import store as stores
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping, Sequence
+
+PASSED, BROKEN, NOT_RUN = 0, 1, 2
+PRIMARY_ROUTE = "orders"
+STALE_ROUTE = "lookups"
+# The timeouts of routes by their type, as the site files have them.
+SVETLOKAL_MS = {"primary": 800, "bounded_staleness": 1200}
+SAHIL_MS = {"primary": 1000, "bounded_staleness": 3000}
+
+
+def is_disturbed() -> bool:
+    """Returns whether the disruption is to take place: not with TROUBLE=0."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def finish(case: str, outcome: tuple[int, str], record: records.Record) -> None:
+    """Notes and prints the outcome, and ends the process with its code."""
+    code, text = outcome
+    record.note("outcome", code=code, text=text)
+    record.close()
+    print(f"{case}: {text}", flush=True)
+    sys.exit(code)
+
+
+def open_record(script: str) -> records.Record:
+    """Returns the record beside a script."""
+    return records.Record(pathlib.Path(script).with_name("record.txt"))
+
+
+class Clock:
+    """The time since a disruption began."""
+
+    def __init__(self) -> None:
+        self._started_at = time.monotonic()
+
+    async def wait_until(self, elapsed_s: float) -> None:
+        """Waits until so much time has passed since the start."""
+        due_at = self._started_at + elapsed_s
+        await asyncio.sleep(max(due_at - time.monotonic(), 0.0))
+
+
+@dataclasses.dataclass(slots=True)
+class Scene:
+    """What runs.
+
+    Attributes:
+      store: the platform's store.
+      services: the services by name.
+      hosts: the host processes.
+      record: where events are noted.
+    """
+
+    store: stores.Store
+    services: dict[str, backends.Service]
+    hosts: list[hosts.Host]
+    record: records.Record
+
+
+def _config(services: Sequence[str], timeouts_ms: Mapping[str, int]) -> bytes:
+    """Returns the operator's config; the first service has two routes."""
+    kinds = (
+        (PRIMARY_ROUTE, "primary", 0),
+        (STALE_ROUTE, "bounded_staleness", 1500),
+    )
+    routes = [
+        {
+            "db_name": name if number == 0 else f"{name}{number}",
+            "service": service,
+            "route_type": route_type,
+            "timeout_ms": timeouts_ms[route_type],
+            "target_latency_ms": 100,
+            "priority": 0,
+            "max_staleness_ms": max_staleness_ms,
+        }
+        for number, service in enumerate(services)
+        for name, route_type, max_staleness_ms in kinds
+    ]
+    document = {
+        "version": 7,
+        "routes": routes,
+        "services": [
+            {"name": service, "max_conns": 16, "sync_replicas": 1}
+            for service in services
+        ],
+        "limits": {"tx_idle_ms": 3000},
+    }
+    return json.dumps(document).encode()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    record: records.Record,
+    host_count: int = 2,
+    services: Sequence[str] = ("db-a",),
+    timeouts_ms: Mapping[str, int] = SVETLOKAL_MS,
+) -> AsyncIterator[Scene]:
+    """Runs a store, services of three backends each, and hosts.
+
+    The first backend of a service is its primary. Hosts are started last, and
+    are not waited for.
+    """
+    by_name: dict[str, backends.Service] = {}
+
+    def promote(service: str, upstream: str, holder: str, token: int) -> bool:
+        del holder, token
+        return service in by_name and by_name[service].promote(upstream)
+
+    keys = stores.Store(promote)
+    ip = hosts.loopback(1)
+    store_port, cloud_port = hosts.free_port(ip), hosts.free_port(ip)
+    async with contextlib.AsyncExitStack() as stack:
+        for number, name in enumerate(services):
+            service = backends.Service(name, keys, record)
+            by_name[name] = service
+            for letter in "pqr":
+                last = 100 + 10 * number + "pqr".index(letter)
+                added = service.add(f"i-{name}-{letter}", hosts.loopback(last))
+                added.is_primary = letter == "p"
+                await added.start()
+            task = backends.in_background(service.run_periodic_work())
+            await stack.enter_async_context(task)
+        keys.put("op/config", _config(services, timeouts_ms))
+        await stack.enter_async_context(
+            backends.in_background(keys.expire_leases())
+        )
+        await stack.enter_async_context(
+            http_server.serving(ip, store_port, keys.handle)
+        )
+        await stack.enter_async_context(
+            http_server.serving(ip, cloud_port, keys.handle_promotion)
+        )
+        store, cloud = f"{ip}:{store_port}", f"{ip}:{cloud_port}"
+        started = stack.enter_context(
+            hosts.running(host_count, store, cloud, record)
+        )
+        yield Scene(keys, by_name, started, record)
+        for service in by_name.values():
+            for backend in service.backends.values():
+                backend.close()
