Show that a replica that joins during an attempt isn't fenced

Tried: the primary is partitioned from three of five hosts, another host from the store, and a new replica registers after the holder of the duty has begun its attempt. The new replica alone acknowledges commits that the fourth host still passes on; the holder never learns of it and promotes another one.

--- a/review/support2/backends.py
+++ b/review/support2/backends.py
@@ -440,6 +440,7 @@
         return (
             replica is not primary
             and replica.is_up
+            and f"servers/{replica.name}" in self._registered
             and not replica.is_primary
             and not replica.is_deaf
             and not replica.held_term
--- a/review/support2/hosts.py
+++ b/review/support2/hosts.py
@@ -17,7 +17,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from support2 import record
 
@@ -189,14 +189,14 @@
 
 @contextlib.contextmanager
 def running(
-    count: int, store: str, cloud: str, record: record.Record
+    stores: Sequence[str], cloud: str, record: record.Record
 ) -> Iterator[list[Host]]:
-    """Runs hosts until the context exits."""
+    """Runs a host for each address of a store, until the context exits."""
     with tempfile.TemporaryDirectory() as folder_name:
         folder = pathlib.Path(folder_name)
         hosts: list[Host] = []
         try:
-            for number in range(count):
+            for number, store in enumerate(stores):
                 name = f"edge-zone-a-{number + 1}"
                 hosts.append(start(name, number + 10, store, cloud, folder))
             yield hosts
--- a/review/support2/lost_commits.py
+++ b/review/support2/lost_commits.py
@@ -25,6 +25,7 @@
     calm_s: float,
     disturbed_s: float,
     services: Sequence[str] = ("db-a",),
+    host_count: int = 2,
 ) -> tuple[int, str]:
     """Plays a case; returns its outcome and a text about it.
 
@@ -36,8 +37,9 @@
       calm_s: how long clients write before it.
       disturbed_s: how long it takes; the case without it waits as long.
       services: the names of the services.
+      host_count: how many hosts run.
     """
-    async with scene.running(record, services=services) as played:
+    async with scene.running(record, host_count, services) as played:
         if not await hosts.wait_until_ready(played.hosts):
             return scene.NOT_RUN, "the hosts did not become ready"
         writers = [
--- a/review/support2/scene.py
+++ b/review/support2/scene.py
@@ -12,7 +12,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from support2 import backends, hosts, http_server
+from support2 import backends, doors, hosts, http_server
 from support2 import record as records
 from support2 import store as stores
 
@@ -66,12 +66,16 @@
       store: the platform's store.
       services: the services by name.
       hosts: the host processes.
+      doors: what stands between the store and each host, in the same order.
+      gates: what stands between the first primary and each host, likewise.
       record: where events are noted.
     """
 
     store: stores.Store
     services: dict[str, backends.Service]
     hosts: list[hosts.Host]
+    doors: list[doors.Door]
+    gates: list[doors.Gate]
     record: records.Record
 
 
@@ -126,7 +130,7 @@
 
     keys = stores.Store(promote)
     ip = hosts.loopback(1)
-    store_port, cloud_port = hosts.free_port(ip), hosts.free_port(ip)
+    cloud_port = hosts.free_port(ip)
     async with contextlib.AsyncExitStack() as stack:
         for number, name in enumerate(services):
             service = backends.Service(name, keys, record)
@@ -142,17 +146,26 @@
         await stack.enter_async_context(
             backends.in_background(keys.expire_leases())
         )
-        await stack.enter_async_context(
-            http_server.serving(ip, store_port, keys.handle)
-        )
-        await stack.enter_async_context(
-            http_server.serving(ip, cloud_port, keys.handle_promotion)
-        )
-        store, cloud = f"{ip}:{store_port}", f"{ip}:{cloud_port}"
+        serving = http_server.serving(ip, cloud_port, keys.handle_promotion)
+        await stack.enter_async_context(serving)
+        opened = [doors.Door(keys) for _ in range(host_count)]
+        first = by_name[services[0]]
+        primary = next(iter(first.backends.values()))
+        gates = [doors.Gate(primary.host, primary.port) for _ in opened]
+        for door, gate in zip(opened, gates, strict=True):
+            seen = await stack.enter_async_context(gate.serving(ip))
+            door.detours[f"{primary.host}:{primary.port}"] = seen
+        stores_seen = []
+        for door in opened:
+            port = hosts.free_port(ip)
+            stores_seen.append(f"{ip}:{port}")
+            await stack.enter_async_context(
+                http_server.serving(ip, port, door.handle)
+            )
         started = stack.enter_context(
-            hosts.running(host_count, store, cloud, record)
+            hosts.running(stores_seen, f"{ip}:{cloud_port}", record)
         )
-        yield Scene(keys, by_name, started, record)
+        yield Scene(keys, by_name, started, opened, gates, record)
         for service in by_name.values():
             for backend in service.backends.values():
                 backend.close()
