Show that a restarted host takes all replicas to be known

Tried: one replica receives nothing for 6.5 s, the other is lost for good; once its entry is gone, all hosts are killed and started again. The new holder of the duty fences the primary, which runs, and the replica that lacks commits, and promotes the replica.

The scripts now exit with 2 if they fail by themselves.

--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,110 +1,62 @@
-"""Case 9: one large answer takes a host over the memory of its machine."""
+"""Case 9: a host that has just started takes all replicas to be known."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import pathlib
 import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from support2 import clients, hosts, scene
+from support2 import backends, lost_commits, scene
+from support2 import record as records
 
-CASE = "case 9"
-REPORT = "report"
-# A row, with the word before it and the end of its line, is one message.
-ROW_BYTES = (1 << 20) - len("ROW \r\n")
-ROWS = 130
-READS = 5
-RESTART_S = 1.0
-LOOK_S = 0.005
-# The rule counts machines whose processes end three times; a tenth of them, and
-# two at least.
-MAX_ENDS = 2
-MIN_MACHINES = 2
+CALM_S = 3.0
+DEAF_FOR_S = 6.5
+# A replica is lost so long after its last heartbeat.
+SILENT_S = 1.1
+# When, after the other replica has begun to receive nothing.
+MIN_REPLICA_LOST_S = 0.3
+HOSTS_DOWN_S = 0.3
 
 
-class Platform:
-    """Ends a process that exceeds its machine's memory, and starts it again.
+async def disturb(played: scene.Scene) -> None:
+    """Disturbs both replicas of a service, and restarts all hosts.
 
-    Attributes:
-      ends: how often it ended the process of each host.
+    One replica receives nothing for a while. The other one, which has all that
+    was acknowledged, is lost for good. Once its entry is gone, the processes of
+    all hosts are killed at the same moment, and started again.
     """
-
-    def __init__(self, played: scene.Scene) -> None:
-        self.ends = {host.name: 0 for host in played.hosts}
-        self._played = played
-
-    async def watch(self, host: hosts.Host) -> None:
-        """Watches one host until cancelled."""
-        highest_mb = 0.0
-        while True:
-            peak_mb = host.peak_memory_mb()
-            if peak_mb > highest_mb + 25:
-                highest_mb = peak_mb
-                self._played.record.note(
-                    "memory", host=host.name, peak_mb=round(peak_mb)
-                )
-            if peak_mb > hosts.LIMITS["memory_mb"]:
-                self._played.record.note(
-                    "over the limit: killed",
-                    host=host.name,
-                    peak_mb=round(peak_mb),
-                )
-                self.ends[host.name] += 1
-                host.popen.send_signal(signal.SIGKILL)
-                host.popen.wait()
-                await asyncio.sleep(RESTART_S)
-                host.restart()
-                highest_mb = 0.0
-            await asyncio.sleep(LOOK_S)
-
-
-async def read_report(played: scene.Scene, host: hosts.Host) -> None:
-    """Reads the report once, at one host; the client reads without pause."""
-    with contextlib.suppress(OSError, TimeoutError):
-        async with clients.session(
-            host, scene.STALE_ROUTE, played.record
-        ) as session:
-            lines = await session.run(f"READ {REPORT}")
-            played.record.note("rows", host=host.name, count=len(lines) - 2)
-
-
-async def play(played: scene.Scene) -> tuple[int, str]:
-    """Reads the report at each host in turn; returns the outcome."""
-    if scene.is_disturbed():
-        rows = (b"ROW " + b"r" * ROW_BYTES + b"\r\n") * ROWS
-        played.services["db-a"].large_items[REPORT] = rows
-    platform = Platform(played)
-    async with asyncio.TaskGroup() as tasks:
-        watches = [
-            tasks.create_task(platform.watch(host)) for host in played.hosts
-        ]
-        for _ in range(READS):
-            for host in played.hosts:
-                if not await hosts.wait_until_ready([host]):
-                    return scene.NOT_RUN, "a host did not become ready"
-                await read_report(played, host)
-                await asyncio.sleep(RESTART_S)
-        for task in watches:
-            task.cancel()
-    ends = ", ".join(f"{name} {n} times" for name, n in platform.ends.items())
-    text = f"processes ended over the memory limit: {ends}"
-    counted = [n for n in platform.ends.values() if n > MAX_ENDS]
-    is_broken = len(counted) >= MIN_MACHINES
-    return (scene.BROKEN if is_broken else scene.PASSED), text
-
-
-async def main() -> tuple[int, str]:
-    """Plays the case in a small deployment."""
-    async with scene.running(RECORD, timeouts_ms=scene.SAHIL_MS) as played:
-        if not await hosts.wait_until_ready(played.hosts):
-            return scene.NOT_RUN, "the hosts did not become ready"
-        return await play(played)
+    _, replica, deaf = played.services["db-a"].backends.values()
+    while time.monotonic() - replica.beat_at < SILENT_S - MIN_REPLICA_LOST_S:
+        await asyncio.sleep(0.01)
+    clock = scene.Clock()
+    deaf.is_deaf = True
+    played.record.note("receives nothing", backend=deaf.name)
+    await clock.wait_until(MIN_REPLICA_LOST_S)
+    replica.crash()
+    await clock.wait_until(
+        MIN_REPLICA_LOST_S + backends.ENTRY_TTL_S - SILENT_S + 0.4
+    )
+    for host in played.hosts:
+        host.popen.send_signal(signal.SIGKILL)
+    played.record.note("all hosts killed")
+    for host in played.hosts:
+        host.popen.wait()
+    await asyncio.sleep(HOSTS_DOWN_S)
+    for host in played.hosts:
+        host.restart()
+    played.record.note("all hosts started")
+    await clock.wait_until(DEAF_FOR_S)
+    deaf.is_deaf = False
+
+
+async def play(record: records.Record) -> tuple[int, str]:
+    """Plays the case; returns its outcome and a text about it."""
+    return await lost_commits.play(record, disturb, CALM_S, DEAF_FOR_S)
 
 
 if __name__ == "__main__":
-    RECORD = scene.open_record(__file__)
-    scene.finish(CASE, asyncio.run(main()), RECORD)
+    scene.run_case("case 9", __file__, play)
--- a/review/support2/doors.py
+++ b/review/support2/doors.py
@@ -30,6 +30,7 @@
         self.detours: dict[str, str] = {}
         self.conditional_writes = 0
         self._keys = keys
+        self._never = asyncio.Event()
 
     async def handle(
         self,
@@ -51,7 +52,7 @@
 
     async def _wait_if_cut(self) -> None:
         if self.is_cut:
-            await asyncio.Event().wait()
+            await self._never.wait()
 
     def _redirect(self, item: dict[str, Any]) -> dict[str, Any]:
         """Returns an item with the address that this host is to use."""
--- a/review/support2/http_server.py
+++ b/review/support2/http_server.py
@@ -39,10 +39,14 @@
 @contextlib.asynccontextmanager
 async def serving(host: str, port: int, handle: Handler) -> AsyncIterator[None]:
     """Serves HTTP at an address until the context exits."""
+    tasks: set[asyncio.Task[None]] = set()
 
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -63,3 +67,6 @@
         yield
     finally:
         server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/review/support2/scene.py
+++ b/review/support2/scene.py
@@ -17,9 +17,16 @@
 from support2 import store as stores
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping, Sequence
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Mapping,
+        Sequence,
+    )
 
 PASSED, BROKEN, NOT_RUN = 0, 1, 2
+MAX_RUN_S = 110.0
 PRIMARY_ROUTE = "orders"
 STALE_ROUTE = "lookups"
 # The timeouts of routes by their type, as the site files have them.
@@ -32,20 +39,30 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def finish(case: str, outcome: tuple[int, str], record: records.Record) -> None:
-    """Notes and prints the outcome, and ends the process with its code."""
-    code, text = outcome
+def run_case(
+    case: str,
+    script: str,
+    play: Callable[[records.Record], Awaitable[tuple[int, str]]],
+) -> None:
+    """Plays a case, and ends the process with its outcome.
+
+    Args:
+      case: the name of the case.
+      script: the script; the record is written beside it.
+      play: plays the case; returns the outcome and a text about it.
+    """
+    record = records.Record(pathlib.Path(script).with_name("record.txt"))
+    try:
+        code, text = asyncio.run(asyncio.wait_for(play(record), MAX_RUN_S))
+    except Exception as exc:
+        # A case that fails by itself says nothing about the rule.
+        code, text = NOT_RUN, f"the case could not run: {exc!r}"
     record.note("outcome", code=code, text=text)
     record.close()
     print(f"{case}: {text}", flush=True)
     sys.exit(code)
 
 
-def open_record(script: str) -> records.Record:
-    """Returns the record beside a script."""
-    return records.Record(pathlib.Path(script).with_name("record.txt"))
-
-
 class Clock:
     """The time since a disruption began."""
 
