--- a/review/8/run.py
+++ b/review/8/run.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from support2 import lost_commits, scene
+from support2 import record as records
 
 CALM_S = 3.0
 HOSTS = 5
@@ -56,9 +56,12 @@
         gate.is_cut = False
 
 
-if __name__ == "__main__":
-    record = scene.open_record(__file__)
-    outcome = lost_commits.play(
+async def play(record: records.Record) -> tuple[int, str]:
+    """Plays the case; returns its outcome and a text about it."""
+    return await lost_commits.play(
         record, disturb, CALM_S, PRIMARY_BACK_S, host_count=HOSTS
     )
-    scene.finish("case 8", asyncio.run(outcome), record)
+
+
+if __name__ == "__main__":
+    scene.run_case("case 8", __file__, play)
