--- a/review/support2/clients.py
+++ b/review/support2/clients.py
@@ -15,6 +15,7 @@
 LINE_LIMIT_BYTES = 1 << 22
 ANSWER_TIMEOUT_S = 5.0
 RECONNECT_S = 0.1
+KEY = "reviewer"
 _ids = itertools.count(1)
 
 
@@ -64,7 +65,7 @@
         Raises:
           OSError: if the host refuses it.
         """
-        self._writer.write(f"START {route} reviewer\r\n".encode())
+        self._writer.write(f"START {route} {KEY}\r\n".encode())
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             line = await self._reader.readline()
         if not line.startswith(b"READY"):
--- a/review/support2/scene.py
+++ b/review/support2/scene.py
@@ -96,7 +96,11 @@
     record: records.Record
 
 
-def _config(services: Sequence[str], timeouts_ms: Mapping[str, int]) -> bytes:
+def _config(
+    services: Sequence[str],
+    timeouts_ms: Mapping[str, int],
+    accounts: Sequence[Mapping[str, object]] | None,
+) -> bytes:
     """Returns the operator's config; the first service has two routes."""
     kinds = (
         (PRIMARY_ROUTE, "primary", 0),
@@ -124,6 +128,8 @@
         ],
         "limits": {"tx_idle_ms": 3000},
     }
+    if accounts is not None:
+        document["tenants"] = list(accounts)
     return json.dumps(document).encode()
 
 
@@ -133,6 +139,7 @@
     host_count: int = 2,
     services: Sequence[str] = ("db-a",),
     timeouts_ms: Mapping[str, int] = SVETLOKAL_MS,
+    accounts: Sequence[Mapping[str, object]] | None = None,
 ) -> AsyncIterator[Scene]:
     """Runs a store, services of three backends each, and hosts.
 
@@ -159,7 +166,7 @@
                 await added.start()
             task = backends.in_background(service.run_periodic_work())
             await stack.enter_async_context(task)
-        keys.put("op/config", _config(services, timeouts_ms))
+        keys.put("op/config", _config(services, timeouts_ms, accounts))
         await stack.enter_async_context(
             backends.in_background(keys.expire_leases())
         )
