Fence replicas that join while a primary is replaced

Cause: an attempt took its members from the view with which it began. A replica that registered later acknowledged commits with the old primary, which a host with a lease but without the store passed on; it was neither fenced nor counted.

Evidence: in the record the new replica registers 0.3 s after the fence, the lost commits are those from then to the end of that host's lease.

Change: the attempt follows the replica set until the call is recorded. A member that has joined or started again is fenced and counts, one that is gone doesn't any more, and the wait for hosts without a lease begins anew after a later fence. One watch brings entries and leases in order, so the entry is there before the end of the last lease is.

Ruled out: hosts without the store vouch for known members only. A receipt doesn't name the replica, so each cut of a host would cost a second of commits in doubt.

--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -141,6 +141,8 @@
                 yield from self._handle_write_result(result, item.at)
             case filters.Tick():
                 yield from self._read_record(item.at)
+            case replica_sets.ReplicaSetView():
+                yield from self._follow_members(item)
         if self._is_for_other_database(item):
             return
         if self._step is Step.PROMOTING:
@@ -157,6 +159,34 @@
         is_reply = isinstance(item, session_items.UpstreamCallCompleted)
         return is_reply and item.upstream not in self._members
 
+    def _follow_members(
+        self, view: replica_sets.ReplicaSetView
+    ) -> Iterator[filters.Item]:
+        """Fences members that have come since, until the promotion is called.
+
+        A host that relies on the old primary passes on what such a member has
+        acknowledged. The store's changes come in order, so the entry of the
+        member is here before the end of the host's lease is.
+        """
+        self._members = {m.upstream: m.entry for m in view.members}
+        has_joined = self._fence.follow(view, view.at)
+        if self._step is Step.FENCING and has_joined:
+            yield from self._send_fence_calls(view.at)
+        if not self._may_fence_again():
+            return
+        if not self._fence.is_complete():
+            yield from self._refence(view.at)
+        elif has_joined:
+            self._fenced_at = view.at
+            self._step = Step.WAITING
+            yield from self._send_fence_calls(view.at)
+
+    def _may_fence_again(self) -> bool:
+        """Returns whether a fence was complete, and no call has been sent."""
+        if self._step is Step.PROMOTING:
+            return self._promotion.is_checking
+        return self._step is Step.WAITING
+
     # The record.
 
     def _handle_write_result(
@@ -237,6 +267,7 @@
     def _handle_fence_reply(
         self, upstream: str, status: sessions.ReplicaStatus, now: float
     ) -> Iterator[filters.Item]:
+        was_fenced = upstream in self._fence.final_positions
         match self._fence.record_reply(upstream, status):
             case fence.FenceResult.LEADS:
                 yield from self._record_new_primary(upstream, status.term, now)
@@ -249,6 +280,8 @@
             case fence.FenceResult.FENCED if self._step is Step.FENCING:
                 if self._fence.is_complete():
                     yield from self._wait_for_hosts(now)
+            case fence.FenceResult.FENCED if not was_fenced:
+                self._fenced_at = now
 
     def _tick_fencing(
         self, now: float, elapsed_s: float
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -116,6 +116,31 @@
             self._acting_primaries.discard(self._old_primary)
             self.final_positions.pop(self._old_primary, None)
 
+    def follow(self, view: replica_sets.ReplicaSetView, now: float) -> bool:
+        """Follows the replica set, whose members come, go and start again.
+
+        A member that is gone or has started again is not fenced any more. One
+        that has joined may acknowledge commits, and is to be fenced as well.
+
+        Returns:
+          Whether a member has joined or started again.
+        """
+        members = _entries(view)
+        unknown = {
+            upstream
+            for upstream, entry in members.items()
+            if upstream not in self._members
+            or self._members[upstream].started_ms != entry.started_ms
+        }
+        for upstream in self.final_positions.keys() - members.keys() | unknown:
+            self.final_positions.pop(upstream, None)
+        self._members = members
+        self._silent = view.silent
+        self._running = {*members, *view.silent}
+        self._left = view.left - {self._old_primary}
+        self._min_required = max(self._min_required, _min_required(view, now))
+        return bool(unknown)
+
     def pending_calls(self, now: float) -> Iterator[filters.Item]:
         """Yields a fence call to each member that is not fenced yet."""
         for upstream in self._members:
@@ -284,24 +309,33 @@
     recorded_term: int,
     is_leaving: bool = False,
 ) -> Fence:
-    """Returns the fence to replace `old_primary`, with no member fenced yet.
-
-    A host that has not watched the entries for long may not know of a former
-    member that still runs. Such a member may acknowledge commits with the
-    primary, so that one fenced replica alone does not suffice.
-    """
-    min_required = replica_sets.COMMIT_MEMBERS
-    if now - view.watched_since > replica_sets.FORMER_MEMBER_TTL_S:
-        min_required = 1
-    entries = {member.upstream: member.entry for member in view.members}
+    """Returns the fence to replace `old_primary`, with no member fenced yet."""
     return Fence(
-        entries,
+        _entries(view),
         old_primary,
         view.term,
         view.silent,
-        min_required,
+        _min_required(view, now),
         left=view.left - {old_primary},
         is_old_primary_certain=is_old_primary_certain,
         recorded_term=recorded_term,
         is_leaving=is_leaving,
     )
+
+
+def _entries(
+    view: replica_sets.ReplicaSetView,
+) -> dict[str, replica_sets.UpstreamEntry]:
+    return {member.upstream: member.entry for member in view.members}
+
+
+def _min_required(view: replica_sets.ReplicaSetView, now: float) -> int:
+    """Returns the fewest members that must be fenced.
+
+    A host that has not watched the entries for long may not know of a former
+    member that still runs. Such a member may acknowledge commits with the
+    primary, so that one fenced replica alone does not suffice.
+    """
+    if now - view.watched_since > replica_sets.FORMER_MEMBER_TTL_S:
+        return 1
+    return replica_sets.COMMIT_MEMBERS
--- a/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/promotion.py
@@ -94,6 +94,11 @@
         self._check: promotion_check.PromotionCheck | None = None
         self._check_rounds = 0
 
+    @property
+    def is_checking(self) -> bool:
+        """Whether no call is about to be sent, or has been sent."""
+        return self._step is Step.CHECKING
+
     def begin(self, now: float) -> Iterator[filters.Item]:
         """Yields the calls of the first round of checks."""
         yield from self._start_check(now)
--- a/tests/lib/replica_set_views.py
+++ b/tests/lib/replica_set_views.py
@@ -18,10 +18,18 @@
     *,
     address: str = "127.0.0.1:1",
     slots: int = 2,
+    started_ms: int = 0,
 ) -> replica_sets.UpstreamEntry:
     """Returns the listed entry of an upstream that is not draining."""
     return replica_sets.UpstreamEntry(
-        name, hosted_routes.DATABASE, address, "z", slots, False, role
+        name,
+        hosted_routes.DATABASE,
+        address,
+        "z",
+        slots,
+        False,
+        role,
+        started_ms,
     )
 
 
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -29,8 +29,9 @@
 SLOW_CHECKS = 5
 
 
-def _view() -> replica_sets.ReplicaSetView:
-    entries = [replica_set_views.make_entry(name) for name in MEMBERS]
+def _view(*joined: str) -> replica_sets.ReplicaSetView:
+    names = (*MEMBERS, *joined)
+    entries = [replica_set_views.make_entry(name) for name in names]
     return replica_set_views.make_view(entries, "u0", term=FENCE_TERM - 1)
 
 
@@ -191,3 +192,45 @@
     assert not any(isinstance(i, store_items.CallPromotion) for i in later)
     pauses = [i for i in later if isinstance(i, session_items.CallUpstream)]
     assert "u0" in {i.upstream for i in pauses}
+
+
+# Failure: a replica that joined after the fence was complete could go on
+# acknowledging commits with the old primary, and was not fenced.
+def test_replica_that_joins_is_fenced_before_the_promotion():
+    failover = _check_fences()
+    failover.feed(_view("u3"))
+    pause = failover.sent[-1]
+    assert isinstance(pause, session_items.CallUpstream)
+    assert (pause.upstream, pause.call) == ("u3", sessions.Pause(FENCE_TERM))
+    _confirm_duty_and_fences(failover, MEMBERS[1:])
+    assert not failover.has_called()
+    failover.reply("u3", sessions.Pause(FENCE_TERM))
+    failover.wait()
+    _confirm_duty_and_fences(failover, (*MEMBERS[1:], "u3"))
+    assert failover.has_called()
+
+
+# Failure: the promotion was called too soon for a host without a lease, which
+# the replica that joined had confirmed the old primary to.
+def test_promotion_waits_after_the_fence_of_a_replica_that_joins():
+    failover = _check_fences()
+    failover.feed(_view("u3"))
+    failover.reply("u3", sessions.Pause(FENCE_TERM))
+    failover.now += replica_sets.CONFIRMATION_TTL_S
+    failover.feed(filters.Tick(failover.now, 0.0))
+    _confirm_duty_and_fences(failover, (*MEMBERS[1:], "u3"))
+    assert not failover.has_called()
+
+
+# Failure: a fenced replica that started again counted as fenced.
+def test_replica_that_starts_again_is_fenced_again():
+    failover = _check_fences()
+    entries = [
+        replica_set_views.make_entry(name, started_ms=int(name == "u1"))
+        for name in MEMBERS
+    ]
+    view = replica_set_views.make_view(entries, "u0", term=FENCE_TERM - 1)
+    failover.feed(view)
+    assert failover.sent[-1].upstream == "u1"
+    _confirm_duty_and_fences(failover, ("u2",))
+    assert not failover.has_called()
