--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -22,6 +22,20 @@
 NEVER = float("-inf")
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Incarnation:
+    """One process of an upstream; each start of it begins another one.
+
+    Attributes:
+      upstream: the id of the upstream.
+      started_ms: the start time of the process in Unix milliseconds; 0 if
+        unknown.
+    """
+
+    upstream: str
+    started_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEntry:
     """The entry that an upstream registered in the platform's store.
@@ -52,6 +66,11 @@
     listed: bool = True
     draining_since: float | None = None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process that the entry is of."""
+        return Incarnation(self.upstream, self.started_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FormerMember:
@@ -61,7 +80,10 @@
     acknowledged, whatever becomes of its entry and its address.
 
     Attributes:
-      upstream: the id of the upstream.
+      upstream: the id of the upstream; "" stands for all that this host may not
+        know of, as it has not read all changes of entries.
+      started_ms: the start time of its process in Unix milliseconds; 0 if
+        unknown.
       address: its network address.
       may_run: whether it may still run and acknowledge commits.
       unlisted_at: when its entry was removed, in seconds on the local clock.
@@ -70,11 +92,27 @@
     """
 
     upstream: str
+    started_ms: int
     address: str
     may_run: bool
     unlisted_at: float
     gone_at: float | None = None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The process of the former member."""
+        return Incarnation(self.upstream, self.started_ms)
+
+    @property
+    def is_unknown(self) -> bool:
+        """Whether it stands for members that this host may not know of."""
+        return not self.upstream
+
+
+def unknown_members(watched_since: float) -> FormerMember:
+    """Returns what stands for members that were gone before `watched_since`."""
+    return FormerMember("", 0, "", False, watched_since, watched_since)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberView:
@@ -152,7 +190,16 @@
     @property
     def left(self) -> frozenset[str]:
         """The ids of former members that don't run any more."""
-        return frozenset(f.upstream for f in self.former if not f.may_run)
+        return frozenset(
+            former.upstream
+            for former in self.former
+            if not former.may_run and not former.is_unknown
+        )
+
+    @property
+    def knows_all_members(self) -> bool:
+        """Whether each member that may have acknowledged commits is known."""
+        return not any(former.is_unknown for former in self.former)
 
     def member(self, upstream: str) -> MemberView | None:
         """Returns the member with the id `upstream`, or None."""
--- a/packages/fescueshunt/src/fescueshunt/replicas/former_members.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/former_members.py
@@ -40,10 +40,12 @@
 
 
 class FormerMembers:
-    """The former members of all replica sets, by the id of the upstream."""
+    """The former members of all replica sets."""
 
     def __init__(self) -> None:
-        self._states: dict[str, FormerState] = {}
+        self._states: dict[replica_sets.Incarnation, FormerState] = {}
+        self._recorded: dict[str, frozenset[replica_sets.Incarnation]] = {}
+        self._covered: set[replica_sets.Incarnation] = set()
 
     def add(
         self,
@@ -59,17 +61,27 @@
           gone_at: when it was found not to run, or None.
         """
         member = replica_sets.FormerMember(
-            entry.upstream, entry.address, True, unlisted_at, gone_at
+            entry.upstream,
+            entry.started_ms,
+            entry.address,
+            True,
+            unlisted_at,
+            gone_at,
         )
-        self._states[entry.upstream] = FormerState(entry, member)
+        self._states[entry.incarnation] = FormerState(entry, member)
 
-    def end(self, upstream: str, now: float) -> None:
+    def end(self, incarnation: replica_sets.Incarnation, now: float) -> None:
         """Records that a former member does not run any more."""
-        self._states[upstream].end(now)
+        self._states[incarnation].end(now)
 
-    def restore(self, upstream: str) -> None:
+    def restore(self, incarnation: replica_sets.Incarnation) -> None:
         """Removes a former member that is a member again."""
-        self._states.pop(upstream, None)
+        self._states.pop(incarnation, None)
+        self._covered.discard(incarnation)
+
+    def knows(self, incarnation: replica_sets.Incarnation) -> bool:
+        """Returns whether a process is a former member, or was covered."""
+        return incarnation in self._states or incarnation in self._covered
 
     def end_replaced(self, address: str, now: float) -> list[str]:
         """Ends the members whose address another upstream now has.
@@ -99,15 +111,32 @@
           Whether any was removed.
         """
         current = [
-            member.upstream
+            member.incarnation
             for member in covered
-            if member.upstream in self._states
-            and self._states[member.upstream].member == member
+            if member.incarnation in self._states
+            and self._states[member.incarnation].member == member
         ]
-        for upstream in current:
-            del self._states[upstream]
+        for incarnation in current:
+            del self._states[incarnation]
+        self._covered.update(current)
         return bool(current)
 
+    def apply_record(
+        self, database: str, recorded: frozenset[replica_sets.Incarnation]
+    ) -> frozenset[replica_sets.Incarnation]:
+        """Removes the members that the holder of the duty found covered.
+
+        Returns:
+          The processes that were recorded before, and are not any more.
+        """
+        before = self._recorded.get(database, frozenset())
+        self._recorded[database] = recorded
+        removed = before - recorded
+        for incarnation in removed:
+            self._states.pop(incarnation, None)
+        self._covered -= removed
+        return removed
+
     def of(self, database: str) -> tuple[replica_sets.FormerMember, ...]:
         """Returns the former members of a replica set."""
         return tuple(
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -12,6 +12,11 @@
 is refused after that, it has left: it does not run any more. That its entry is
 missing proves nothing, as entries also expire while the store is down.
 
+A host that starts, or that could not read the entries for a while, does not
+know which members have come and gone before. It learns of them from the member
+record in the store. None of them counts any more once a replica holds all that
+was acknowledged before.
+
 An entry whose replica set is not in the operator's document belongs to another
 program and is ignored.
 """
@@ -24,9 +29,11 @@
 from fescueshunt import errors
 from fescueshunt.core import (
     filters,
+    member_records,
     replica_sets,
     routes,
     session_items,
+    sessions,
     store_items,
 )
 from fescueshunt.replicas import former_members, items
@@ -54,6 +61,7 @@
         None.
       vacant_at: when its address first refused a connection since the upstream
         last answered, or None.
+      is_covered: whether a replica is known to hold all that it acknowledged.
     """
 
     entry: replica_sets.UpstreamEntry
@@ -62,11 +70,13 @@
     answered_at: float = replica_sets.NEVER
     draining_since: float | None = None
     vacant_at: float | None = None
+    is_covered: bool = False
 
     def record_answer(self, now: float) -> None:
         """Records that the upstream answered."""
         self.answered_at = now
         self.vacant_at = None
+        self.is_covered = False
 
 
 class Membership(filters.Filter):
@@ -75,6 +85,8 @@
     def __init__(self) -> None:
         self._upstreams: dict[str, KnownUpstream] = {}
         self._former = former_members.FormerMembers()
+        self._completely_known: set[str] = set()
+        self._records: dict[str, member_records.MemberRecord] = {}
         self._databases: frozenset[str] = frozenset()
         self._watched_since = replica_sets.NEVER
 
@@ -87,6 +99,9 @@
                 yield from self._apply_listing(item)
             case store_items.EntryChanged():
                 yield from self._update(item.entry, item.at)
+            case store_items.KeysListed() | store_items.KeyChanged():
+                yield from self._apply_records(item)
+                yield item
             case store_items.EntryRemoved():
                 yield from self._mark_unlisted(item.upstream, item.at)
             case session_items.UpstreamCallCompleted():
@@ -119,11 +134,77 @@
         self, item: store_items.EntriesListed
     ) -> Iterator[filters.Item]:
         self._watched_since = item.at
+        self._completely_known.clear()
         listed = {entry.upstream for entry in item.entries}
         for upstream in self._upstreams.keys() - listed:
             yield from self._mark_unlisted(upstream, item.at)
         for entry in item.entries:
             yield from self._update(entry, item.at)
+        databases = {s.entry.database for s in self._upstreams.values()}
+        yield from self._members_of_all(sorted(databases), item.at)
+
+    def _apply_records(
+        self, item: store_items.KeysListed | store_items.KeyChanged
+    ) -> Iterator[filters.Item]:
+        """Takes over the members that the holder of the duty has recorded.
+
+        After a gap, a record may be as incomplete as what this host knows, so
+        that only one from before the first listing, or a later one, counts.
+        """
+        match item:
+            case store_items.KeysListed():
+                stored_keys = item.keys
+            case store_items.KeyChanged():
+                stored_keys = {item.key: item.stored}
+        for key, stored in stored_keys.items():
+            if stored is None:
+                continue
+            parsed = member_records.parse_database_record(key, stored)
+            if parsed is not None:
+                yield from self._apply_record(*parsed, item.at)
+
+    def _apply_record(
+        self, database: str, record: member_records.MemberRecord, now: float
+    ) -> Iterator[filters.Item]:
+        known = self._records.get(database)
+        if record == known:
+            return
+        self._records[database] = record
+        if record.is_complete:
+            self._completely_known.add(database)
+        recorded = frozenset(m.incarnation for m in record.members)
+        for removed in self._former.apply_record(database, recorded):
+            state = self._upstreams.get(removed.upstream)
+            if state is not None and state.entry.incarnation == removed:
+                state.is_covered = True
+        for member in record.members:
+            self._add_recorded(database, member, now)
+        yield from self._members_of(database, now)
+
+    def _add_recorded(
+        self, database: str, member: member_records.RecordedMember, now: float
+    ) -> None:
+        """Adds a recorded member that has no entry any more.
+
+        It is polled like others whose entry was removed.
+        """
+        process = member.incarnation
+        is_listed = process.upstream in self._upstreams
+        if is_listed or self._former.knows(process):
+            return
+        entry = replica_sets.UpstreamEntry(
+            process.upstream,
+            database,
+            member.address,
+            zone="",
+            slots=1,
+            draining=False,
+            role=sessions.ReplicaRole.REPLICA,
+            started_ms=process.started_ms,
+        )
+        self._upstreams[process.upstream] = KnownUpstream(
+            entry, unlisted_at=now, poll_at=now
+        )
 
     def _update(
         self, entry: replica_sets.UpstreamEntry, now: float
@@ -144,7 +225,7 @@
         self._upstreams[entry.upstream] = KnownUpstream(
             entry, draining_since=draining_since
         )
-        self._former.restore(entry.upstream)
+        self._former.restore(entry.incarnation)
         replaced = self._former.end_replaced(entry.address, now)
         yield from self._members_of_all([*replaced, entry.database], now)
 
@@ -192,7 +273,11 @@
     def _remove_covered(
         self, item: items.FormerMembersCovered
     ) -> Iterator[filters.Item]:
-        if self._former.remove_covered(item.former):
+        has_removed = self._former.remove_covered(item.former)
+        unknown = replica_sets.unknown_members(self._watched_since)
+        if unknown in item.former:
+            self._completely_known.add(item.database)
+        if has_removed or unknown in item.former:
             yield from self._members_of(item.database, item.at)
 
     def _has_left(self, item: session_items.UpstreamSuspected) -> bool:
@@ -237,6 +322,9 @@
         may acknowledge commits.
         """
         dropped = self._upstreams.pop(upstream)
+        if dropped.is_covered:
+            yield from self._members_of(dropped.entry.database, now)
+            return
         self._former.add(dropped.entry, dropped.unlisted_at, dropped.vacant_at)
         is_replaced = any(
             state.unlisted_at is None
@@ -244,7 +332,7 @@
             for state in self._upstreams.values()
         )
         if has_left or is_replaced:
-            self._former.end(upstream, now)
+            self._former.end(dropped.entry.incarnation, now)
         yield from self._members_of(dropped.entry.database, now)
 
     def _members_of_all(
@@ -265,10 +353,10 @@
             for state in self._upstreams.values()
             if state.entry.database == database
         )
+        former = self._former.of(database)
+        if database not in self._completely_known:
+            unknown = replica_sets.unknown_members(self._watched_since)
+            former = (*former, unknown)
         yield items.MembersChanged(
-            now,
-            database,
-            members,
-            self._former.of(database),
-            self._watched_since,
+            now, database, members, former, self._watched_since
         )
--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -370,6 +370,7 @@
         now - former.unlisted_at <= replica_sets.FORMER_MEMBER_TTL_S
         and (former.may_run or former.address not in addresses)
         for former in state.former
+        if not former.is_unknown
     )
     running = len(state.members) + missing_count
     commit_members = replica_sets.COMMIT_MEMBERS
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -73,6 +73,8 @@
       recorded_term: The term of the leadership record, 0 if there is none.
       is_leaving: Whether the old primary is replaced as it leaves. It still
         serves for a while, so it comes before another leaving member.
+      knows_all_members: Whether no other former member may have acknowledged
+        commits.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         is_old_primary_certain: bool = True,
         recorded_term: int = 0,
         is_leaving: bool = False,
+        knows_all_members: bool = True,
     ) -> None:
         self.term = old_term + 1
         self.final_positions: dict[str, position.Position] = {}
@@ -96,6 +99,7 @@
         self._running = {*members, *silent}
         self._left = frozenset(left)
         self._is_leaving = is_leaving
+        self._knows_all_members = knows_all_members
         self._min_required = min_required
         self._old_primary = old_primary
         self._old_term = old_term
@@ -138,6 +142,7 @@
         self._silent = view.silent
         self._running = {*members, *view.silent}
         self._left = view.left - {self._old_primary}
+        self._knows_all_members = view.knows_all_members
         self._min_required = max(self._min_required, _min_required(view, now))
         return bool(unknown)
 
@@ -285,11 +290,11 @@
         """Returns a position that covers all acknowledged commits.
 
         If all replicas are fenced, the highest of theirs does; what the old
-        primary has beyond it was not acknowledged, unless by a member that has
-        left.
+        primary has beyond it was not acknowledged, unless by a former member.
         """
         replicas = (self._running | self._left) - {self._old_primary}
-        if not replicas or not replicas <= self.final_positions.keys():
+        are_all_fenced = replicas <= self.final_positions.keys()
+        if not replicas or not are_all_fenced or not self._knows_all_members:
             return max(self.final_positions.values())
         return max(self.final_positions[upstream] for upstream in replicas)
 
@@ -320,6 +325,7 @@
         is_old_primary_certain=is_old_primary_certain,
         recorded_term=recorded_term,
         is_leaving=is_leaving,
+        knows_all_members=view.knows_all_members,
     )
 
 
@@ -332,10 +338,13 @@
 def _min_required(view: replica_sets.ReplicaSetView, now: float) -> int:
     """Returns the fewest members that must be fenced.
 
-    A host that has not watched the entries for long may not know of a former
-    member that still runs. Such a member may acknowledge commits with the
-    primary, so that one fenced replica alone does not suffice.
+    A host that does not know all members, and has not watched the entries for
+    long, may not know of a former one that still runs. Such a member may
+    acknowledge commits with the primary, so that one fenced replica alone does
+    not suffice.
     """
-    if now - view.watched_since > replica_sets.FORMER_MEMBER_TTL_S:
+    watched_s = now - view.watched_since
+    has_watched_long = watched_s > replica_sets.FORMER_MEMBER_TTL_S
+    if view.knows_all_members or has_watched_long:
         return 1
     return replica_sets.COMMIT_MEMBERS
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -10,7 +10,13 @@
     session_items,
     store_items,
 )
-from fescueshunt.takeover import acknowledge, election, replace, vote
+from fescueshunt.takeover import (
+    acknowledge,
+    election,
+    member_recorder,
+    replace,
+    vote,
+)
 
 ACCEPTS = (
     filters.Tick,
@@ -33,6 +39,7 @@
         election.Election(host.name),
         acknowledge.Acknowledger(host.name),
         vote.Voter(host.name),
+        member_recorder.MemberRecorder(),
         replace.PrimaryReplacer(host.name),
     )
     return filters.Pipe(stages, ACCEPTS)
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -179,6 +179,9 @@
             "primary": new_attempt.old_primary,
             "term": view.term,
             "token": self._duty.token,
+            "silent": sorted(view.silent),
+            "left": sorted(view.left),
+            "knows_all": view.knows_all_members,
         }
         yield session_items.LogDecision(now, "replacing", "", details)
         yield from self._relay_effects(database, new_attempt.begin(now), now)
--- a/tests/lib/replica_set_views.py
+++ b/tests/lib/replica_set_views.py
@@ -62,7 +62,7 @@
         is_failing_over,
         samples,
         tuple(
-            replica_sets.FormerMember(name, "", True, now)
+            replica_sets.FormerMember(name, 0, "", True, now)
             for name in sorted(silent)
         ),
         replica_sets.NEVER,
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -92,13 +92,18 @@
 # Guards against lost commits: a host that started while an entry was missing
 # does not know of the member that holds commits with the primary.
 @pytest.mark.parametrize(
-    ("watched_s", "required"),
-    [(1.0, 2), (replica_sets.FORMER_MEMBER_TTL_S + 1.0, 1)],
+    ("watched_s", "knows_all_members", "required"),
+    [
+        (1.0, False, 2),
+        (replica_sets.FORMER_MEMBER_TTL_S + 1.0, False, 1),
+        (1.0, True, 1),
+    ],
 )
 def test_one_replica_suffices_only_if_no_former_member_can_run(
-    watched_s, required
+    watched_s, knows_all_members, required
 ):
     now = 100.0
+    unknown = replica_sets.unknown_members(now - watched_s)
     members = tuple(
         replica_sets.MemberView(MEMBERS[name], None, now, None)
         for name in ("current", "replica")
@@ -112,7 +117,7 @@
         now,
         False,
         (),
-        (),
+        () if knows_all_members else (unknown,),
         now - watched_s,
     )
     attempt_fence = fence.fence_for(
--- a/tests/unit/test_lost_copies.py
+++ b/tests/unit/test_lost_copies.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from fescueshunt.core import replica_sets, store_items
+from fescueshunt.core import member_records, replica_sets, store_items
+from fescueshunt.replicas import membership
 from lib import (
     hosted_clients,
     hosted_members,
@@ -25,9 +26,14 @@
 # The address is used again so long after the loss.
 ADDRESS_REUSE_S = 2.0
 FAILOVER_S = 2.5
+HOSTS_DOWN_S = 0.3
+# The entry of the lost replica is removed by then.
+HOSTS_KILLED_S = 1.0
 # Longer than several failovers, shorter than a former member counts as running.
 FAILOVERS_S = 8.0
 RECOVERY_S = 4.0
+# By then hosts have dropped a member whose entry was removed.
+DROPPED_S = membership.UNLISTED_TIMEOUT_S + 2.0
 
 
 class LostCopy:
@@ -51,6 +57,15 @@
             item = store_items.EntryChanged(self.world.now, entry)
             self.world.feed(host, item)
 
+    def restart_hosts(self) -> None:
+        """Kills all hosts at once, and starts them again."""
+        names = list(self.world.hosts)
+        for name in names:
+            self.world.kill_host(name)
+        self.world.run(HOSTS_DOWN_S)
+        for name in names:
+            self.world.start_host(name)
+
     def recover(self) -> None:
         """Lets the deaf replica receive again."""
         self.world.heal()
@@ -83,13 +98,39 @@
     failover.assert_nothing_lost()
 
 
+# Failure: hosts that were started again took the replicas that were listed for
+# all that had acknowledged commits, and promoted one without them.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_restarted_hosts_know_of_a_lost_replica(seed: int):
+    failover = LostCopy(seed)
+    failover.world.run(HOSTS_KILLED_S)
+    failover.restart_hosts()
+    failover.world.run(FAILOVERS_S)
+    failover.recover()
+    failover.assert_nothing_lost()
+
+
+# Failure: hosts without any record of the members promoted a replica below a
+# primary that had stepped down.
+def test_hosts_without_a_record_do_not_promote_below_the_old_primary():
+    failover = LostCopy(1)
+    failover.world.run(HOSTS_KILLED_S)
+    del failover.world.store.keys[
+        member_records.record_key(hosted_world.DATABASE)
+    ]
+    failover.restart_hosts()
+    failover.world.run(FAILOVERS_S)
+    failover.recover()
+    failover.assert_nothing_lost()
+
+
 # Guards against an outage: a lost replica is waited for only until another one
 # holds all that it can have acknowledged.
 def test_lost_replica_is_not_waited_for_once_another_one_has_its_commits():
     failover = LostCopy(1)
     failover.world.run(WARM_UP_S)
     failover.recover()
-    failover.world.run(replica_sets.FORMER_MEMBER_TTL_S)
+    failover.world.run(DROPPED_S)
     failover.world.crash(PRIMARY)
     failover.world.run(FAILOVER_S)
     promoted = {name for _, name, _ in failover.world.replicas.promotions}
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -47,8 +47,12 @@
 
 
 def _left(changed: items.MembersChanged) -> set[str]:
-    """Returns the former members that don't run any more."""
-    return {member.upstream for member in changed.former if not member.may_run}
+    """Returns the known former members that don't run any more."""
+    return {
+        member.upstream
+        for member in changed.former
+        if not member.may_run and not member.is_unknown
+    }
 
 
 def _members(emitted: list[filters.Item]) -> list[str]:
