Count a process that started again apart from the one before it

Cause: what a member may have acknowledged was bound to its id. A replica that was back under its id with an empty log was paused, and counted for a fence as if its log still covered all it had acknowledged.

Evidence: without the change the four new tests of restarts fail, among them one of an old primary that is back with nothing.

Change: former members are kept by id and start. A member that starts again leaves its earlier process behind as one, until a replica is known to hold what that process can have acknowledged; with the log kept it is that replica itself. An old primary that started again with less than a fenced replica doesn't count as the one that has every commit.

Found by one of the tests and open: reads go to a primary that is back with nothing until hosts find out.

--- a/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
+++ b/packages/fescueshunt/src/fescueshunt/core/replica_sets.py
@@ -188,10 +188,10 @@
         return frozenset(f.upstream for f in self.former if f.may_run)
 
     @property
-    def left(self) -> frozenset[str]:
-        """The ids of former members that don't run any more."""
+    def left(self) -> frozenset[Incarnation]:
+        """The processes of former members that don't run any more."""
         return frozenset(
-            former.upstream
+            former.incarnation
             for former in self.former
             if not former.may_run and not former.is_unknown
         )
--- a/packages/fescueshunt/src/fescueshunt/replicas/former_members.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/former_members.py
@@ -74,6 +74,18 @@
         """Records that a former member does not run any more."""
         self._states[incarnation].end(now)
 
+    def end_restarted(
+        self, entry: replica_sets.UpstreamEntry, now: float
+    ) -> None:
+        """Ends the earlier processes of an upstream that has started again."""
+        self._end_where(
+            lambda s: (
+                s.entry.upstream == entry.upstream
+                and s.entry.started_ms != entry.started_ms
+            ),
+            now,
+        )
+
     def restore(self, incarnation: replica_sets.Incarnation) -> None:
         """Removes a former member that is a member again."""
         self._states.pop(incarnation, None)
--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -7,6 +7,9 @@
 its successor, may still acknowledge commits for FORMER_MEMBER_TTL_S, or until
 another upstream is listed at its address.
 
+An upstream that starts again under its id holds nothing of before, unless a
+replica is found to. Its earlier process is a former member, too.
+
 An upstream that leaves as planned reports that it drains, serves at least
 MIN_DRAIN_S, and ends; then its entry is removed. If a connection to its address
 is refused after that, it has left: it does not run any more. That its entry is
@@ -189,8 +192,10 @@
         It is polled like others whose entry was removed.
         """
         process = member.incarnation
-        is_listed = process.upstream in self._upstreams
-        if is_listed or self._former.knows(process):
+        listed = self._upstreams.get(process.upstream)
+        if self._former.knows(process):
+            return
+        if listed is not None and process.started_ms >= listed.entry.started_ms:
             return
         entry = replica_sets.UpstreamEntry(
             process.upstream,
@@ -202,9 +207,12 @@
             role=sessions.ReplicaRole.REPLICA,
             started_ms=process.started_ms,
         )
-        self._upstreams[process.upstream] = KnownUpstream(
-            entry, unlisted_at=now, poll_at=now
-        )
+        recorded = KnownUpstream(entry, unlisted_at=now, poll_at=now)
+        if listed is None:
+            self._upstreams[process.upstream] = recorded
+        else:
+            started_ms = listed.entry.started_ms
+            self._keep_earlier_process(recorded, started_ms, now)
 
     def _update(
         self, entry: replica_sets.UpstreamEntry, now: float
@@ -217,6 +225,8 @@
                 state.unlisted_at = None
                 yield from self._members_of(entry.database, now)
             return
+        if state is not None:
+            self._keep_earlier_process(state, entry.started_ms, now)
         draining_since = state.draining_since if state is not None else None
         if not entry.draining:
             draining_since = None
@@ -226,9 +236,19 @@
             entry, draining_since=draining_since
         )
         self._former.restore(entry.incarnation)
+        self._former.end_restarted(entry, now)
         replaced = self._former.end_replaced(entry.address, now)
         yield from self._members_of_all([*replaced, entry.database], now)
 
+    def _keep_earlier_process(
+        self, state: KnownUpstream, started_ms: int, now: float
+    ) -> None:
+        """Keeps the process before a restart as a former member."""
+        has_restarted = state.entry.started_ms != started_ms
+        if has_restarted and state.entry.started_ms and not state.is_covered:
+            self._former.add(state.entry, now, state.vacant_at)
+            self._former.end(state.entry.incarnation, now)
+
     def _mark_unlisted(
         self, upstream: str, now: float
     ) -> Iterator[filters.Item]:
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -64,8 +64,9 @@
       old_primary: The id of the primary to replace; "" if it is unknown.
       old_term: The highest known term.
       silent: The ids of former members that may still run.
-      left: The ids of former members that don't run any more, without the old
-        primary. They may have held a commit that only that one has otherwise.
+      left: The processes of former members that don't run any more. They may
+        have held a commit that only the old primary has otherwise. Those of the
+        old primary hold nothing that it lacks, unless it lost its log.
       min_required: The fewest members that must be fenced.
       is_old_primary_certain: Whether no later primary can have been promoted.
         Otherwise the old primary may receive from one, and must be paused, or
@@ -85,7 +86,7 @@
         silent: Collection[str] = (),
         min_required: int = 1,
         *,
-        left: Collection[str] = (),
+        left: Collection[replica_sets.Incarnation] = (),
         is_old_primary_certain: bool = True,
         recorded_term: int = 0,
         is_leaving: bool = False,
@@ -97,11 +98,11 @@
         self._members = members
         self._silent = frozenset(silent)
         self._running = {*members, *silent}
-        self._left = frozenset(left)
+        self._old_primary = old_primary
+        self._set_left(left)
         self._is_leaving = is_leaving
         self._knows_all_members = knows_all_members
         self._min_required = min_required
-        self._old_primary = old_primary
         self._old_term = old_term
         self._is_old_primary_certain = is_old_primary_certain
         self._recorded_term = recorded_term
@@ -141,11 +142,16 @@
         self._members = members
         self._silent = view.silent
         self._running = {*members, *view.silent}
-        self._left = view.left - {self._old_primary}
+        self._set_left(view.left)
         self._knows_all_members = view.knows_all_members
         self._min_required = max(self._min_required, _min_required(view, now))
         return bool(unknown)
 
+    def _set_left(self, left: Collection[replica_sets.Incarnation]) -> None:
+        own = {each for each in left if each.upstream == self._old_primary}
+        self._left = frozenset(left) - own
+        self._has_old_primary_restarted = bool(own)
+
     def pending_calls(self, now: float) -> Iterator[filters.Item]:
         """Yields a fence call to each member that is not fenced yet."""
         for upstream in self._members:
@@ -217,7 +223,10 @@
 
     def is_complete(self) -> bool:
         """Returns whether at least `required` members are fenced."""
-        return len(self.final_positions) >= self.required
+        fenced = self.final_positions.keys()
+        if self._has_old_primary_lost_log:
+            fenced = fenced - {self._old_primary}
+        return len(fenced) >= self.required
 
     @property
     def required(self) -> int:
@@ -248,7 +257,16 @@
     def has_old_primary(self) -> bool:
         """Whether the old primary is fenced, and certainly was the last one."""
         is_fenced = self._old_primary in self.final_positions
-        return is_fenced and self._is_old_primary_certain
+        is_last = self._is_old_primary_certain
+        return is_fenced and is_last and not self._has_old_primary_lost_log
+
+    @property
+    def _has_old_primary_lost_log(self) -> bool:
+        """Whether the old primary started again with less than a replica."""
+        position_of_old = self.final_positions.get(self._old_primary)
+        if position_of_old is None or not self._has_old_primary_restarted:
+            return False
+        return position_of_old < max(self.final_positions.values())
 
     def rely_on_old_primary(self) -> None:
         """Keeps the old primary, and the members that have its whole log.
@@ -321,7 +339,7 @@
         view.term,
         view.silent,
         _min_required(view, now),
-        left=view.left - {old_primary},
+        left=view.left,
         is_old_primary_certain=is_old_primary_certain,
         recorded_term=recorded_term,
         is_leaving=is_leaving,
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -180,7 +180,7 @@
             "term": view.term,
             "token": self._duty.token,
             "silent": sorted(view.silent),
-            "left": sorted(view.left),
+            "left": sorted(former.upstream for former in view.left),
             "knows_all": view.knows_all_members,
         }
         yield session_items.LogDecision(now, "replacing", "", details)
--- a/tests/lib/hosted_members.py
+++ b/tests/lib/hosted_members.py
@@ -34,6 +34,7 @@
             2,
             member.name in world.draining,
             member.role,
+            world.started_ms.get(member.name, 1),
         )
         for member in world.replicas.members.values()
         if member.name not in world.unlisted
--- a/tests/lib/hosted_world.py
+++ b/tests/lib/hosted_world.py
@@ -77,6 +77,7 @@
         self.promotion_network = promotion_network.PromotionNetwork(self)
         self.draining: set[str] = set()
         self.addresses: dict[str, str] = {}
+        self.started_ms: dict[str, int] = {}
         self.unlisted: set[str] = set()
         self.ended: set[str] = set()
         self.hosts: dict[str, hosted_nodes.Host] = {}
@@ -288,6 +289,14 @@
         if primary is not None and primary.term > member.term:
             member.role = sessions.ReplicaRole.REPLICA
 
+    def restart_empty(self, name: str) -> None:
+        """Restarts a member under its id, without anything of before."""
+        self.restart(name)
+        member = self.replicas.members[name]
+        member.log, member.applied, member.term = [], 0, 1
+        self.started_ms[name] = int(self.now * 1000)
+        self.publish_entries()
+
     def _roll_back(self, conn: hosted_nodes.Connection) -> None:
         conn.open = False
         conn.session.roll_back()
--- a/tests/unit/test_fence.py
+++ b/tests/unit/test_fence.py
@@ -19,6 +19,7 @@
     )
     for port, name in enumerate(("former", "current", "replica"), start=1)
 }
+GONE, LOST = (replica_sets.Incarnation(name, 1) for name in ("gone", "lost"))
 OLD_TERM = 2
 NEW_TERM = 3
 PRIMARY = sessions.ReplicaRole.PRIMARY
@@ -199,7 +200,7 @@
 # Failure: members that had left as planned made a fence wait in vain, and the
 # leaving primary was promoted again.
 def test_member_that_has_left_counts_until_the_old_primary_is_fenced():
-    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={"gone"})
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={GONE})
     _fence_all(attempt_fence, "former", "replica")
     assert not attempt_fence.is_complete()
     attempt_fence.record_reply("current", _status(REPLICA, OLD_TERM))
@@ -211,7 +212,7 @@
         MEMBERS,
         "current",
         OLD_TERM,
-        left={"gone", "lost"},
+        left={GONE, LOST},
         is_old_primary_certain=False,
     )
     _fence_all(attempt_fence, "former", "replica", "current")
@@ -221,7 +222,7 @@
 # Guards against lost commits: a member that has left may have acknowledged what
 # only the old primary has.
 def test_replica_behind_the_old_primary_is_not_chosen_if_a_member_has_left():
-    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={"gone"})
+    attempt_fence = fence.Fence(MEMBERS, "current", OLD_TERM, left={GONE})
     ahead = position.Position(position.Term(OLD_TERM), 9)
     behind = position.Position(position.Term(OLD_TERM), 8)
     attempt_fence.final_positions = {
--- a/tests/unit/test_lost_copies.py
+++ b/tests/unit/test_lost_copies.py
@@ -10,7 +10,12 @@
 
 import pytest
 
-from fescueshunt.core import member_records, replica_sets, store_items
+from fescueshunt.core import (
+    member_records,
+    replica_sets,
+    sessions,
+    store_items,
+)
 from fescueshunt.replicas import membership
 from lib import (
     hosted_clients,
@@ -32,12 +37,15 @@
 # Longer than several failovers, shorter than a former member counts as running.
 FAILOVERS_S = 8.0
 RECOVERY_S = 4.0
+# Shorter than it takes to detect that the primary is lost.
+REPLICA_LOST_S = 0.4
+RESTART_S = 0.3
 # By then hosts have dropped a member whose entry was removed.
 DROPPED_S = membership.UNLISTED_TIMEOUT_S + 2.0
 
 
 class LostCopy:
-    """Hosts before a primary whose only sound replica is lost."""
+    """Hosts before a primary of whose two replicas one receives nothing."""
 
     def __init__(self, seed: int) -> None:
         self.world = hosted_world.World(seed)
@@ -46,6 +54,9 @@
         self.world.run(WARM_UP_S)
         self.world.partition(PRIMARY, DEAF)
         self.world.run(DEAF_BEFORE_LOSS_S)
+
+    def lose_replica(self) -> None:
+        """Ends the replica that has all commits for good."""
         planned_work.end_member(self.world, REPLICA)
 
     def reuse_address(self, database: str) -> None:
@@ -83,6 +94,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_lost_replica_is_remembered_when_its_address_is_used_again(seed: int):
     failover = LostCopy(seed)
+    failover.lose_replica()
     failover.world.run(ADDRESS_REUSE_S)
     failover.reuse_address("elsewhere")
     failover.world.run(FAILOVERS_S)
@@ -93,6 +105,7 @@
 # Failure: a lost replica was forgotten a minute after its entry was removed.
 def test_lost_replica_is_remembered_for_as_long_as_no_member_has_its_commits():
     failover = LostCopy(1)
+    failover.lose_replica()
     failover.world.run(replica_sets.FORMER_MEMBER_TTL_S + FAILOVERS_S)
     failover.recover()
     failover.assert_nothing_lost()
@@ -103,6 +116,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_restarted_hosts_know_of_a_lost_replica(seed: int):
     failover = LostCopy(seed)
+    failover.lose_replica()
     failover.world.run(HOSTS_KILLED_S)
     failover.restart_hosts()
     failover.world.run(FAILOVERS_S)
@@ -114,6 +128,7 @@
 # primary that had stepped down.
 def test_hosts_without_a_record_do_not_promote_below_the_old_primary():
     failover = LostCopy(1)
+    failover.lose_replica()
     failover.world.run(HOSTS_KILLED_S)
     del failover.world.store.keys[
         member_records.record_key(hosted_world.DATABASE)
@@ -128,6 +143,7 @@
 # holds all that it can have acknowledged.
 def test_lost_replica_is_not_waited_for_once_another_one_has_its_commits():
     failover = LostCopy(1)
+    failover.lose_replica()
     failover.world.run(WARM_UP_S)
     failover.recover()
     failover.world.run(DROPPED_S)
@@ -135,3 +151,37 @@
     failover.world.run(FAILOVER_S)
     promoted = {name for _, name, _ in failover.world.replicas.promotions}
     assert DEAF in promoted
+
+
+# Failure: a replica that started again with nothing counted for a fence, and
+# the other one, which lacked the commits, was promoted.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_replica_that_starts_again_with_nothing_proves_nothing(seed: int):
+    failover = LostCopy(seed)
+    world = failover.world
+    world.crash(PRIMARY)
+    world.run(REPLICA_LOST_S)
+    world.crash(REPLICA)
+    world.run(RESTART_S)
+    world.restart_empty(REPLICA)
+    world.run(FAILOVER_S)
+    world.restart(PRIMARY)
+    failover.recover()
+    failover.assert_nothing_lost()
+
+
+# Failure: an old primary that started again with nothing counted as the one
+# that has every commit.
+def test_old_primary_that_starts_again_with_nothing_proves_nothing():
+    failover = LostCopy(1)
+    world = failover.world
+    world.crash(REPLICA)
+    world.run(RESTART_S)
+    world.crash(PRIMARY)
+    world.run(RESTART_S)
+    world.restart_empty(PRIMARY)
+    world.replicas.members[PRIMARY].role = sessions.ReplicaRole.REPLICA
+    world.run(FAILOVER_S)
+    world.restart(REPLICA)
+    failover.recover()
+    assert hosted_clients.lost_commits(world, failover.history) == []
