Don't replace a primary for want of replicas, nor wait for vacant members

Cause: the remaining replica is promoted within 1.4 s now, but can't commit without a replica. Hosts vote that it fails, and it was replaced by itself every two seconds, once just as the old primary was back as a replica.

Change: a primary that answers, and says that it leads, isn't replaced for failing while no other member answers, nor for 0.5 s after, until the votes are withdrawn. A member whose entry is removed is dropped once its address refuses connections, not 4 s later, so that it can be covered sooner.

Ruled out: the first alone. A replica that was lost 4.5 s before the primary was still waited for (6.26 s).

--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -2,10 +2,10 @@
 
 An upstream whose entry was removed may only have lost its connection to the
 store and could still acknowledge commits. It is therefore polled, and it stays
-a member until another upstream answers at its address or it has not answered
-for UNLISTED_TIMEOUT_S. Then it is a former member (`former_members`). It, or
-its successor, may still acknowledge commits for FORMER_MEMBER_TTL_S, or until
-another upstream is listed at its address.
+a member until its address refuses connections, another upstream answers there,
+or it has not answered for UNLISTED_TIMEOUT_S. Then it is a former member
+(`former_members`). It, or its successor, may still acknowledge commits for
+FORMER_MEMBER_TTL_S, or until another upstream is listed at its address.
 
 An upstream that starts again under its id holds nothing of before, unless a
 replica is found to. Its earlier process is a former member, too.
@@ -75,6 +75,14 @@
     vacant_at: float | None = None
     is_covered: bool = False
 
+    def is_silent(self, now: float) -> bool:
+        """Returns whether it has no entry, and does not answer any more."""
+        if self.unlisted_at is None:
+            return False
+        silent_since = max(self.unlisted_at, self.answered_at)
+        is_vacant = self.vacant_at is not None
+        return is_vacant or now - silent_since > UNLISTED_TIMEOUT_S
+
     def record_answer(self, now: float) -> None:
         """Records that the upstream answered."""
         self.answered_at = now
@@ -326,9 +334,7 @@
         silent = [
             upstream
             for upstream, state in self._upstreams.items()
-            if state.unlisted_at is not None
-            and now - max(state.unlisted_at, state.answered_at)
-            > UNLISTED_TIMEOUT_S
+            if state.is_silent(now)
         ]
         for upstream in silent:
             yield from self._drop(upstream, now)
--- a/packages/fescueshunt/src/fescueshunt/takeover/cause.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/cause.py
@@ -5,19 +5,23 @@
 import enum
 from typing import TYPE_CHECKING
 
+from fescueshunt.core import replica_sets, sessions
+
 if TYPE_CHECKING:
-    from fescueshunt.core import replica_sets
     from fescueshunt.takeover import items
 
 HEADLESS_DELAY_S = 0.7
 # An entry that expired during a store outage is restored within two seconds.
 GONE_DELAY_S = 2.5
+# Votes are withdrawn so long after a replica is back and writes go on.
+REPLICA_RETURN_DELAY_S = 0.5
 
 
 class Cause(enum.Enum):
     """Why a primary is replaced.
 
-    FAILING: More than half of the live hosts vote that the primary is failing.
+    FAILING: More than half of the live hosts vote that the primary is failing,
+      and it may help to replace it.
     LEAVING: The primary is draining, and a healthy listed replica is not.
     HEADLESS: No primary is known, as after an interrupted failover.
     GONE: The primary is no longer listed in the store.
@@ -38,6 +42,7 @@
     def __init__(self) -> None:
         self._headless_since: float | None = None
         self._gone_since: float | None = None
+        self._without_replicas_at = replica_sets.NEVER
 
     def detect(
         self,
@@ -54,11 +59,14 @@
         )
         is_gone = not is_headless and not _is_listed(view)
         self._gone_since = _update_since(self._gone_since, is_gone, now)
+        if _is_without_replicas(view):
+            self._without_replicas_at = now
         if (
             failure_votes is not None
             and view.primary
             and failure_votes.primary == view.primary
             and failure_votes.is_majority
+            and now - self._without_replicas_at > REPLICA_RETURN_DELAY_S
         ):
             return Cause.FAILING
         if _has_lasted(self._headless_since, now, HEADLESS_DELAY_S):
@@ -85,6 +93,26 @@
     return primary is not None and primary.entry.listed
 
 
+def _is_without_replicas(view: replica_sets.ReplicaSetView) -> bool:
+    """Returns whether the primary leads, and no other member answers.
+
+    Its writes fail for want of a replica then, which no promotion brings.
+    """
+    primary = view.member(view.primary)
+    if primary is None or primary.status is None:
+        return False
+    leads = primary.status.role is sessions.ReplicaRole.PRIMARY
+    return (
+        leads
+        and primary.failing_since is None
+        and all(
+            member.failing_since is not None
+            for member in view.members
+            if member.upstream != view.primary
+        )
+    )
+
+
 def _is_leaving(view: replica_sets.ReplicaSetView) -> bool:
     primary = view.member(view.primary)
     if primary is None or not primary.entry.draining:
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -259,3 +259,19 @@
     assert fence.Fence(members, "u0", 2).required == 2
     members["u0"] = _entry("u0")
     assert fence.Fence(members, "u0", 2).required == 2
+
+
+# Failure: a member that was gone for good was waited for like one that may run,
+# for 4 s after its entry was removed.
+def test_unlisted_member_is_dropped_once_its_address_refuses_connections():
+    harness = MembershipHarness()
+    moved = _entry("u1", address="127.0.0.1:2")
+    harness.feed(store_items.EntryChanged(0.5, moved))
+    harness.feed(store_items.EntryRemoved(1.0, "u1"))
+    code = errors.NobodyListensError.code
+    harness.feed(session_items.UpstreamSuspected(1.5, "u1", code))
+    changed = _changes(harness.feed(filters.Tick(1.6, 0.0)))[-1]
+    assert [entry.upstream for entry in changed.entries] == ["u0", "u2"]
+    assert _silent(changed) == {"u1"}
+    (former,) = (f for f in changed.former if f.upstream == "u1")
+    assert former.gone_at == 1.5
