Write a member record only in place of the one that was read

A holder of the duty whose watch is behind could have left out a member that its predecessor had recorded, and other hosts would have taken that for covered. The write now expects the revision that this host has read; one write of a record is on its way at a time. Hosts take a member that a record lacks for covered only if it has no entry.

--- a/packages/fescueshunt/src/fescueshunt/replicas/membership.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/membership.py
@@ -76,12 +76,20 @@
     is_covered: bool = False
 
     def is_silent(self, now: float) -> bool:
-        """Returns whether it has no entry, and does not answer any more."""
+        """Returns whether it has no entry, and does not answer any more.
+
+        One that drained may have left as planned, which the next call shows.
+        """
         if self.unlisted_at is None:
             return False
         silent_since = max(self.unlisted_at, self.answered_at)
-        is_vacant = self.vacant_at is not None
-        return is_vacant or now - silent_since > UNLISTED_TIMEOUT_S
+        has_ended = self.vacant_at is not None and self.draining_since is None
+        return has_ended or now - silent_since > UNLISTED_TIMEOUT_S
+
+    def is_gone(self, incarnation: replica_sets.Incarnation) -> bool:
+        """Returns whether it is this process, and has no entry any more."""
+        is_same = self.entry.incarnation == incarnation
+        return is_same and self.unlisted_at is not None
 
     def record_answer(self, now: float) -> None:
         """Records that the upstream answered."""
@@ -186,7 +194,7 @@
         recorded = frozenset(m.incarnation for m in record.members)
         for removed in self._former.apply_record(database, recorded):
             state = self._upstreams.get(removed.upstream)
-            if state is not None and state.entry.incarnation == removed:
+            if state is not None and state.is_gone(removed):
                 state.is_covered = True
         for member in record.members:
             self._add_recorded(database, member, now)
--- a/packages/fescueshunt/src/fescueshunt/takeover/member_recorder.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/member_recorder.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import (
@@ -29,88 +31,129 @@
 CALL_TIMEOUT_S = 0.5
 
 
+@dataclasses.dataclass(slots=True)
+class RecordState:
+    """The record of one replica set, as this host knows it.
+
+    Attributes:
+      value: the value in the store; "" if there is none.
+      revision: the revision of that; 0 if there is none.
+      write: the write that is not answered yet, or None.
+      retry_at: when the record may be written again.
+      poll_at: when the members may be polled again.
+    """
+
+    value: str = ""
+    revision: int = 0
+    write: store_items.WriteKey | None = None
+    retry_at: float = 0.0
+    poll_at: float = 0.0
+
+    def update(self, value: str, revision: int) -> None:
+        """Takes over a value, unless it is older."""
+        if revision > self.revision:
+            self.value, self.revision = value, revision
+
+
 class MemberRecorder(filters.Filter):
-    """Writes the member records, and polls until former members are covered."""
+    """Writes the member records, and polls until former members are covered.
+
+    A write fails unless this host has read the record that it replaces, so that
+    no member is left out that an earlier holder knew.
+    """
 
     def __init__(self) -> None:
         self._duty = store_items.DutyView(0.0, 0, 0.0, 0.0)
         self._views: dict[str, replica_sets.ReplicaSetView] = {}
-        self._stored: dict[str, str] = {}
-        self._write_after: dict[str, float] = {}
-        self._poll_after: dict[str, float] = {}
+        self._records: dict[str, RecordState] = collections.defaultdict(
+            RecordState
+        )
 
     def process(self, item: filters.Item) -> Iterator[filters.Item]:
         """Yields the records to write and the status calls, then `item`."""
         match item:
             case store_items.DutyView():
-                self._update_duty(item)
+                self._duty = item
             case store_items.KeysListed():
-                self._stored = {
-                    key: stored.value
-                    for key, stored in item.keys.items()
-                    if key.startswith(member_records.RECORDS_PREFIX)
-                }
+                for key in self._records.keys() | item.keys.keys():
+                    stored = item.keys.get(key)
+                    self._update_record(key, stored, item.revision)
             case store_items.KeyChanged():
-                self._record_change(item)
+                self._update_record(item.key, item.stored, item.revision)
+            case store_items.KeyWritten():
+                self._record_written(item)
             case replica_sets.ReplicaSetView():
                 yield from self._update_view(item)
-            case filters.Tick():
-                yield from self._tick(item.at)
+            case filters.Tick() if self._duty.is_held(item.at):
+                for view in self._views.values():
+                    yield from self._write(view, item.at)
+                    yield from self._poll(view, item.at)
         yield item
 
-    def _update_duty(self, item: store_items.DutyView) -> None:
-        if item.token != self._duty.token:
-            self._write_after.clear()
-        self._duty = item
-
-    def _record_change(self, item: store_items.KeyChanged) -> None:
-        if not item.key.startswith(member_records.RECORDS_PREFIX):
+    def _update_record(
+        self,
+        key: str,
+        stored: store_items.StoredKey | None,
+        store_revision: int,
+    ) -> None:
+        """Takes over what is in the store, unless this host knows better."""
+        if not key.startswith(member_records.RECORDS_PREFIX):
             return
-        self._stored.pop(item.key, None)
-        if item.stored is not None:
-            self._stored[item.key] = item.stored.value
+        record = self._records[key]
+        if stored is not None:
+            record.update(stored.value, stored.revision)
+        elif store_revision > record.revision:
+            record.value, record.revision = "", 0
+
+    def _record_written(self, item: store_items.KeyWritten) -> None:
+        record = self._records.get(item.key)
+        if record is None or item.write != record.write:
+            return
+        record.write = None
+        if item.done:
+            record.update(item.write.value, item.revision)
+            record.retry_at = item.at
 
     def _update_view(
         self, view: replica_sets.ReplicaSetView
     ) -> Iterator[filters.Item]:
         known = self._views.get(view.database)
         self._views[view.database] = view
-        has_changed = known is None or (
-            _incarnations(known) != _incarnations(view)
-        )
-        if has_changed and self._duty.is_held(view.at):
-            self._poll_after.pop(view.database, None)
-            yield from self._write(view, view.at)
-
-    def _tick(self, now: float) -> Iterator[filters.Item]:
-        if not self._duty.is_held(now):
+        if not self._duty.is_held(view.at):
             return
-        for database, view in self._views.items():
-            if now >= self._write_after.get(database, 0.0):
-                yield from self._write(view, now)
-            yield from self._poll(view, now)
+        if known is None or _incarnations(known) != _incarnations(view):
+            record = self._records[member_records.record_key(view.database)]
+            record.retry_at = record.poll_at = view.at
+            yield from self._write(view, view.at)
 
     def _write(
         self, view: replica_sets.ReplicaSetView, now: float
     ) -> Iterator[filters.Item]:
-        """Writes the record if it is neither stored nor on its way."""
-        self._write_after[view.database] = now + RETRY_AFTER_S
+        """Writes the record unless it is stored, or a write is on its way."""
         key = member_records.record_key(view.database)
+        record = self._records[key]
+        if now < record.retry_at or record.write is not None:
+            return
+        record.retry_at = now + RETRY_AFTER_S
         value = member_records.format_record(_record_of(view))
-        if value == self._stored.get(key):
+        if value == record.value:
             return
         guard = store_items.KeyRevision(store_items.DUTY_KEY, self._duty.token)
-        yield store_items.WriteKey(now, key, value, 0, None, guard)
+        record.write = store_items.WriteKey(
+            now, key, value, 0, record.revision, guard
+        )
+        yield record.write
 
     def _poll(
         self, view: replica_sets.ReplicaSetView, now: float
     ) -> Iterator[filters.Item]:
         """Asks the members while a former one may be found to be covered."""
         is_open = any(member.gone_at is not None for member in view.former)
-        is_due = now >= self._poll_after.get(view.database, 0.0)
+        record = self._records[member_records.record_key(view.database)]
+        is_due = now >= record.poll_at
         if not (is_open and is_due and view.is_confirmed(now)):
             return
-        self._poll_after[view.database] = now + POLL_INTERVAL_S
+        record.poll_at = now + POLL_INTERVAL_S
         for member in view.members:
             if member.entry.listed:
                 yield session_items.CallUpstream(
--- a/tests/unit/test_member_records.py
+++ b/tests/unit/test_member_records.py
@@ -164,17 +164,34 @@
     assert harness.feed(filters.Tick(NOW + 9.0, 0.0)) == []
 
 
+def _later(count: int) -> float:
+    return NOW + count * (member_recorder.RETRY_AFTER_S + 0.1)
+
+
 # Guards against a record that stays without a member, as its write was lost.
 def test_record_that_is_not_stored_is_written_again():
     harness = RecorderHarness(holds_duty=True)
     (write,) = harness.feed(_view())
-    later = NOW + member_recorder.RETRY_AFTER_S + 0.1
-    (repeated,) = harness.feed(filters.Tick(later, 0.0))
+    assert harness.feed(filters.Tick(_later(1), 0.0)) == []
+    harness.feed(store_items.KeyWritten(_later(1), KEY, None, 0, write))
+    (repeated,) = harness.feed(filters.Tick(_later(2), 0.0))
     assert repeated.value == write.value
-    harness.feed(
-        store_items.KeyChanged(later, KEY, _stored(write.value), revision=9)
-    )
-    assert harness.feed(filters.Tick(later + 9.0, 0.0)) == []
+    harness.feed(store_items.KeyWritten(_later(2), KEY, True, 9, repeated))
+    assert harness.feed(filters.Tick(_later(3), 0.0)) == []
+
+
+# Guards against a holder that has not read the last record yet, and would
+# leave out a member that only its predecessor knew.
+def test_record_is_written_only_in_place_of_the_one_that_was_read():
+    harness = RecorderHarness(holds_duty=True)
+    stored = _stored(_record("u0", "u1", "unknown"), revision=5)
+    harness.feed(store_items.KeyChanged(NOW, KEY, stored, 5))
+    (write,) = harness.feed(_view())
+    assert write.expected == 5
+    harness.feed(store_items.KeyWritten(NOW, KEY, False, 0, write))
+    harness.feed(store_items.KeyChanged(NOW, KEY, None, 6))
+    (repeated,) = harness.feed(filters.Tick(_later(1), 0.0))
+    assert repeated.expected == 0
 
 
 def test_members_are_polled_only_while_a_former_one_may_be_covered():
