Split the state of a replica set and the retries of records from their users

One change of behaviour: an old primary that is relied on, as no replica answers, stays a whole fence. Since attempts follow the members, the next view would have begun the fence again, for ever; the new test of it fails without that. Found on reading.

--- a/packages/fescueshunt/src/fescueshunt/replicas/track.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/track.py
@@ -1,13 +1,7 @@
-"""Tracks replica sets: the primary, failing members and log positions.
-
-A commit is acknowledged once the primary and one replica have it. At least two
-members therefore have every acknowledged commit, and any group of all members
-but one contains at least one of them.
-"""
+"""Tracks replica sets: the primary, failing members and log positions."""
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -19,52 +13,19 @@
     session_items,
     store_items,
 )
-from fescueshunt.replicas import items, primary_state, status_chain
+from fescueshunt.replicas import items, primary_state, set_state
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterator
 
-MAX_SAMPLES = 64
 SAMPLE_INTERVAL_S = 0.05
 
 
-@dataclasses.dataclass(slots=True)
-class ReplicaSetState:
-    """The tracked state of a replica set.
-
-    Attributes:
-      members: the members by upstream id.
-      former: the former members that may have acknowledged commits which no
-        member but the primary is known to hold.
-      watched_since: since when this host has read all changes of entries.
-      record: the leadership record in the store, or None.
-      published: the primary in the last published view.
-      term: the highest known term.
-      samples: position samples, oldest first.
-      chain: what this host knows of fences.
-    """
-
-    members: dict[str, primary_state.TrackedMember] = dataclasses.field(
-        default_factory=dict
-    )
-    former: tuple[replica_sets.FormerMember, ...] = ()
-    watched_since: float = replica_sets.NEVER
-    record: leadership.Record | None = None
-    published: primary_state.PrimaryState = primary_state.NO_PRIMARY
-    term: int = 0
-    samples: collections.deque[replica_sets.PositionSample] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
-    )
-    chain: status_chain.StatusChain = dataclasses.field(
-        default_factory=status_chain.StatusChain
-    )
-
-
 class ReplicaSetTracker(filters.Filter):
     """Builds replica set views from members, their replies and the store."""
 
     def __init__(self) -> None:
-        self._states: dict[str, ReplicaSetState] = {}
+        self._states: dict[str, set_state.ReplicaSetState] = {}
         self._database_of: dict[str, str] = {}
         self._lease_until = 0.0
 
@@ -95,7 +56,9 @@
     def _update_members(
         self, item: items.MembersChanged
     ) -> Iterator[filters.Item]:
-        state = self._states.setdefault(item.database, ReplicaSetState())
+        state = self._states.setdefault(
+            item.database, set_state.ReplicaSetState()
+        )
         before = state.members
         state.members = {}
         state.former = item.former
@@ -121,7 +84,7 @@
         if parsed is None:
             return
         database, record = parsed
-        state = self._states.setdefault(database, ReplicaSetState())
+        state = self._states.setdefault(database, set_state.ReplicaSetState())
         revision = state.record.revision if state.record else 0
         if record.revision <= revision:
             return
@@ -179,18 +142,16 @@
             member.stalled_since = None
         sampled = self._sample_primary(state, item)
         if item.applied is not None:
-            yield from _find_covered(
-                database,
-                state,
-                item.upstream,
-                item.applied,
-                item.at,
+            yield from self._find_covered(
+                database, item.upstream, item.applied, item.at
             )
         if sampled or previous != (member.failing_since, member.stalled_since):
             yield from self._publish(database, state, item.at)
 
     def _sample_primary(
-        self, state: ReplicaSetState, item: session_items.UpstreamResponded
+        self,
+        state: set_state.ReplicaSetState,
+        item: session_items.UpstreamResponded,
     ) -> bool:
         """Adds a position sample if the reply is from a confirmed primary.
 
@@ -207,7 +168,7 @@
             or item.sent_at < newest + SAMPLE_INTERVAL_S
         ):
             return False
-        _add_sample(state, item.sent_at, item.applied)
+        state.add_sample(item.sent_at, item.applied)
         return True
 
     def _learn_position(
@@ -217,7 +178,7 @@
         state = self._states.get(item.database)
         if state is not None:
             state.term = max(state.term, item.end.term.number)
-            _add_sample(state, item.covered_at, item.end)
+            state.add_sample(item.covered_at, item.end)
             yield from self._publish(item.database, state, item.at)
 
     def _record_outcome(
@@ -246,14 +207,30 @@
                 item.at,
                 has_silent_members=any(f.may_run for f in state.former),
             )
-            _sample_quorum(state, item.at)
-            yield from _find_covered(
-                database, state, item.upstream, status.received, item.at
+            state.sample_quorum(item.at)
+            yield from self._find_covered(
+                database, item.upstream, status.received, item.at
             )
         yield from self._publish(database, state, item.at)
 
+    def _find_covered(
+        self,
+        database: str,
+        upstream: str,
+        received: position.Position,
+        now: float,
+    ) -> Iterator[filters.Item]:
+        """Yields the former members that `upstream` covers, if any."""
+        state = self._states[database]
+        covered = state.covered_by(upstream, received, now)
+        if covered:
+            yield items.FormerMembersCovered(now, database, covered)
+
     def _publish(
-        self, database: str, state: ReplicaSetState, now: float
+        self,
+        database: str,
+        state: set_state.ReplicaSetState,
+        now: float,
     ) -> Iterator[filters.Item]:
         before = state.published
         state.published = self._primary(state, now)
@@ -270,7 +247,7 @@
         yield _view(database, state, now)
 
     def _primary(
-        self, state: ReplicaSetState, now: float
+        self, state: set_state.ReplicaSetState, now: float
     ) -> primary_state.PrimaryState:
         members = state.members.values()
         if now < self._lease_until:
@@ -297,109 +274,8 @@
     return previous
 
 
-def _find_covered(
-    database: str,
-    state: ReplicaSetState,
-    upstream: str,
-    received: position.Position,
-    now: float,
-) -> Iterator[filters.Item]:
-    """Yields the former members that `upstream` covers, if there are any.
-
-    A former member has acknowledged nothing since it was gone. A replica that
-    holds all commits acknowledged by then holds those of the former member.
-    The primary proves nothing: it holds every commit, and may be lost as well.
-    """
-    primary = state.published.primary
-    is_confirmed = bool(primary) and now < state.published.confirmed_until
-    if not state.former or not is_confirmed or upstream == primary:
-        return
-    covered = tuple(
-        member for member in state.former if _covers(state, member, received)
-    )
-    if covered:
-        yield items.FormerMembersCovered(now, database, covered)
-
-
-def _covers(
-    state: ReplicaSetState,
-    former: replica_sets.FormerMember,
-    received: position.Position,
-) -> bool:
-    """Returns whether `received` covers all that `former` acknowledged."""
-    if former.gone_at is None:
-        return False
-    end = replica_sets.position_as_of(state.samples, former.gone_at)
-    return end is not None and received >= end
-
-
-def _sample_quorum(state: ReplicaSetState, now: float) -> None:
-    """Adds a position sample from the newest status of enough members.
-
-    The highest position among them covers every acknowledged commit.
-    """
-    reporting = sorted(
-        (
-            member
-            for member in state.members.values()
-            if member.status is not None
-        ),
-        key=lambda member: member.requested_at,
-        reverse=True,
-    )
-    needed = _quorum_size(state, reporting, now)
-    if len(reporting) >= needed:
-        newest = reporting[:needed]
-        end = max(member.status.received for member in newest)
-        _add_sample(state, newest[-1].requested_at, end)
-
-
-def _quorum_size(
-    state: ReplicaSetState,
-    reporting: Sequence[primary_state.TrackedMember],
-    now: float,
-) -> int:
-    """Returns how many members have to report: all but one.
-
-    For FORMER_MEMBER_TTL_S, former members count as members that do not report:
-    they may still run, or have left with the only copy of a commit beside the
-    primary's. The successor at the address of one has its log. A single status
-    never suffices: this host may not know of every member.
-
-    A host that has not watched the entries for long may not know of a former
-    member, which may have left with the only copy of a commit beside the
-    primary's. Without the primary, it needs the status of one member more.
-    """
-    addresses = {member.entry.address for member in state.members.values()}
-    missing_count = sum(
-        now - former.unlisted_at <= replica_sets.FORMER_MEMBER_TTL_S
-        and (former.may_run or former.address not in addresses)
-        for former in state.former
-        if not former.is_unknown
-    )
-    running = len(state.members) + missing_count
-    commit_members = replica_sets.COMMIT_MEMBERS
-    needed = max(running - commit_members + 1, commit_members)
-    by_status = primary_state.from_status(reporting[:needed])
-    is_confirmed = by_status.confirmed_until > replica_sets.NEVER
-    watched_s = now - state.watched_since
-    if is_confirmed or watched_s >= replica_sets.FORMER_MEMBER_TTL_S:
-        return needed
-    return needed + 1
-
-
-def _add_sample(
-    state: ReplicaSetState, at: float, end: position.Position
-) -> None:
-    if state.samples and at <= state.samples[-1].at:
-        return
-    if state.samples:
-        end = max(end, state.samples[-1].end)
-    state.samples.append(replica_sets.PositionSample(at, end))
-
-
 def _view(
-    database: str, state: ReplicaSetState, now: float
+    database: str, state: set_state.ReplicaSetState, now: float
 ) -> replica_sets.ReplicaSetView:
     members = tuple(
         replica_sets.MemberView(
--- a/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/attempt.py
@@ -87,7 +87,6 @@
         self.started_at = now
         self.cause = cause
         self.old_primary = record.upstream if record else view.primary
-        self._members = {m.upstream: m.entry for m in view.members}
         self._fence = fence.fence_for(
             view,
             self.old_primary,
@@ -114,7 +113,6 @@
         self._acknowledgements = acknowledgements.Acknowledgements(
             view.database
         )
-        self._read_record_at: float | None = None
         self._promotion: promotion.Promotion | None = None
         self._step = Step.ANNOUNCING
         self._step_started_at = now
@@ -132,18 +130,12 @@
         hosts: participants.Participants,
     ) -> Iterator[filters.Item]:
         """Advances the attempt on a reply or a tick; yields the next calls."""
-        match item:
-            case store_items.KeyWritten():
-                result = self._record.check_written(item)
-                yield from self._handle_write_result(result, item.at)
-            case store_items.KeyRead():
-                result = self._record.check_read(item)
-                yield from self._handle_write_result(result, item.at)
-            case filters.Tick():
-                yield from self._read_record(item.at)
-            case replica_sets.ReplicaSetView():
-                yield from self._follow_members(item)
-        if self._is_for_other_database(item):
+        result = self._record.check(item)
+        yield from self._handle_write_result(result, item.at)
+        yield from self._record.pending_calls(item.at)
+        if isinstance(item, replica_sets.ReplicaSetView):
+            yield from self._follow_members(item)
+        if self._fence.is_for_other_database(item):
             return
         if self._step is Step.PROMOTING:
             yield from self._advance_promotion(item, duty)
@@ -154,11 +146,6 @@
             case filters.Tick():
                 yield from self._tick(item.at, hosts)
 
-    def _is_for_other_database(self, item: filters.Item) -> bool:
-        """Returns whether an upstream has replied that is no member."""
-        is_reply = isinstance(item, session_items.UpstreamCallCompleted)
-        return is_reply and item.upstream not in self._members
-
     def _follow_members(
         self, view: replica_sets.ReplicaSetView
     ) -> Iterator[filters.Item]:
@@ -168,7 +155,6 @@
         acknowledged. The store's changes come in order, so the entry of the
         member is here before the end of the host's lease is.
         """
-        self._members = {m.upstream: m.entry for m in view.members}
         has_joined = self._fence.follow(view, view.at)
         if self._step is Step.FENCING and has_joined:
             yield from self._send_fence_calls(view.at)
@@ -195,10 +181,6 @@
         match result:
             case record_writer.WriteResult.WRITTEN:
                 yield from self._handle_record_written(now)
-            case record_writer.WriteResult.UNKNOWN:
-                self._read_record_at = now + RETRY_INTERVAL_S
-            case record_writer.WriteResult.MISSING:
-                yield self._record.repeat(now)
             case record_writer.WriteResult.OVERTAKEN:
                 self.outcome = self._pending_outcome or "overtaken"
 
@@ -212,12 +194,6 @@
             case Step.RECORDING:
                 self.outcome = self._pending_outcome
 
-    def _read_record(self, now: float) -> Iterator[filters.Item]:
-        """Reads what became of a write that was not answered."""
-        if self._read_record_at is not None and now >= self._read_record_at:
-            self._read_record_at = None
-            yield self._record.read(now)
-
     def _tick(
         self, now: float, hosts: participants.Participants
     ) -> Iterator[filters.Item]:
@@ -253,8 +229,13 @@
             return
         if self._is_fence_reply(item):
             yield from self._handle_fence_reply(item.upstream, status, item.at)
-        elif self._step is Step.WAITING:
-            yield from self._check_for_leader(item.upstream, status, item.at)
+        elif self._step is Step.WAITING and self._fence.leads(
+            item.upstream, status
+        ):
+            # An earlier call has taken effect meanwhile.
+            yield from self._record_new_primary(
+                item.upstream, status.term, item.at
+            )
 
     def _is_fence_reply(
         self, item: session_items.UpstreamCallCompleted
@@ -324,15 +305,7 @@
             yield from self._start_promotion(now)
         elif now >= self._next_retry_at:
             self._next_retry_at = now + RETRY_INTERVAL_S
-            for upstream in self._members:
-                yield fence.get_status(upstream, now)
-
-    def _check_for_leader(
-        self, upstream: str, status: sessions.ReplicaStatus, now: float
-    ) -> Iterator[filters.Item]:
-        """Looks whether an earlier call has taken effect meanwhile."""
-        if self._fence.leads(upstream, status):
-            yield from self._record_new_primary(upstream, status.term, now)
+            yield from self._fence.status_calls(now)
 
     # Promotion.
 
@@ -401,11 +374,7 @@
         if calls.has_calls_for_others(context.database, self.old_primary):
             self.outcome = reason
             return
-        for upstream in self._members:
-            if upstream != self.old_primary:
-                yield session_items.CallUpstream(
-                    now, upstream, sessions.Resume(), now + fence.CALL_TIMEOUT_S
-                )
+        yield from self._fence.resume_calls(now)
         if self._fence.old_primary_stepped_down or not self.old_primary:
             self.outcome = reason
         else:
--- a/packages/fescueshunt/src/fescueshunt/takeover/fence.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/fence.py
@@ -109,6 +109,7 @@
         self._acting_primaries = (
             {old_primary} if is_old_primary_certain else set()
         )
+        self._relies_on_old_primary = False
         self._term_raises = 0
 
     def doubt_old_primary(self) -> None:
@@ -163,6 +164,23 @@
                     now + CALL_TIMEOUT_S,
                 )
 
+    def status_calls(self, now: float) -> Iterator[filters.Item]:
+        """Yields a status call to each member."""
+        for upstream in self._members:
+            yield get_status(upstream, now)
+
+    def resume_calls(self, now: float) -> Iterator[filters.Item]:
+        """Yields a call to each member but the old primary to go on."""
+        for upstream in sorted(self._members.keys() - {self._old_primary}):
+            yield session_items.CallUpstream(
+                now, upstream, sessions.Resume(), now + CALL_TIMEOUT_S
+            )
+
+    def is_for_other_database(self, item: filters.Item) -> bool:
+        """Returns whether an upstream has replied that is no member."""
+        is_reply = isinstance(item, session_items.UpstreamCallCompleted)
+        return is_reply and item.upstream not in self._members
+
     def call_to_fence(self, upstream: str) -> sessions.UpstreamCall:
         """Returns the call that fences `upstream`.
 
@@ -222,7 +240,12 @@
         return self._term_raises <= MAX_TERM_RAISES
 
     def is_complete(self) -> bool:
-        """Returns whether at least `required` members are fenced."""
+        """Returns whether enough members are fenced.
+
+        The old primary is, once it is relied on.
+        """
+        if self._relies_on_old_primary and self.has_old_primary:
+            return True
         fenced = self.final_positions.keys()
         if self._has_old_primary_lost_log:
             fenced = fenced - {self._old_primary}
@@ -273,6 +296,7 @@
 
         The old primary by itself has every commit of its term.
         """
+        self._relies_on_old_primary = True
         covering = self.final_positions[self._old_primary]
         self.final_positions = {
             upstream: final_position
--- a/packages/fescueshunt/src/fescueshunt/takeover/record_writer.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/record_writer.py
@@ -9,8 +9,13 @@
 from fescueshunt.core import leadership, store_items
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from fescueshunt.core import filters
 
+# The record is read so long after a write that was not answered.
+READ_AFTER_S = 0.3
+
 
 class WriteResult(enum.Enum):
     """What is known of the last write.
@@ -51,6 +56,8 @@
         self._revision = record.revision if record is not None else 0
         self._guard = store_items.KeyRevision(store_items.DUTY_KEY, token)
         self._last_write: store_items.WriteKey | None = None
+        self._read_at: float | None = None
+        self._repeats = False
 
     def write(self, record: leadership.Record, now: float) -> filters.Item:
         """Returns a write of `record`, in this announcement."""
@@ -65,6 +72,28 @@
         )
         return self._last_write
 
+    def check(self, item: filters.Item) -> WriteResult | None:
+        """Returns the result of the last write if `item` tells of it."""
+        result = None
+        match item:
+            case store_items.KeyWritten():
+                result = self.check_written(item)
+            case store_items.KeyRead():
+                result = self.check_read(item)
+        if result is WriteResult.UNKNOWN:
+            self._read_at = item.at + READ_AFTER_S
+        self._repeats = result is WriteResult.MISSING
+        return result
+
+    def pending_calls(self, now: float) -> Iterator[filters.Item]:
+        """Yields what finds out, or repeats, a write that was not answered."""
+        if self._repeats:
+            self._repeats = False
+            yield self.repeat(now)
+        if self._read_at is not None and now >= self._read_at:
+            self._read_at = None
+            yield self.read(now)
+
     def repeat(self, now: float) -> filters.Item:
         """Returns the last write once more."""
         self._last_write = dataclasses.replace(self._last_write, at=now)
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -234,3 +234,17 @@
     assert failover.sent[-1].upstream == "u1"
     _confirm_duty_and_fences(failover, ("u2",))
     assert not failover.has_called()
+
+
+# Guards against a failover that goes on for ever: an old primary that is relied
+# on, as no replica answers, was not enough when the members were seen again.
+def test_old_primary_that_is_relied_on_stays_a_whole_fence():
+    failover = _Failover()
+    failover.answer_write()
+    failover.reply("u0", sessions.StepDown(FENCE_TERM))
+    failover.now += attempt.FENCE_TIMEOUT_S
+    failover.wait()
+    failover.feed(_view())
+    failover.wait()
+    _confirm_duty_and_fences(failover, ("u0",))
+    assert failover.has_called()
