Tell why quotas refuse, and when a coordinator ignores or doesn't answer

A host refused operations as 'quota of the account' and nothing told whether the quota was used up or no share could be had; a coordinator dropped reports without a trace.

Added: the counter quota_refusals by cause, and the events quota_report_ignored (at the host that is asked) and quota_coordinator_silent (at the one that asks). No decision changes.

--- a/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/measures.py
+++ b/packages/fescueshunt-proxy/src/fescueshunt_proxy/_internal/hosted/measures.py
@@ -6,6 +6,7 @@
 
 from fescueshunt.core import (
     process,
+    quotas,
     replica_sets,
     routes,
     session_items,
@@ -39,6 +40,9 @@
             session_pipe_items.JobFinished, self._count_statement
         )
         core_runtime.subscribe(session_items.LogDecision, self._count_decision)
+        core_runtime.subscribe(
+            quotas.OperationRefused, self._count_quota_refusal
+        )
         core_runtime.subscribe(
             process.ItemFailed, self.metrics_registry.count_failed_item
         )
@@ -90,6 +94,9 @@
     def _count_decision(self, item: session_items.LogDecision) -> None:
         self.count("decisions", event=item.event)
 
+    def _count_quota_refusal(self, item: quotas.OperationRefused) -> None:
+        self.count("quota_refusals", cause=item.cause.value)
+
     def _update_readiness(self, item: session_pipe_items.ReadinessView) -> None:
         self._is_ready = item.ready
 
--- a/packages/fescueshunt/src/fescueshunt/core/quotas.py
+++ b/packages/fescueshunt/src/fescueshunt/core/quotas.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from fescueshunt.core import filters, peer_items
@@ -109,6 +110,13 @@
     tokens: float
 
 
+class RefusalCause(enum.Enum):
+    """Why an operation of an account with a quota was refused."""
+
+    USED_UP = "used_up"
+    NO_SHARE = "no_share"
+
+
 # Messages between hosts.
 
 
@@ -189,3 +197,16 @@
 
     account: str
     returned: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperationRefused(filters.Item):
+    """An operation was refused for the quota of its account.
+
+    Attributes:
+      cause: `USED_UP` if this host has a valid share or an answer of the
+        coordinator, but no token; `NO_SHARE` if it has neither.
+    """
+
+    account: str
+    cause: RefusalCause
--- a/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
@@ -17,7 +17,7 @@
     routes,
     store_items,
 )
-from fescueshunt.quota import ledger
+from fescueshunt.quota import ledger, reports
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -91,6 +91,7 @@
         self, item: peer_items.PeerAsked, report: quotas.QuotaReport
     ) -> Iterator[filters.Item]:
         if not self._duty.is_held(item.at):
+            yield reports.report_ignored(item.host, self._duty, item.at)
             return
         member = self._identify(item, report)
         if member is None:
--- a/packages/fescueshunt/src/fescueshunt/quota/shareholder.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/shareholder.py
@@ -13,6 +13,7 @@
     replica_sets,
     store_items,
 )
+from fescueshunt.quota import reports
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -137,6 +138,7 @@
         since = self._unanswered_since
         if since is not None and now - since > LINK_TIMEOUT_S:
             # The link is silent; the next report opens another one.
+            yield reports.coordinator_silent(self._coordinator, since, now)
             yield peer_items.DropPeer(now, self._coordinator)
             self._restart_link()
         is_waiting = (
--- a/packages/fescueshunt/src/fescueshunt/sessions/quota_gate.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/quota_gate.py
@@ -140,7 +140,7 @@
             meter.waiting.append(job)
             yield from self._wish(job.connection_account, quota, item.at)
         else:
-            yield self._refuse(meter, job, item.at)
+            yield from self._refuse(meter, job, item.at)
 
     def _quota(self, account: str) -> accounts.Quota | None:
         return accounts.find_quota(self._directory, account)
@@ -222,17 +222,25 @@
 
     def _refuse(
         self, meter: Meter, job: items.StatementJob, now: float
-    ) -> filters.Item:
+    ) -> Iterator[filters.Item]:
         """Refuses an operation, and tells when it may come again.
 
         The times are spread, so that the callers don't return together.
         """
         detail = "quota of the account"
-        wait_s = meter.bucket.wait_s() if now < meter.valid_until else math.inf
+        is_valid = now < meter.valid_until
+        wait_s = meter.bucket.wait_s() if is_valid else math.inf
         if math.isfinite(wait_s):
             wait_s *= self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             detail += f"; retry after {wait_s:.2f} s"
-        return items.JobFinished(
+        yield quotas.OperationRefused(
+            now,
+            job.connection_account,
+            quotas.RefusalCause.USED_UP
+            if is_valid
+            else quotas.RefusalCause.NO_SHARE,
+        )
+        yield items.JobFinished(
             now, job, None, failures.Failure.BUSY, detail, ""
         )
 
@@ -245,7 +253,7 @@
             while meter.waiting and (
                 now - meter.waiting[0].arrived_at > MAX_WAIT_S
             ):
-                yield self._refuse(meter, meter.waiting.popleft(), now)
+                yield from self._refuse(meter, meter.waiting.popleft(), now)
             if now - meter.arrived_at > IDLE_TIMEOUT_S:
                 del self._meters[account]
                 yield quotas.ShareNeeded(now, account, 0.0, 0)
