Let the duty's view leave the takeover pipe, so that quotas are granted

Cause: since the coordinator of quotas takes DutyView from the takeover pipe. The pipe's last filter handles that view and kept it, so that it never left the pipe. The metrics lost it as well: no host showed duty_held.

Change: the filter passes the view on.

Tests: tests/functional/test_account_quotas.py runs host processes, so with the real composition root; its test failed with a timeout on the code before (nothing served within 25 s) and passes, as do those in which the holder is stopped or killed. The simulated fleet handed the view over by a wiring of its own and stayed green; it now has the root's takeover pipe, with which most tests of test_quota_bound.py fail on the code before.

--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/deployment.py
@@ -19,7 +19,12 @@
 
 from fescueshunt import errors
 from fescueshunt_standins import fleet
-from fescueshunt_standins.hosted import journal, lines, recorded_clients
+from fescueshunt_standins.hosted import (
+    journal,
+    lines,
+    recorded_clients,
+    server,
+)
 from fescueshunt_wire import http
 
 if TYPE_CHECKING:
@@ -85,6 +90,11 @@
         """Gives all routes another timeout."""
         await self._call_stand_in("POST", f"routes?timeout_ms={timeout_ms}")
 
+    async def set_quota(self, rate_per_s: float, burst: float) -> None:
+        """Gives the account of the clients a quota, in operations."""
+        call = f"accounts?rate_per_s={rate_per_s}&burst={burst}"
+        await self._call_stand_in("POST", call)
+
     async def delay_promotions(self, count: int, delay_s: float) -> None:
         """Carries out the next `count` promotion calls late and unanswered."""
         call = f"late-promotions?count={count}&delay_s={delay_s}"
@@ -277,8 +287,11 @@
     session_address = fleet.free_address()
     readiness_address = fleet.free_address()
     metrics_address = fleet.free_address()
+    peer_ip, _, peer_port = fleet.free_address().rpartition(":")
     settings = {
         "node_name": f"edge-{number}",
+        "ip": peer_ip,
+        "internal_ports": [int(peer_port), int(peer_port)],
         "zone": "z",
         "listen": {"front": session_address, "ready": readiness_address},
         "platform": {"address": platform_address},
@@ -320,10 +333,15 @@
 
 async def _read_routes_version(host: HostProcess) -> int:
     """Returns the version of the routes that a host has in force, 0 if none."""
+    found = ROUTES_VERSION.search(await read_metrics(host))
+    return int(found[1]) if found else 0
+
+
+async def read_metrics(host: HostProcess) -> bytes:
+    """Returns the metrics of a host, in the text exposition format."""
     with http.open_client(host.metrics_address) as client:
         response = await client.call("GET", "/metrics", ANSWER_TIMEOUT_S)
-    found = ROUTES_VERSION.search(response.body)
-    return int(found[1]) if found else 0
+    return response.body
 
 
 class LineClient:
@@ -358,7 +376,7 @@
     reader, writer = await recorded_clients.open_connection(host, int(port))
     client = LineClient(reader, writer)
     try:
-        writer.write(f"START {route} tester\r\n".encode())
+        writer.write(f"START {route} {server.CLIENT_KEY}\r\n".encode())
         assert await client.read_answer() == ["READY I -"]
         yield client
     finally:
--- a/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
+++ b/packages/fescueshunt-standins/src/fescueshunt_standins/hosted/server.py
@@ -3,7 +3,9 @@
 The key-value store and the promotion call share one HTTP address. Each upstream
 listens on an address of its own. `POST /stand-in/crash?name=` and
 `POST /stand-in/restart?name=` crash and restart an upstream, and
-`POST /stand-in/routes?timeout_ms=` changes the configuration document.
+`POST /stand-in/routes?timeout_ms=` changes the configuration document, and
+`POST /stand-in/accounts?rate_per_s=&burst=` gives clients an account with a
+quota there.
 `POST /stand-in/isolate?name=` and `POST /stand-in/reconnect?name=` separate an
 upstream from the other ones, and connect it again.
 `POST /stand-in/late-promotions?count=&delay_s=` carries out the next calls for
@@ -35,6 +37,8 @@
 TICK_S = 0.01
 PROMOTION_DELAY_S = 0.2
 DATABASE = "renew-1"
+CLIENT_ACCOUNT = "acme"
+CLIENT_KEY = "tester"
 TIMEOUT_MS = 1000
 MAX_WAIT_S = 30.0
 # Longer than a caller waits for an answer.
@@ -66,6 +70,7 @@
         self.listeners: dict[str, lines.MemberListener] = {}
         self._published_entries: dict[str, str] = {}
         self._routes_version = 0
+        self._accounts: list[dict[str, Any]] | None = None
         self._late_promotions = 0
         self._late_promotion_delay_s = 0.0
 
@@ -96,8 +101,21 @@
             "routes": routes,
             "services": services,
         }
+        if self._accounts is not None:
+            document["tenants"] = self._accounts
         self._write_key("op/config", json.dumps(document))
 
+    def publish_accounts(self, rate_per_s: float, burst: float) -> None:
+        """Gives the account of the tests' clients a quota."""
+        account = {
+            "name": CLIENT_ACCOUNT,
+            "api_keys": [CLIENT_KEY],
+            "rate_per_s": rate_per_s,
+            "burst": burst,
+        }
+        self._accounts = [account]
+        self.publish_routes()
+
     def publish_entries(self) -> None:
         """Writes the store entries of the upstreams that have changed.
 
@@ -171,6 +189,10 @@
                 return self._list_violations()
             case "POST", "routes":
                 self.publish_routes(int(params["timeout_ms"]))
+            case "POST", "accounts":
+                self.publish_accounts(
+                    float(params["rate_per_s"]), float(params["burst"])
+                )
             case "POST", "late-promotions":
                 self._late_promotions = int(params["count"])
                 self._late_promotion_delay_s = float(params["delay_s"])
--- a/packages/fescueshunt/src/fescueshunt/takeover/replace.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/replace.py
@@ -66,6 +66,7 @@
                 | store_items.LeaseView()
             ):
                 self._store_view(item)
+                yield item
             case store_items.KeysListed():
                 self._participants.load(item)
                 for key, stored in item.keys.items():
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -1,8 +1,8 @@
 """Simulates hosts that share the quota of one account, on a fake clock.
 
-Each host has the real gate, election and quota pipe. Messages on a link arrive
-in order, with random delays. Hosts may be killed, cut off from each other or
-frozen, and the duty moves between them as its lease allows.
+Each host has the real gate, takeover pipe and quota pipe. Messages on a link
+arrive in order, with random delays. Hosts may be killed, cut off from each
+other or frozen, and the duty moves between them as its lease allows.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
 )
 from fescueshunt.quota import pipe as quota_pipe
 from fescueshunt.sessions import items, quota_gate
-from fescueshunt.takeover import election
-from lib import session_load, timeline
+from fescueshunt.takeover import pipe as takeover_pipe
+from lib import replica_set_views, session_load, timeline
 
 TICK_S = 0.02
 ACCOUNT = texts.Word("acme")
@@ -38,11 +38,6 @@
     quotas.ShareChanged,
     routes.RoutesView,
 )
-ELECTED_BY = (
-    store_items.KeyChanged,
-    store_items.KeysListed,
-    store_items.LeaseView,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,7 +126,7 @@
         core = filters.Core(
             (
                 filters.Pipe((gate, _Recorder()), GATED),
-                filters.Pipe((election.Election(own.name),), ELECTED_BY),
+                takeover_pipe.build(own),
                 quota_pipe.build(own, BOUND),
             )
         )
@@ -142,6 +137,9 @@
             self.now, frozenset(self._infos), self._infos
         )
         self.feed(host, view)
+        entry = replica_set_views.make_entry("u0")
+        reached = replica_set_views.make_view([entry], "u0", now=self.now)
+        self.feed(host, reached)
         if self._duty is not None:
             keys = {store_items.DUTY_KEY: self._duty}
             self.feed(host, store_items.KeysListed(self.now, keys, 1))
