Find items that nothing emits or takes when a process is put together

Cause of the class: items reach a pipe by their type alone. A view that a filter kept, or that nothing made any more, left no trace: what depends on it just never happened, and the tests that wire by hand stayed green.

Change: each pipe declares what it emits beside what it accepts, borders.py what the border feeds and takes. The composition roots of both fronts compare them and end the start with a WiringError.

No other item is lost today, on either front. Not covered: an item that an early filter of a pipe keeps from a later one of the same pipe.

--- a/packages/fescueshunt/src/fescueshunt/core/filters.py
+++ b/packages/fescueshunt/src/fescueshunt/core/filters.py
@@ -52,19 +52,26 @@
     """A sequence of filters, chained as generators.
 
     Attributes:
+      filters: the filters in order.
       accepts: the item types that the first filter of the pipe receives.
+      emits: the item types that the pipe makes for itself, other pipes or the
+        border; `wiring.check` relies on them.
     """
 
     def __init__(
-        self, filters: Sequence[Filter], accepts: Iterable[type[Item]]
+        self,
+        filters: Sequence[Filter],
+        accepts: Iterable[type[Item]],
+        emits: Iterable[type[Item]] = (),
     ) -> None:
-        self._filters = tuple(filters)
+        self.filters = tuple(filters)
         self.accepts = frozenset(accepts)
+        self.emits = frozenset(emits)
 
     def feed(self, item: Item) -> Iterator[Item]:
         """Yields the items that the last filter emits for `item`."""
         stream: Iterator[Item] = iter((item,))
-        for stage in self._filters:
+        for stage in self.filters:
             stream = _apply(stage, stream)
         return stream
 
--- a/packages/fescueshunt/src/fescueshunt/errors.py
+++ b/packages/fescueshunt/src/fescueshunt/errors.py
@@ -325,6 +325,12 @@
     code = "upstream_lost"
 
 
+class WiringError(FescueshuntError):
+    """The pipes of a process and its border don't fit together."""
+
+    code = "wiring"
+
+
 def class_for_code(code: str) -> type[FescueshuntError]:
     """Returns the class with `code`, or FescueshuntError if it is unknown."""
     return _CLASS_BY_CODE.get(code, FescueshuntError)
--- a/packages/fescueshunt/src/fescueshunt/failover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/failover/pipe.py
@@ -20,6 +20,12 @@
     views.GroupView,
 )
 
+EMITS = (
+    items.CallControl,
+    items.SendPeer,
+    views.Promotion,
+)
+
 
 def build(local_proxy: identity.Identity, rng: random.Random) -> filters.Pipe:
     """Returns the failover pipe of the proxy `local_proxy`.
@@ -32,4 +38,4 @@
         propose.Proposer(local_proxy, rng),
         follow.FollowerReconciler(local_proxy),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/health/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/health/pipe.py
@@ -13,6 +13,11 @@
     views.FleetView,
 )
 
+EMITS = (
+    items.CallControl,
+    views.GroupView,
+)
+
 
 def build(
     local_proxy: identity.Identity,
@@ -26,4 +31,4 @@
         `homes.SingleHome` by default.
     """
     stages = (poller.StatusPoller(local_proxy, assignment),)
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/hosted.py
+++ b/packages/fescueshunt/src/fescueshunt/hosted.py
@@ -5,7 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, quotas
+from fescueshunt import borders
+from fescueshunt.core import filters, quotas, wiring
 from fescueshunt.lending import pipe as lending_pipe
 from fescueshunt.presence import pipe as presence_pipe
 from fescueshunt.quota import pipe as quota_pipe
@@ -34,18 +35,23 @@
       seed: the seed of the core's random number generator.
       bound: what the quotas of client accounts allow.
       lends: whether hosts lend each other connections where these are few.
+
+    Raises:
+      errors.WiringError: if the pipes and the border don't fit together.
     """
     rng = random.Random(
         f"{own_identity.name}/{own_identity.incarnation}/{seed}"
     )
-    return filters.Core(
-        (
-            routing_pipe.build(),
-            presence_pipe.build(own_identity),
-            replicas_pipe.build(rng),
-            sessions_pipe.build(own_identity, grace_s, rng, bound, lends=lends),
-            takeover_pipe.build(own_identity),
-            lending_pipe.build(own_identity, lends=lends),
-            quota_pipe.build(own_identity, bound),
-        )
-    )
+    pipes = {
+        "routing": routing_pipe.build(),
+        "presence": presence_pipe.build(own_identity),
+        "replicas": replicas_pipe.build(rng),
+        "sessions": sessions_pipe.build(
+            own_identity, grace_s, rng, bound, lends=lends
+        ),
+        "takeover": takeover_pipe.build(own_identity),
+        "lending": lending_pipe.build(own_identity, lends=lends),
+        "quota": quota_pipe.build(own_identity, bound),
+    }
+    wiring.check(pipes, borders.HOST)
+    return filters.Core(tuple(pipes.values()))
--- a/packages/fescueshunt/src/fescueshunt/lending/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/lending/pipe.py
@@ -37,6 +37,22 @@
     store_items.LiveHostsView,
 )
 
+EMITS = (
+    peer_items.AnswerPeer,
+    peer_items.AskPeer,
+    peer_items.DropPeer,
+    peer_items.ListenForPeers,
+    session_items.CallReplied,
+    session_items.CloseConnection,
+    session_items.ConnectionFailed,
+    session_items.ConnectionOpened,
+    session_items.LogDecision,
+    session_items.OpenConnection,
+    session_items.PositionLearned,
+    session_items.SendCall,
+    session_items.UpstreamResponded,
+)
+
 
 def build(
     own_identity: identity.Identity, *, lends: bool = True
@@ -53,4 +69,4 @@
         borrower.Borrower(own_identity.name),
         lender.Lender(own_identity.name),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/members/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/members/pipe.py
@@ -25,6 +25,13 @@
     items.MemberClaimed,
 )
 
+EMITS = (
+    core_items.ReadHosts,
+    core_items.SendPeer,
+    items.MemberClaimed,
+    views.FleetView,
+)
+
 
 def build(
     local_proxy: identity.Identity,
@@ -46,4 +53,4 @@
         spread.GossipDisseminator(local_proxy),
         publish.FleetViewPublisher(local_proxy),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/observe/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/observe/pipe.py
@@ -25,6 +25,8 @@
     views.GroupView,
 )
 
+EMITS = (queries.LocalReply,)
+
 
 def build(local_proxy: identity.Identity) -> filters.Pipe:
     """Returns the observe pipe of one proxy.
@@ -33,4 +35,4 @@
       local_proxy: the proxy that runs the pipe.
     """
     stages = (counters.Counters(), recorder.StepRecorder(local_proxy.name))
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/operators/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/operators/pipe.py
@@ -32,6 +32,17 @@
     filters.Tick,
 )
 
+EMITS = (
+    items.AnswerOperator,
+    items.ReadArchive,
+    items.ReadBack,
+    items.SendPeer,
+    items.SettingsAccepted,
+    items.SwapSettings,
+    queries.LocalQuery,
+    queries.LocalReply,
+)
+
 
 def build(local_proxy: identity.Identity) -> filters.Pipe:
     """Returns the operators pipe of one proxy.
@@ -46,4 +57,4 @@
         promotions.PromotionHistory(),
         show.Show(local_proxy),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/presence/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/presence/pipe.py
@@ -21,6 +21,16 @@
     store_items.KeyChanged,
 )
 
+EMITS = (
+    store_items.AskLease,
+    store_items.EndLease,
+    store_items.LeaseLost,
+    store_items.LeaseView,
+    store_items.LiveHostsView,
+    store_items.RenewLease,
+    store_items.WriteKey,
+)
+
 
 def build(own_identity: identity.Identity) -> filters.Pipe:
     """Returns the presence pipe of the host with `own_identity`."""
@@ -28,4 +38,4 @@
         lease.HostLease(own_identity),
         hosts.LiveHostTracker(own_identity),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -8,7 +8,8 @@
 import random
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters
+from fescueshunt import borders
+from fescueshunt.core import filters, wiring
 from fescueshunt.failover import pipe as failover_pipe
 from fescueshunt.health import pipe as health_pipe
 from fescueshunt.members import pipe as members_pipe
@@ -41,19 +42,22 @@
       seeds: the addresses of other proxies, for starting without the host list.
       policy: the policies for home assignment, scheduling and placement of
         reads.
+
+    Raises:
+      errors.WiringError: if the pipes and the border don't fit together.
     """
     policy = policy or policies.Policy()
     rng = random.Random(
         f"{own_identity.name}/{own_identity.incarnation}/{seed}"
     )
-    return filters.Core(
-        (
-            settings_pipe.build(own_identity, rng),
-            members_pipe.build(own_identity, rng, seeds),
-            health_pipe.build(own_identity, policy.homes),
-            failover_pipe.build(own_identity, rng),
-            request_pipe.build(own_identity, codec, policy, rng),
-            operators_pipe.build(own_identity),
-            observe_pipe.build(own_identity),
-        )
-    )
+    pipes = {
+        "settings": settings_pipe.build(own_identity, rng),
+        "members": members_pipe.build(own_identity, rng, seeds),
+        "health": health_pipe.build(own_identity, policy.homes),
+        "failover": failover_pipe.build(own_identity, rng),
+        "request": request_pipe.build(own_identity, codec, policy, rng),
+        "operators": operators_pipe.build(own_identity),
+        "observe": observe_pipe.build(own_identity),
+    }
+    wiring.check(pipes, borders.PROXY)
+    return filters.Core(tuple(pipes.values()))
--- a/packages/fescueshunt/src/fescueshunt/quota/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/pipe.py
@@ -9,6 +9,7 @@
     peer_items,
     quotas,
     routes,
+    session_items,
     store_items,
 )
 from fescueshunt.quota import coordinator, shareholder
@@ -31,6 +32,14 @@
     store_items.LiveHostsView,
 )
 
+EMITS = (
+    peer_items.AnswerPeer,
+    peer_items.AskPeer,
+    peer_items.DropPeer,
+    quotas.ShareChanged,
+    session_items.LogDecision,
+)
+
 
 def build(own_identity: identity.Identity, bound: quotas.Bound) -> filters.Pipe:
     """Returns the quota pipe of a host.
@@ -43,4 +52,4 @@
         shareholder.Shareholder(own_identity),
         coordinator.Coordinator(own_identity, bound),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/replicas/pipe.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from fescueshunt.core import filters, routes, session_items, store_items
+from fescueshunt.core import (
+    filters,
+    replica_sets,
+    routes,
+    session_items,
+    store_items,
+)
 from fescueshunt.replicas import items, membership, poll, scarcity, track
 
 if TYPE_CHECKING:
@@ -28,6 +34,13 @@
     items.FormerMembersCovered,
 )
 
+EMITS = (
+    items.FormerMembersCovered,
+    replica_sets.ReplicaSetView,
+    session_items.CallUpstream,
+    session_items.LogDecision,
+)
+
 
 def build(rng: random.Random) -> filters.Pipe:
     """Returns the replicas pipe of a host.
@@ -41,4 +54,4 @@
         poll.StatusPoller(rng),
         track.ReplicaSetTracker(),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/request/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/request/pipe.py
@@ -50,6 +50,22 @@
     items.LedgerPurged,
 )
 
+EMITS = (
+    core_items.AnswerCaller,
+    core_items.CloseUpstream,
+    core_items.OpenUpstream,
+    core_items.RunUpstream,
+    core_items.SendPeer,
+    items.Answered,
+    items.ConnectionReleased,
+    items.LedgerPurged,
+    items.RequestEnded,
+    items.RetryNeeded,
+    items.TransactionEnded,
+    items.TransactionOpened,
+    process.Stopped,
+)
+
 
 def build(
     local_proxy: identity.Identity,
@@ -81,4 +97,4 @@
         acknowledge.Acknowledge(local_proxy),
         reply.Reply(),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/pipe.py
@@ -54,6 +54,35 @@
     quotas.ShareChanged,
 )
 
+EMITS = (
+    items.JobFinished,
+    items.ReadinessView,
+    items.TransactionLost,
+    process.Stopped,
+    quotas.OperationRefused,
+    quotas.ShareNeeded,
+    quotas.ShareShrunk,
+    session_items.AcceptSession,
+    session_items.AskPosition,
+    session_items.BorrowConnection,
+    session_items.CloseConnection,
+    session_items.CloseSession,
+    session_items.ConfirmationRequested,
+    session_items.GreetLender,
+    session_items.LogDecision,
+    session_items.OpenConnection,
+    session_items.PauseClient,
+    session_items.RejectSession,
+    session_items.ResumeClient,
+    session_items.ReturnConnection,
+    session_items.SendCall,
+    session_items.SendSessionAnswer,
+    session_items.StopListening,
+    session_items.UpstreamCallCompleted,
+    session_items.UpstreamResponded,
+    session_items.UpstreamSuspected,
+)
+
 
 def build(
     own_identity: identity.Identity,
@@ -84,4 +113,4 @@
             choose.LeastLoadedPolicy(own_identity, rng), rng, lends=lends
         ),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/settings/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/settings/pipe.py
@@ -21,6 +21,12 @@
     filters.Tick,
 )
 
+EMITS = (
+    items.ReadSettings,
+    items.SendPeer,
+    views.SettingsView,
+)
+
 
 def build(local_proxy: identity.Identity, rng: random.Random) -> filters.Pipe:
     """Returns the settings pipe of one proxy.
@@ -34,4 +40,4 @@
         watch.StoreWatch(local_proxy),
         spread.Gossip(local_proxy, rng),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
--- a/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
+++ b/packages/fescueshunt/src/fescueshunt/takeover/pipe.py
@@ -32,6 +32,16 @@
     replica_sets.ReplicaSetView,
 )
 
+EMITS = (
+    session_items.CallUpstream,
+    session_items.LogDecision,
+    store_items.CallPromotion,
+    store_items.DutyView,
+    store_items.EndLease,
+    store_items.ReadKey,
+    store_items.WriteKey,
+)
+
 
 def build(host: identity.Identity) -> filters.Pipe:
     """Returns the takeover pipe of `host`."""
@@ -42,4 +52,4 @@
         member_recorder.MemberRecorder(),
         replace.PrimaryReplacer(host.name),
     )
-    return filters.Pipe(stages, ACCEPTS)
+    return filters.Pipe(stages, ACCEPTS, EMITS)
