Let the coordinator of quotas go on while the store is away

Cause: shares and tokens were both granted only under a certain lease, although a successor leaves what may be granted as shares alone for 8 s in any case.

Change: a coordinator whose lease isn't certain goes on with that half for 8 s. Its answers tell how long shares are valid, so that they end when the successor takes them for ended. Answers of earlier versions, without that, are read as before.

--- a/packages/fescueshunt-wire/src/fescueshunt_wire/host_quotas.py
+++ b/packages/fescueshunt-wire/src/fescueshunt_wire/host_quotas.py
@@ -35,6 +35,8 @@
     number: host_fields.Number
     answers: host_fields.Number
     grants: list[_ShareGrant]
+    # Hosts of earlier versions don't send it.
+    ttl_s: host_fields.Seconds = quotas.SHARE_TTL_S
 
 
 AnyMessage = _QuotaReport | _QuotaShares
@@ -74,6 +76,7 @@
                 message.number,
                 message.answers,
                 grants,
+                message.ttl_s,
             ]
 
 
@@ -101,5 +104,9 @@
                 for grant in model.grants
             )
             return quotas.QuotaShares(
-                model.epoch, model.number, model.answers, tuple(grants)
+                model.epoch,
+                model.number,
+                model.answers,
+                tuple(grants),
+                model.ttl_s,
             )
--- a/packages/fescueshunt/src/fescueshunt/core/quotas.py
+++ b/packages/fescueshunt/src/fescueshunt/core/quotas.py
@@ -146,12 +146,14 @@
       number: the number of the message on this link, from 1.
       answers: the number of the report that the coordinator knew of. The shares
         are valid from when the host sent that.
+      ttl_s: how long they are valid, in seconds.
     """
 
     epoch: int
     number: int
     answers: int
     grants: tuple[ShareGrant, ...]
+    ttl_s: float = SHARE_TTL_S
 
 
 # Items between pipes.
--- a/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
@@ -1,7 +1,9 @@
 """Divides the quotas of accounts among the hosts that ask for them.
 
-The host that holds the duty is the coordinator. It grants shares only while its
-lease is certainly valid, so that no two do at a time.
+The host that holds the duty is the coordinator. Once its lease may have ended,
+for example as the store is away, it goes on for a while with the part of each
+quota that is given as shares. Its shares then end when those of a coordinator
+are over at the latest; until then a successor leaves this part alone.
 """
 
 from __future__ import annotations
@@ -84,6 +86,22 @@
             self._known_from = duty.at + quotas.SHARE_TTL_S
         self._duty = duty
 
+    def _share_ttl_s(self, now: float) -> float:
+        """Returns how long a share may be valid now, 0 if none may be granted.
+
+        A successor takes all shares for ended `SHARE_TTL_S` after it has taken
+        the duty, which it can't before this host's lease has ended.
+        """
+        if not self._duty.token:
+            return 0.0
+        left_s = self._duty.valid_until + quotas.SHARE_TTL_S - now
+        return min(max(left_s, 0.0), quotas.SHARE_TTL_S)
+
+    def _pooled(self, account: ledger.AccountLedger, now: float) -> float:
+        return account.pooled(
+            now, self._known_from, is_certain=self._duty.is_held(now)
+        )
+
     def _forget_link(self, link: int) -> None:
         for member in self._members.values():
             if member.link == link:
@@ -92,7 +110,7 @@
     def _handle_report(
         self, item: peer_items.PeerAsked, report: quotas.QuotaReport
     ) -> Iterator[filters.Item]:
-        if not self._duty.is_held(item.at):
+        if not self._share_ttl_s(item.at):
             yield reports.report_ignored(item.host, self._duty, item.at)
             return
         member = self._identify(item, report)
@@ -164,7 +182,7 @@
         found.fill(
             self._bound.rate_per_s(quota),
             max_tokens,
-            found.pooled(now, self._known_from),
+            self._pooled(found, now),
             now,
         )
         found.expire(now)
@@ -184,7 +202,7 @@
         if holding.shrink(target):
             return quotas.ShareGrant(name, holding.granted, 0.0)
         free = account.free(now, self._known_from)
-        pooled = account.pooled(now, self._known_from)
+        pooled = self._pooled(account, now)
         added = min(max(target - holding.granted, 0.0), free)
         if now < self._known_from:
             account.released -= added
@@ -243,5 +261,6 @@
             member.sent_number,
             member.report_number,
             tuple(grants),
+            self._share_ttl_s(now),
         )
         return peer_items.answer(self._own_name, member.link, message, now)
--- a/packages/fescueshunt/src/fescueshunt/quota/ledger.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/ledger.py
@@ -123,12 +123,16 @@
             return max(self.released, 0.0)
         return max(1.0 - POOL_SHARE - self.counted(), 0.0)
 
-    def pooled(self, now: float, known_from: float) -> float:
+    def pooled(
+        self, now: float, known_from: float, *, is_certain: bool
+    ) -> float:
         """Returns the share that is left for single operations.
 
-        That is what no host has, and what none can have.
+        That is what no host has, and what none can have. The latter belongs to
+        the successor of a coordinator that is not certain to be one any more.
         """
-        return POOL_SHARE + self.free(now, known_from)
+        pool_share = POOL_SHARE if is_certain else 0.0
+        return pool_share + self.free(now, known_from)
 
     def fill(
         self, rate_per_s: float, max_tokens: float, pooled: float, now: float
@@ -147,7 +151,7 @@
           added: the share that the host gets.
           pooled: the share that was left for single operations before that.
         """
-        in_proportion = self.tokens * added / pooled
+        in_proportion = self.tokens * added / pooled if pooled > 0 else 0.0
         spare = min(self.tokens * SPARE_SHARE, MAX_SPARE_TOKENS)
         wanted = max(in_proportion - KEPT_TOKENS, 0.0)
         if missing:
--- a/packages/fescueshunt/src/fescueshunt/quota/shareholder.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/shareholder.py
@@ -205,7 +205,7 @@
         for grant in message.grants:
             share = self._shares.setdefault(grant.account, Share())
             share.fraction = grant.fraction
-            share.valid_until = sent_at + quotas.SHARE_TTL_S
+            share.valid_until = sent_at + message.ttl_s
             yield quotas.ShareChanged(
                 item.at,
                 grant.account,
--- a/tests/lib/quota_fleet.py
+++ b/tests/lib/quota_fleet.py
@@ -183,9 +183,10 @@
         for host in list(self.hosts.values()):
             if host.number == number:
                 self._extend_lease(host)
-            self.call_later(
-                self.rng.uniform(0, 0.1), self._duty_news(host, self._duty)
-            )
+            # A host that is cut off from the store learns of it late.
+            is_cut_off = host.number != number and self.rng.random() < 0.1
+            delay_s = self.rng.uniform(0, 6.0 if is_cut_off else 0.1)
+            self.call_later(delay_s, self._duty_news(host, self._duty))
 
     def lose_duty(self) -> None:
         """Lets the lease of the duty's holder end; its host may not know."""
--- a/tests/unit/test_host_messages.py
+++ b/tests/unit/test_host_messages.py
@@ -60,7 +60,7 @@
     quotas.QuotaReport(
         3, 4, 2, (quotas.ShareWish("a", 0.5, 0.25, 3.0, 2, 1.5),)
     ),
-    quotas.QuotaShares(7, 1, 4, (quotas.ShareGrant("a", 0.5, 3.0),)),
+    quotas.QuotaShares(7, 1, 4, (quotas.ShareGrant("a", 0.5, 3.0),), 2.5),
 )
 
 
--- a/tests/unit/test_quota_bound.py
+++ b/tests/unit/test_quota_bound.py
@@ -54,7 +54,7 @@
             world.lose_duty()
             successor = rng.choice(up)
             world.call_later(
-                quota_fleet.LEASE_S + rng.uniform(0.01, 1.0),
+                quota_fleet.LEASE_S + rng.choice((0.01, 0.3, 1.0, 6.0)),
                 lambda: world.move_duty(successor),
             )
         case _:
@@ -177,6 +177,26 @@
     assert world.most_in_window(0.0, world.now) <= quota_fleet.allowed(quota)
 
 
+# Failure: while the store was away, the coordinator's lease was not certain, so
+# that operations were refused at each host without a share.
+def test_operations_go_on_while_the_store_is_away():
+    quota = accounts.Quota(10.0, 10.0)
+    world = quota_fleet.QuotaFleet(MANY, quota, 1)
+    world.run(SETTLE_S)
+    world.add_load(quota.rate_per_s / 1.6, LOAD_S, list(range(MANY)))
+    world.run(4.0)
+    world.lose_duty()
+    world.run(quota_fleet.LEASE_S)
+    ran, refused = len(world.ran_at), len(world.refused_at)
+    world.run(5.0)
+    refused_meanwhile = len(world.refused_at) - refused
+    operations = len(world.ran_at) - ran + refused_meanwhile
+    assert refused_meanwhile <= 0.05 * operations
+    world.move_duty(1)
+    world.run(LOAD_S)
+    assert world.most_in_window(0.0, world.now) <= quota_fleet.allowed(quota)
+
+
 def test_account_without_quota_is_not_limited():
     world = _make()
     world.quota = None
