Say in one step how shares are scaled, and why an operation is refused

Read as a newcomer would: a guard against division by zero stood in place of the two cases, and a conditional within a call.

--- a/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/coordinator.py
@@ -2,8 +2,8 @@
 
 The host that holds the duty is the coordinator. Once its lease may have ended,
 for example as the store is away, it goes on for a while with the part of each
-quota that is given as shares. Its shares then end when those of a coordinator
-are over at the latest; until then a successor leaves this part alone.
+quota that is given as shares. A successor leaves this part alone until the
+shares of its predecessor are over, and no share is granted for longer.
 """
 
 from __future__ import annotations
@@ -98,6 +98,7 @@
         return min(max(left_s, 0.0), quotas.SHARE_TTL_S)
 
     def _pooled(self, account: ledger.AccountLedger, now: float) -> float:
+        """Returns the share of a quota that is left for single operations."""
         return account.pooled(
             now, self._known_from, is_certain=self._duty.is_held(now)
         )
--- a/packages/fescueshunt/src/fescueshunt/quota/ledger.py
+++ b/packages/fescueshunt/src/fescueshunt/quota/ledger.py
@@ -162,8 +162,8 @@
 
     def target(self, holding: Holding) -> float:
         """Returns the share that a host should have."""
-        scale = min((1.0 - POOL_SHARE) / max(self._wanted, 1e-9), 1.0)
-        target = holding.wanted * scale
+        most = 1.0 - POOL_SHARE
+        target = holding.wanted * most / max(self._wanted, most)
         return target if target >= self.min_share else 0.0
 
     def under_target(self) -> list[str]:
--- a/packages/fescueshunt/src/fescueshunt/sessions/quota_gate.py
+++ b/packages/fescueshunt/src/fescueshunt/sessions/quota_gate.py
@@ -233,13 +233,10 @@
         if math.isfinite(wait_s):
             wait_s *= self._rng.uniform(1.0, 1.0 + RETRY_SPREAD)
             detail += f"; retry after {wait_s:.2f} s"
-        yield quotas.OperationRefused(
-            now,
-            job.connection_account,
-            quotas.RefusalCause.USED_UP
-            if is_valid
-            else quotas.RefusalCause.NO_SHARE,
-        )
+        cause = quotas.RefusalCause.NO_SHARE
+        if is_valid:
+            cause = quotas.RefusalCause.USED_UP
+        yield quotas.OperationRefused(now, job.connection_account, cause)
         yield items.JobFinished(
             now, job, None, failures.Failure.BUSY, detail, ""
         )
