Keep the items of proxies out of the start of a host

Cause: borders.py named the items of both kinds of process, so that a host imported those of proxies too.

Change: a module for the border of each kind of process.

Test: test_host_imports_no_items_of_proxies.

--- a/packages/fescueshunt/src/fescueshunt/hosted.py
+++ b/packages/fescueshunt/src/fescueshunt/hosted.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from fescueshunt import borders
+from fescueshunt import hosted_border
 from fescueshunt.core import filters, quotas, wiring
 from fescueshunt.lending import pipe as lending_pipe
 from fescueshunt.presence import pipe as presence_pipe
@@ -53,5 +53,5 @@
         "lending": lending_pipe.build(own_identity, lends=lends),
         "quota": quota_pipe.build(own_identity, bound),
     }
-    wiring.check(pipes, borders.HOST)
+    wiring.check(pipes, hosted_border.BORDER)
     return filters.Core(tuple(pipes.values()))
--- a/packages/fescueshunt/src/fescueshunt/borders.py
+++ b/packages/fescueshunt/src/fescueshunt/hosted_border.py
@@ -1,10 +1,9 @@
-"""The items that each kind of process exchanges with its border."""
+"""The items that a host of the platform exchanges with its border."""
 
 from __future__ import annotations
 
 from fescueshunt.core import (
     filters,
-    items,
     peer_items,
     process,
     quotas,
@@ -12,15 +11,12 @@
     routes,
     session_items,
     store_items,
-    views,
     wiring,
 )
-from fescueshunt.request import items as request_items
 from fescueshunt.routing import items as routing_items
 from fescueshunt.sessions import items as pipe_items
 
-# Of a host that serves client sessions.
-HOST = wiring.Border(
+BORDER = wiring.Border(
     sources=frozenset(
         (
             filters.Tick,
@@ -89,53 +85,3 @@
         )
     ),
 )
-
-# Of a proxy.
-PROXY = wiring.Border(
-    sources=frozenset(
-        (
-            filters.Tick,
-            items.ArchiveRead,
-            items.BackRead,
-            items.CallerClosed,
-            items.CallerRequest,
-            items.ControlFailed,
-            items.ControlReplied,
-            items.HostsRead,
-            items.OperatorAsked,
-            items.PeerLost,
-            items.PeerReceived,
-            items.SettingsRead,
-            items.SettingsReadFailed,
-            items.SettingsSwapFailed,
-            items.SettingsSwapped,
-            items.StoreReadFailed,
-            items.UpstreamFailed,
-            items.UpstreamOpened,
-            items.UpstreamReplied,
-            process.StopAsked,
-        )
-    ),
-    sinks=frozenset(
-        (
-            items.AnswerCaller,
-            items.AnswerOperator,
-            items.CallControl,
-            items.CloseUpstream,
-            items.OpenUpstream,
-            items.ReadArchive,
-            items.ReadBack,
-            items.ReadHosts,
-            items.ReadSettings,
-            items.RunUpstream,
-            items.SendPeer,
-            items.SwapSettings,
-            process.Stopped,
-            request_items.Answered,
-            views.FleetView,
-            views.GroupView,
-            views.Promotion,
-            views.SettingsView,
-        )
-    ),
-)
--- a/packages/fescueshunt/src/fescueshunt/proxy.py
+++ b/packages/fescueshunt/src/fescueshunt/proxy.py
@@ -8,7 +8,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from fescueshunt import borders
+from fescueshunt import proxy_border
 from fescueshunt.core import filters, wiring
 from fescueshunt.failover import pipe as failover_pipe
 from fescueshunt.health import pipe as health_pipe
@@ -59,5 +59,5 @@
         "operators": operators_pipe.build(own_identity),
         "observe": observe_pipe.build(own_identity),
     }
-    wiring.check(pipes, borders.PROXY)
+    wiring.check(pipes, proxy_border.BORDER)
     return filters.Core(tuple(pipes.values()))
--- a/tests/unit/test_wiring.py
+++ b/tests/unit/test_wiring.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import importlib
+import subprocess
+import sys
 from unittest import mock
 
 import pytest
 
 import fescueshunt_proxy._internal
 import fescueshunt_proxy.platform
-from fescueshunt import borders, errors, hosted, proxy
+from fescueshunt import (
+    errors,
+    hosted,
+    hosted_border,
+    proxy,
+    proxy_border,
+)
 from fescueshunt.core import (
     filters,
     identity,
@@ -44,8 +52,8 @@
 
 
 BUILDS = {
-    "host": (_build_host, borders.HOST),
-    "proxy": (_build_proxy, borders.PROXY),
+    "host": (_build_host, hosted_border.BORDER),
+    "proxy": (_build_proxy, proxy_border.BORDER),
 }
 PIPES = {
     name: pipe
@@ -180,3 +188,11 @@
         taken |= item_makers.subscribed_in(module)
     assert border.sources <= made
     assert taken - REPORTED == border.sinks
+
+
+# Failure: a host imported the items of proxies, so that its start took longer.
+def test_host_imports_no_items_of_proxies():
+    code = "import sys, fescueshunt.hosted; print(*sys.modules)"
+    loaded = subprocess.check_output((sys.executable, "-c", code), text=True)
+    assert "fescueshunt.core.session_items" in loaded.split()
+    assert "fescueshunt.core.items" not in loaded.split()
